--- /dev/null
+++ b/src/yuccatally/__init__.py
@@ -0,0 +1,1 @@
+"""Router for language-model pipelines over mixed accelerators."""
--- /dev/null
+++ b/src/yuccatally/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers."""
--- /dev/null
+++ b/src/yuccatally/callers/application.py
@@ -0,0 +1,176 @@
+"""The starlette application for callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from starlette import applications
+from starlette import routing
+import structlog
+
+from yuccatally.callers import access
+from yuccatally.callers import completions
+from yuccatally.callers import services
+from yuccatally.core.requests import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from starlette import requests
+    from starlette import responses as http
+
+    from yuccatally.core.objects import kinds
+    from yuccatally.instance import instance
+
+    Handler = Callable[
+        [str, kinds.Object, requests.Request, bytes], Awaitable[http.Response]
+    ]
+
+_log = structlog.get_logger()
+
+SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+
+def application(node: instance.Instance) -> applications.Starlette:
+    """Returns the application of one instance."""
+    endpoints = Endpoints(node)
+    return applications.Starlette(
+        routes=[
+            routing.Route(
+                "/v1/completions", endpoints.completion, methods=["POST"]
+            ),
+            routing.Route(
+                "/v1/chat/completions", endpoints.chat, methods=["POST"]
+            ),
+            routing.Route("/v1/models", endpoints.models),
+            routing.Route("/v1/instances", endpoints.instances),
+            routing.Route(
+                "/services/{name}/{path:path}",
+                endpoints.service,
+                methods=SERVICE_METHODS,
+            ),
+        ]
+    )
+
+
+class Endpoints:
+    """Handlers of the callers' interface."""
+
+    def __init__(self, node: instance.Instance) -> None:
+        self.node = node
+
+    async def completion(self, request: requests.Request) -> http.Response:
+        """Serves ``POST /v1/completions``."""
+        return await self._admit(request, self._completion)
+
+    async def chat(self, request: requests.Request) -> http.Response:
+        """Serves ``POST /v1/chat/completions``."""
+        return await self._admit(request, self._chat)
+
+    async def service(self, request: requests.Request) -> http.Response:
+        """Serves ``/services/NAME/PATH``."""
+        return await self._admit(request, self._service)
+
+    async def models(self, request: requests.Request) -> http.Response:
+        """Serves ``GET /v1/models``."""
+        data = [
+            {"id": m.name, "object": "model", "created": 0, "owned_by": "site"}
+            for m in self.node.config.of_kind("model")
+        ]
+        content = {"object": "list", "data": data}
+        return self._plain(request, content)
+
+    async def instances(self, request: requests.Request) -> http.Response:
+        """Serves ``GET /v1/instances``."""
+        return self._plain(request, self.node.instances_for_callers())
+
+    async def _admit(
+        self, request: requests.Request, handler: Handler
+    ) -> http.Response:
+        identity = self.node.accept()
+        account = access.account_of(request, self.node.config)
+        if account is None:
+            return self._unauthenticated(identity)
+        body = await self._body(request)
+        if body is None:
+            limit = self.node.settings.limits.body_bytes
+            return self._refuse(
+                identity,
+                outcomes.Reason.MALFORMED,
+                f"the body is longer than {limit} bytes",
+            )
+        try:
+            return await handler(identity, account, request, body)
+        except completions.MalformedError as error:
+            return self._refuse(identity, outcomes.Reason.MALFORMED, str(error))
+        except Exception:
+            # The request may have been handed over before the fault.
+            _log.exception("request_failed", request=identity)
+            refusal = outcomes.Refusal(
+                outcomes.Outcome.UNKNOWN,
+                outcomes.Reason.INTERNAL,
+                "an internal error occurred; the instance logged it",
+            )
+            return self.node.refuse(identity, refusal)
+
+    async def _completion(
+        self,
+        identity: str,
+        account: kinds.Object,
+        request: requests.Request,
+        body: bytes,
+    ) -> http.Response:
+        asked = completions.parse_completion(body)
+        return await completions.serve(self.node, identity, account, asked)
+
+    async def _chat(
+        self,
+        identity: str,
+        account: kinds.Object,
+        request: requests.Request,
+        body: bytes,
+    ) -> http.Response:
+        asked = completions.parse_chat(body)
+        return await completions.serve(self.node, identity, account, asked)
+
+    async def _service(
+        self,
+        identity: str,
+        account: kinds.Object,
+        request: requests.Request,
+        body: bytes,
+    ) -> http.Response:
+        return await services.serve(self.node, identity, account, request, body)
+
+    async def _body(self, request: requests.Request) -> bytes | None:
+        limit = self.node.settings.limits.body_bytes
+        parts: list[bytes] = []
+        length = 0
+        async for part in request.stream():
+            length += len(part)
+            if length > limit:
+                return None
+            parts.append(part)
+        return b"".join(parts)
+
+    def _refuse(
+        self, identity: str, reason: outcomes.Reason, message: str
+    ) -> http.Response:
+        refusal = outcomes.Refusal(outcomes.Outcome.NOT_RUN, reason, message)
+        return self.node.refuse(identity, refusal)
+
+    def _plain(
+        self, request: requests.Request, content: object
+    ) -> http.Response:
+        identity = self.node.accept()
+        if access.account_of(request, self.node.config) is None:
+            return self._unauthenticated(identity)
+        return self.node.answer(identity, content)
+
+    def _unauthenticated(self, identity: str) -> http.Response:
+        return self._refuse(
+            identity,
+            outcomes.Reason.UNAUTHENTICATED,
+            "send 'Authorization: Bearer KEY' with a key of an account",
+        )
--- /dev/null
+++ b/src/yuccatally/callers/completions.py
@@ -0,0 +1,329 @@
+"""Model completions, whole or as server-sent events."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from starlette import responses as starlette_responses
+
+from yuccatally.callers import messages
+from yuccatally.callers import responses
+from yuccatally.core.generation import actions
+from yuccatally.core.objects import specs
+from yuccatally.core.requests import outcomes
+from yuccatally.core.requests import text
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from starlette import responses as http
+
+    from yuccatally.core.objects import kinds
+    from yuccatally.instance import instance
+
+DEFAULT_MAX_TOKENS = 64
+
+
+@dataclasses.dataclass(frozen=True)
+class Asked:
+    """What both endpoints have in common.
+
+    Attributes:
+        model: Name of the model.
+        prompt: Token ids.
+        max_tokens: Greatest number of tokens to generate.
+        stream: Whether to answer with server-sent events.
+        include_usage: Whether to add an event with token counts.
+        chat: Whether the answer is a chat message.
+    """
+
+    model: str
+    prompt: tuple[int, ...]
+    max_tokens: int
+    stream: bool
+    include_usage: bool
+    chat: bool
+
+
+class MalformedError(Exception):
+    """The body of a request cannot be served."""
+
+
+def parse_completion(body: bytes) -> Asked:
+    """Parses the body of ``POST /v1/completions``.
+
+    Raises:
+        MalformedError: The body is not a request that can be served.
+    """
+    raw = _decode(body, messages.CompletionRequest)
+    _require_plain(raw.n, raw.stop)
+    if raw.best_of not in (None, 1) or raw.echo:
+        raise MalformedError("best_of above 1 and echo are not supported")
+    match raw.prompt:
+        case str() as prompt:
+            tokens = text.encode(prompt)
+        case [str() as prompt]:
+            tokens = text.encode(prompt)
+        case list() as ids if ids and all(isinstance(i, int) for i in ids):
+            tokens = tuple(int(i) for i in ids)
+        case _:
+            raise MalformedError("prompt: expected one text or token ids")
+    return _asked(raw, tokens, raw.max_tokens, chat=False)
+
+
+def parse_chat(body: bytes) -> Asked:
+    """Parses the body of ``POST /v1/chat/completions``.
+
+    Raises:
+        MalformedError: The body is not a request that can be served.
+    """
+    raw = _decode(body, messages.ChatRequest)
+    _require_plain(raw.n, raw.stop)
+    prompt = chat_prompt([(m.role, _content(m)) for m in raw.messages])
+    limit = raw.max_completion_tokens or raw.max_tokens
+    return _asked(raw, text.encode(prompt), limit, chat=True)
+
+
+def chat_prompt(turns: list[tuple[str, str]]) -> str:
+    r"""Returns the prompt for a conversation of roles and texts.
+
+    >>> chat_prompt([("user", "Hello")])
+    'user: Hello\nassistant: '
+    """
+    lines = [f"{role}: {content}\n" for role, content in turns]
+    return "".join(lines) + "assistant: "
+
+
+async def serve(
+    node: instance.Instance, request: str, account: kinds.Object, asked: Asked
+) -> http.Response:
+    """Generates an answer for an accepted request.
+
+    Args:
+        node: The instance.
+        request: Request id.
+        account: Client account of the caller.
+        asked: What to generate.
+
+    Returns:
+        The whole answer or a stream; the ledger is settled in either case.
+    """
+    model = node.config.get("model", asked.model)
+    if model is None:
+        refusal = outcomes.Refusal(
+            outcomes.Outcome.NOT_RUN,
+            outcomes.Reason.NOT_FOUND,
+            f"model {asked.model!r} is not declared",
+        )
+        return node.refuse(request, refusal)
+    if len(asked.prompt) + asked.max_tokens > model.spec.context_tokens:
+        refusal = outcomes.Refusal(
+            outcomes.Outcome.NOT_RUN,
+            outcomes.Reason.MALFORMED,
+            f"prompt and max_tokens exceed {model.spec.context_tokens} tokens",
+        )
+        return node.refuse(request, refusal)
+    job = _job(node, request, account, asked, model)
+    emitted = node.generations.generate(job)
+    if asked.stream:
+        return starlette_responses.StreamingResponse(
+            _events(node, asked, job, emitted),
+            media_type="text/event-stream",
+            headers={
+                responses.OUTCOME_HEADER: responses.outcome_header(
+                    request, outcomes.Outcome.IN_FLIGHT
+                ),
+                "Cache-Control": "no-store",
+            },
+        )
+    return await _whole(node, asked, job, emitted)
+
+
+async def _whole(
+    node: instance.Instance,
+    asked: Asked,
+    job: actions.Job,
+    emitted: AsyncIterator[Any],
+) -> http.Response:
+    decoder = text.Decoder()
+    parts: list[str] = []
+    async for action in emitted:
+        match action:
+            case actions.EmitToken(token=token):
+                parts.append(decoder.push(token))
+            case actions.Failed(refusal=refusal):
+                return node.refuse(job.request, refusal)
+            case actions.Finished() as finished:
+                parts.append(decoder.finish())
+                body = _body(asked, job, "".join(parts), finished)
+                return node.answer(job.request, body)
+    raise AssertionError("a generation ended without an outcome")
+
+
+async def _events(
+    node: instance.Instance,
+    asked: Asked,
+    job: actions.Job,
+    emitted: AsyncIterator[Any],
+) -> AsyncIterator[bytes]:
+    decoder = text.Decoder()
+    outcome = outcomes.Outcome.UNKNOWN
+    started = time.monotonic()
+    first = True
+    try:
+        async for action in emitted:
+            match action:
+                case actions.EmitToken(token=token):
+                    if first:
+                        elapsed_s = time.monotonic() - started
+                        node.metrics.observe("first_token", elapsed_s)
+                    yield responses.event(
+                        _chunk(asked, job, decoder.push(token), None, first)
+                    )
+                    first = False
+                case actions.Failed(refusal=refusal):
+                    outcome = refusal.outcome
+                    yield responses.event(
+                        responses.error_body(job.request, refusal)
+                    )
+                case actions.Finished() as finished:
+                    outcome = outcomes.Outcome.ANSWERED
+                    for event in _last_events(asked, job, finished):
+                        yield event
+    finally:
+        node.finish(job.request, outcome)
+
+
+def _last_events(
+    asked: Asked, job: actions.Job, finished: actions.Finished
+) -> list[bytes]:
+    last = _chunk(asked, job, "", _finish_reason(finished), first=False)
+    last["yuccatally"] = messages.Ending(
+        job.request, str(outcomes.Outcome.ANSWERED), finished.tokens
+    )
+    events = [responses.event(last)]
+    if asked.include_usage:
+        usage = _chunk(asked, job, "", None, first=False)
+        usage["choices"] = []
+        usage["usage"] = _usage(job, finished)
+        events.append(responses.event(usage))
+    return [*events, b"data: [DONE]\n\n"]
+
+
+def _chunk(
+    asked: Asked,
+    job: actions.Job,
+    content: str,
+    finish_reason: str | None,
+    first: bool,
+) -> dict[str, Any]:
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+    if asked.chat:
+        delta = {"content": content} if content else {}
+        choice["delta"] = {"role": "assistant", **delta} if first else delta
+    else:
+        choice["text"] = content
+    suffix = "chat.completion.chunk" if asked.chat else "text_completion"
+    return {**_head(job, suffix), "choices": [choice]}
+
+
+def _body(
+    asked: Asked, job: actions.Job, content: str, finished: actions.Finished
+) -> dict[str, Any]:
+    choice: dict[str, Any] = {
+        "index": 0,
+        "finish_reason": _finish_reason(finished),
+    }
+    if asked.chat:
+        choice["message"] = {"role": "assistant", "content": content}
+    else:
+        choice["text"] = content
+    kind = "chat.completion" if asked.chat else "text_completion"
+    return {
+        **_head(job, kind),
+        "choices": [choice],
+        "usage": _usage(job, finished),
+    }
+
+
+def _head(job: actions.Job, kind: str) -> dict[str, Any]:
+    return {
+        "id": job.request,
+        "object": kind,
+        "created": int(time.time()),
+        "model": job.model,
+    }
+
+
+def _usage(job: actions.Job, finished: actions.Finished) -> messages.Usage:
+    prompt, completion = len(job.prompt), finished.tokens
+    return messages.Usage(prompt, completion, prompt + completion)
+
+
+def _finish_reason(finished: actions.Finished) -> str:
+    return "stop" if finished.stopped else "length"
+
+
+def _job(
+    node: instance.Instance,
+    request: str,
+    account: kinds.Object,
+    asked: Asked,
+    model: kinds.Object,
+) -> actions.Job:
+    return actions.Job(
+        request=request,
+        model=asked.model,
+        version=model.spec.version,
+        prompt=asked.prompt,
+        max_tokens=asked.max_tokens,
+        end_token=model.spec.end_token,
+        priority=specs.Urgency[account.spec.urgency.upper()],
+        deadline=time.monotonic() + node.settings.limits.request_timeout_s,
+    )
+
+
+def _asked(
+    raw: messages.CompletionRequest | messages.ChatRequest,
+    prompt: tuple[int, ...],
+    max_tokens: int | None,
+    chat: bool,
+) -> Asked:
+    if not prompt:
+        raise MalformedError("the prompt is empty")
+    limit = DEFAULT_MAX_TOKENS if max_tokens is None else max_tokens
+    if limit < 1:
+        raise MalformedError("max_tokens: must be at least 1")
+    options = raw.stream_options or messages.StreamOptions()
+    return Asked(
+        raw.model, prompt, limit, raw.stream, options.include_usage, chat
+    )
+
+
+def _decode(body: bytes, target: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(body, type=target)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MalformedError(str(error)) from error
+
+
+def _require_plain(n: int | None, stop: Any) -> None:
+    if n not in (None, 1):
+        raise MalformedError("n: only 1 is supported")
+    if stop:
+        raise MalformedError("stop: is not supported")
+
+
+def _content(message: messages.ChatMessage) -> str:
+    if isinstance(message.content, str):
+        return message.content
+    parts = [p.get("text") for p in message.content if p.get("type") == "text"]
+    if len(parts) != len(message.content) or not all(
+        isinstance(p, str) for p in parts
+    ):
+        raise MalformedError("messages: only parts of type text are supported")
+    return "".join(str(p) for p in parts)
--- /dev/null
+++ b/src/yuccatally/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/yuccatally/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output."""
--- /dev/null
+++ b/src/yuccatally/core/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force on one instance."""
--- /dev/null
+++ b/src/yuccatally/core/generation/__init__.py
@@ -0,0 +1,1 @@
+"""Production of one answer over several attempts."""
--- /dev/null
+++ b/src/yuccatally/core/generation/actions.py
@@ -0,0 +1,123 @@
+"""Actions that a generation asks its surroundings to carry out."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccatally.core.requests import outcomes
+    from yuccatally.core.stages import messages
+
+
+@dataclasses.dataclass(frozen=True)
+class Hop:
+    """One stage of a route: an engine and its range of layers."""
+
+    engine: str
+    first_layer: int
+    last_layer: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """One engine for each stage of a pipeline."""
+
+    pipeline: str
+    model: str
+    version: str
+    hops: tuple[Hop, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """What a caller asked a model for.
+
+    Attributes:
+        request: Request id.
+        model: Name of the model.
+        version: Version of the weights used for the whole answer.
+        prompt: Token ids.
+        max_tokens: Greatest number of tokens to generate.
+        end_token: Token id that ends the answer.
+        priority: Class of urgency; a lower value is served first.
+        deadline: Monotonic time in seconds at which the request is given up.
+    """
+
+    request: str
+    model: str
+    version: str
+    prompt: tuple[int, ...]
+    max_tokens: int
+    end_token: int
+    priority: int
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class SubmitStep:
+    """Queue an item for an engine."""
+
+    engine: str
+    item: messages.StepItem
+
+
+@dataclasses.dataclass(frozen=True)
+class EmitToken:
+    """Give the next token to the caller."""
+
+    request: str
+    token: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ReleaseAttempt:
+    """Release the KV state of an attempt on an engine."""
+
+    engine: str
+    request: str
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True)
+class NeedRoute:
+    """Choose a route, without the engines that just failed."""
+
+    request: str
+    excluded: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Finished:
+    """The answer is whole."""
+
+    request: str
+    tokens: int
+    stopped: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Failed:
+    """The request ends without a whole answer."""
+
+    request: str
+    refusal: outcomes.Refusal
+
+
+@dataclasses.dataclass(frozen=True)
+class Dropped:
+    """A result that belongs to no current step was ignored."""
+
+    request: str
+    reason: str
+
+
+Action = (
+    SubmitStep
+    | EmitToken
+    | ReleaseAttempt
+    | NeedRoute
+    | Finished
+    | Failed
+    | Dropped
+)
--- /dev/null
+++ b/src/yuccatally/core/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Kinds of objects that operators declare."""
--- /dev/null
+++ b/src/yuccatally/core/objects/kinds.py
@@ -0,0 +1,171 @@
+"""Decoding and checking of objects."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+from typing import TYPE_CHECKING
+from typing import Any
+
+import expression
+
+from yuccatally.core import selectors
+from yuccatally.core import strict
+from yuccatally.core.objects import specs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+
+SPEC_TYPES: dict[str, type] = {
+    "engine": specs.EngineSpec,
+    "service": specs.ServiceSpec,
+    "model": specs.ModelSpec,
+    "pipeline": specs.PipelineSpec,
+    "routing_rule": specs.RoutingRuleSpec,
+    "client_account": specs.ClientAccountSpec,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Object:
+    """A declared object.
+
+    Attributes:
+        kind: One of ``SPEC_TYPES``.
+        name: Unique within the kind.
+        spec: Data class of the kind.
+        labels: Free labels for selectors.
+        version: Version of this object in the platform; 0 if not stored.
+        revision: Revision of the whole store at its last change.
+    """
+
+    kind: str
+    name: str
+    spec: Any
+    labels: dict[str, str] = dataclasses.field(default_factory=dict)
+    version: int = 0
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class ObjectError:
+    """An object that was rejected."""
+
+    kind: str
+    name: str
+    problems: tuple[strict.Problem, ...]
+
+    def __str__(self) -> str:
+        """Returns every problem, separated by semicolons."""
+        listed = "; ".join(str(p) for p in self.problems)
+        return f"{self.kind}/{self.name}: {listed}"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Envelope:
+    kind: str
+    name: str
+    spec: dict[str, Any]
+    labels: dict[str, str] = dataclasses.field(default_factory=dict)
+    version: int = 0
+    revision: int = 0
+
+
+def decode(raw: Any) -> expression.Result[Object, ObjectError]:
+    """Decodes and checks one object.
+
+    Args:
+        raw: Mapping with kind, name, spec and optionally labels, version and
+            revision.
+
+    Returns:
+        The object, or every problem found.
+    """
+    named = raw if isinstance(raw, dict) else {}
+    kind, name = str(named.get("kind", "?")), str(named.get("name", "?"))
+    envelope = strict.convert(raw, _Envelope)
+    if envelope.is_error():
+        return expression.Error(ObjectError(kind, name, envelope.error))
+    problems = tuple(_envelope_problems(envelope.ok))
+    if problems:
+        return expression.Error(ObjectError(kind, name, problems))
+    spec = strict.convert(envelope.ok.spec, SPEC_TYPES[kind])
+    if spec.is_error():
+        return expression.Error(ObjectError(kind, name, _below_spec(spec)))
+    return expression.Ok(
+        Object(
+            kind=kind,
+            name=name,
+            spec=spec.ok,
+            labels=envelope.ok.labels,
+            version=envelope.ok.version,
+            revision=envelope.ok.revision,
+        )
+    )
+
+
+def check(objects: Iterable[Object]) -> tuple[strict.Problem, ...]:
+    """Checks references between objects.
+
+    Args:
+        objects: The complete set that would be in force.
+
+    Returns:
+        One problem for each broken reference.
+    """
+    known = {(o.kind, o.name): o for o in objects}
+    problems: list[strict.Problem] = []
+    for declared in known.values():
+        match declared.spec:
+            case specs.PipelineSpec() as spec:
+                problems += _pipeline_problems(declared.name, spec, known)
+            case specs.RoutingRuleSpec(service=service):
+                if ("service", service) not in known:
+                    key = f"routing_rule/{declared.name}.service"
+                    message = f"service {service!r} is not declared"
+                    problems.append(strict.Problem(key, message))
+            case _:
+                pass
+    return tuple(problems)
+
+
+def _envelope_problems(envelope: _Envelope) -> Iterable[strict.Problem]:
+    if envelope.kind not in SPEC_TYPES:
+        known = ", ".join(sorted(SPEC_TYPES))
+        yield strict.Problem("kind", f"expected one of {known}")
+    if not NAME_PATTERN.fullmatch(envelope.name):
+        message = "expected lower-case letters, digits and hyphens, at most 63"
+        yield strict.Problem("name", message)
+    for key, value in envelope.labels.items():
+        for text in (key, value):
+            if not selectors.LABEL_PATTERN.fullmatch(text):
+                message = f"{text!r} is not a label key or value"
+                yield strict.Problem(f"labels.{key}", message)
+
+
+def _below_spec(
+    failed: expression.Result[Any, tuple[strict.Problem, ...]],
+) -> tuple[strict.Problem, ...]:
+    return tuple(
+        strict.Problem(f"spec.{p.key}" if p.key else "spec", p.message)
+        for p in failed.error
+    )
+
+
+def _pipeline_problems(
+    name: str,
+    spec: specs.PipelineSpec,
+    known: dict[tuple[str, str], Object],
+) -> Iterable[strict.Problem]:
+    key = f"pipeline/{name}"
+    model = known.get(("model", spec.model))
+    if model is None:
+        message = f"model {spec.model!r} is not declared"
+        yield strict.Problem(f"{key}.model", message)
+        return
+    end = spec.stages[-1].last_layer
+    if end != model.spec.layers:
+        message = f"stages end at layer {end}, model has {model.spec.layers}"
+        yield strict.Problem(f"{key}.stages", message)
--- /dev/null
+++ b/src/yuccatally/core/objects/specs.py
@@ -0,0 +1,190 @@
+"""Specifications of each kind of object."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import re
+
+from yuccatally.core import selectors
+
+ADDRESS_PATTERN = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}")
+SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
+
+
+class Urgency(enum.IntEnum):
+    """Class of urgency; a lower value is served first."""
+
+    URGENT = 0
+    NORMAL = 1
+    BATCH = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineSpec:
+    """A model engine.
+
+    Attributes:
+        address: ``IP:PORT`` of its HTTP interface.
+        data_centre: Where it runs.
+        kind: Kind of accelerator, free text.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+    """
+
+    address: str
+    data_centre: str
+    kind: str = "generic"
+    checks_fencing: bool = False
+
+    def __post_init__(self) -> None:
+        _check_address(self.address)
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceSpec:
+    """A group of equivalent addresses of a plain HTTP service.
+
+    Attributes:
+        addresses: ``IP:PORT`` of each replica.
+        data_centre: Where it runs.
+    """
+
+    addresses: tuple[str, ...]
+    data_centre: str
+
+    def __post_init__(self) -> None:
+        if not self.addresses:
+            raise ValueError("addresses: name at least one IP:PORT")
+        for address in self.addresses:
+            _check_address(address)
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelSpec:
+    """A language model.
+
+    Attributes:
+        layers: Number of layers.
+        version: Version of the weights in use.
+        end_token: Token id that ends an answer.
+        context_tokens: Greatest length of prompt plus answer, in tokens.
+    """
+
+    layers: int
+    version: str
+    end_token: int = 0
+    context_tokens: int = 8192
+
+    def __post_init__(self) -> None:
+        if self.layers < 1:
+            raise ValueError("layers: must be at least 1")
+
+
+@dataclasses.dataclass(frozen=True)
+class StageSpec:
+    """A contiguous range of layers and the engines that hold it.
+
+    Attributes:
+        first_layer: First layer, counted from 0.
+        last_layer: Layer after the last one of the range.
+        selector: Label selector over engines.
+    """
+
+    first_layer: int
+    last_layer: int
+    selector: str
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.first_layer < self.last_layer:
+            raise ValueError("first_layer must be below last_layer")
+        _check_selector(self.selector)
+
+
+@dataclasses.dataclass(frozen=True)
+class PipelineSpec:
+    """A model split into stages.
+
+    Attributes:
+        model: Name of the model object.
+        version: Version of the weights that every stage must have loaded.
+        stages: Stages in order; they cover the layers without gap or overlap.
+    """
+
+    model: str
+    version: str
+    stages: tuple[StageSpec, ...]
+
+    def __post_init__(self) -> None:
+        expected = 0
+        for stage in self.stages:
+            if stage.first_layer != expected:
+                raise ValueError(
+                    f"stages: expected a stage that starts at layer {expected},"
+                    f" found {stage.first_layer}"
+                )
+            expected = stage.last_layer
+        if not self.stages:
+            raise ValueError("stages: name at least one stage")
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingRuleSpec:
+    """How calls of one service are treated.
+
+    Attributes:
+        service: Name of the service object.
+        methods: HTTP methods the rule covers.
+        path_prefix: Prefix of the path below ``/services/NAME``.
+        idempotent: Whether a call may be sent again.
+        timeout_s: Longest wait for the service's answer, in seconds.
+    """
+
+    service: str
+    methods: tuple[str, ...]
+    path_prefix: str = "/"
+    idempotent: bool = False
+    timeout_s: float = 10.0
+
+    def __post_init__(self) -> None:
+        if not self.path_prefix.startswith("/"):
+            raise ValueError("path_prefix: must start with /")
+        if not 0 < self.timeout_s <= 600:
+            raise ValueError("timeout_s: must be above 0 and at most 600")
+
+
+@dataclasses.dataclass(frozen=True)
+class ClientAccountSpec:
+    """A client account.
+
+    Attributes:
+        key_sha256: SHA-256 of the API key, in hexadecimal.
+        urgency: Class of its requests: urgent, normal or batch.
+        requests_per_s: Admission limit over all instances; 0 is no limit.
+        tokens_per_s: Generation limit over all instances; 0 is no limit.
+        weight: Relative share within the class of urgency.
+    """
+
+    key_sha256: str
+    urgency: str = "normal"
+    requests_per_s: float = 0.0
+    tokens_per_s: float = 0.0
+    weight: int = 1
+
+    def __post_init__(self) -> None:
+        if not SHA256_PATTERN.fullmatch(self.key_sha256):
+            raise ValueError("key_sha256: expected 64 hexadecimal digits")
+        if self.urgency.upper() not in Urgency.__members__:
+            raise ValueError("urgency: expected urgent, normal or batch")
+        if self.weight < 1:
+            raise ValueError("weight: must be at least 1")
+
+
+def _check_address(address: str) -> None:
+    if not ADDRESS_PATTERN.fullmatch(address):
+        raise ValueError(f"address: expected IP:PORT, found {address!r}")
+
+
+def _check_selector(text: str) -> None:
+    parsed = selectors.parse(text)
+    if parsed.is_error():
+        raise ValueError(str(parsed.error))
--- /dev/null
+++ b/src/yuccatally/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle and outcome of requests."""
--- /dev/null
+++ b/src/yuccatally/core/requests/ledger.py
@@ -0,0 +1,78 @@
+"""Count of requests by outcome."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from yuccatally.core.requests import outcomes
+
+
+class LedgerError(Exception):
+    """A request was finished twice or without being accepted."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Totals:
+    """Counts since the instance started."""
+
+    accepted: int
+    answered: int
+    not_run: int
+    unknown: int
+    in_flight: int
+
+    @property
+    def balanced(self) -> bool:
+        """Whether accepted = answered + not-run + unknown + in flight."""
+        ended = self.answered + self.not_run + self.unknown
+        return self.accepted == ended + self.in_flight
+
+
+class Ledger:
+    """Keeps the identity of accepted and ended requests.
+
+    Every accepted request ends in exactly one outcome.
+    """
+
+    def __init__(self) -> None:
+        self.accepted = 0
+        self.ended = dict.fromkeys(
+            (
+                outcomes.Outcome.ANSWERED,
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Outcome.UNKNOWN,
+            ),
+            0,
+        )
+        self.in_flight: dict[str, float] = {}
+
+    def accept(self, request: str, now: float) -> None:
+        """Records that a request was accepted at a time in seconds.
+
+        Raises:
+            LedgerError: The id is in flight already.
+        """
+        if request in self.in_flight:
+            raise LedgerError(f"request {request} was accepted twice")
+        self.accepted += 1
+        self.in_flight[request] = now
+
+    def finish(self, request: str, outcome: outcomes.Outcome) -> None:
+        """Records the outcome of a request.
+
+        Raises:
+            LedgerError: The request is not in flight.
+        """
+        if self.in_flight.pop(request, None) is None:
+            raise LedgerError(f"request {request} is not in flight")
+        self.ended[outcome] += 1
+
+    def totals(self) -> Totals:
+        """Returns the current counts."""
+        return Totals(
+            accepted=self.accepted,
+            answered=self.ended[outcomes.Outcome.ANSWERED],
+            not_run=self.ended[outcomes.Outcome.NOT_RUN],
+            unknown=self.ended[outcomes.Outcome.UNKNOWN],
+            in_flight=len(self.in_flight),
+        )
--- /dev/null
+++ b/src/yuccatally/core/requests/outcomes.py
@@ -0,0 +1,56 @@
+"""Outcomes of requests."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Outcome(enum.StrEnum):
+    """What a caller is told about a request.
+
+    ``IN_FLIGHT`` appears only in the header of a streamed answer, which is
+    sent before the outcome is known.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    IN_FLIGHT = "in-flight"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was not answered."""
+
+    MALFORMED = "malformed"
+    UNAUTHENTICATED = "unauthenticated"
+    NOT_FOUND = "not-found"
+    NO_ROUTE = "no-route"
+    OVERLOADED = "overloaded"
+    LIMITED = "limited"
+    DEADLINE = "deadline"
+    LEAVING = "leaving"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    KEY_MISSING = "key-missing"
+    KEY_IN_USE = "key-in-use"
+    KEY_EXPIRED = "key-expired"
+    UPSTREAM_FAILED = "upstream-failed"
+    CALLER_GONE = "caller-gone"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """A request that ends without an answer.
+
+    Attributes:
+        outcome: ``NOT_RUN`` or ``UNKNOWN``.
+        reason: Machine-readable reason.
+        message: What happened and what the caller can do.
+        retry_after_s: Seconds after which a new try makes sense; 0 if never.
+    """
+
+    outcome: Outcome
+    reason: Reason
+    message: str
+    retry_after_s: float = 0.0
--- /dev/null
+++ b/src/yuccatally/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of engines for a request."""
--- /dev/null
+++ b/src/yuccatally/core/stages/__init__.py
@@ -0,0 +1,1 @@
+"""Batching and supervision of steps on one engine."""
--- /dev/null
+++ b/src/yuccatally/instance/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring of one instance."""
--- /dev/null
+++ b/src/yuccatally/instance/servers.py
@@ -0,0 +1,58 @@
+"""HTTP listeners on the instance's own loop."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+from yuccatally.settings import settings as settings_module
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from starlette import applications
+
+KEEP_ALIVE_S = 75
+BACKLOG = 2048
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        # The instance handles signals, since a drain must not cut requests.
+        yield
+
+
+class Listener:
+    """One HTTP listener."""
+
+    def __init__(self, app: applications.Starlette, address: str) -> None:
+        host, port = settings_module.split_address(address)
+        self.socket = socket.socket(
+            socket.AF_INET6 if ":" in host else socket.AF_INET
+        )
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind((host, port))
+        config = uvicorn.Config(
+            app,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            http="httptools",
+            ws="none",
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            server_header=False,
+        )
+        self.server = _Server(config)
+
+    async def serve(self) -> None:
+        """Serves until ``stop`` is called and requests have ended."""
+        await self.server.serve(sockets=[self.socket])
+
+    def stop(self) -> None:
+        """Stops accepting connections."""
+        self.server.should_exit = True
--- /dev/null
+++ b/src/yuccatally/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one instance."""
--- /dev/null
+++ b/src/yuccatally/store/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's object API."""
--- /dev/null
+++ b/src/yuccatally/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, traces and metrics."""
--- /dev/null
+++ b/src/yuccatally/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of engines and services."""
--- /dev/null
+++ b/src/yuccatally_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of yuccatally beside baselines."""
--- /dev/null
+++ b/src/yuccatally_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demo."""
--- /dev/null
+++ b/src/yuccatally_standins/__main__.py
@@ -0,0 +1,73 @@
+"""Runs one stand-in as a process: ``python -m yuccatally_standins``."""
+
+from __future__ import annotations
+
+from aiohttp import web
+import click
+
+from yuccatally_standins import engine
+from yuccatally_standins import platform
+from yuccatally_standins import service
+
+_PORT = click.option("--port", type=int, required=True)
+
+
+@click.group()
+def main() -> None:
+    """Stand-ins for outside systems."""
+
+
+@main.command("platform")
+@_PORT
+def run_platform(port: int) -> None:
+    """Runs the platform's object API."""
+    _serve(platform.Platform().application(), port)
+
+
+@main.command("engine")
+@_PORT
+@click.option("--name", required=True)
+@click.option("--layers", type=(int, int), required=True)
+@click.option("--model", required=True)
+@click.option("--version", required=True)
+@click.option("--step-ms", default=2.0)
+@click.option("--token-layer-us", default=20.0)
+@click.option("--checks-fencing", is_flag=True)
+def run_engine(
+    port: int,
+    name: str,
+    layers: tuple[int, int],
+    model: str,
+    version: str,
+    step_ms: float,
+    token_layer_us: float,
+    checks_fencing: bool,
+) -> None:
+    """Runs a model engine."""
+    config = engine.EngineConfig(
+        name,
+        *layers,
+        model,
+        version,
+        step_base_s=step_ms / 1e3,
+        token_layer_s=token_layer_us / 1e6,
+        checks_fencing=checks_fencing,
+    )
+    _serve(engine.Engine(config).application(), port)
+
+
+@main.command("service")
+@_PORT
+def run_service(port: int) -> None:
+    """Runs a reservation service."""
+    _serve(service.Service().application(), port)
+
+
+def _serve(app: web.Application, port: int) -> None:
+    web.run_app(
+        app, host="127.0.0.1", port=port, print=None, shutdown_timeout=0.5
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/yuccatally_standins/platform.py
@@ -0,0 +1,175 @@
+"""Stand-in for the platform's object API."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+from typing import Any
+
+from aiohttp import web
+
+LOG_LENGTH = 1000
+UNWATCHED = frozenset({"claims", "lease"})
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults that a test switches on.
+
+    Attributes:
+        down: Every call is refused with status 503.
+        delay_s: Delay of each call, in seconds.
+        lose_replies: Number of writes to carry out without a reply.
+        silent_watch: Watches do not return.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_replies: int = 0
+    silent_watch: bool = False
+
+
+class Platform:
+    """Objects with versions, conditional updates and long-poll watches."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.revision = 0
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.log: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=LOG_LENGTH
+        )
+        self.changed = asyncio.Condition()
+        self.members: list[dict[str, Any]] = []
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    def application(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(
+            middlewares=[self._faulty], client_max_size=4 * 1024 * 1024
+        )
+        app.router.add_get("/objects", self._list)
+        app.router.add_get("/objects/{kind}/{name}", self._get)
+        app.router.add_put("/objects/{kind}/{name}", self._put)
+        app.router.add_delete("/objects/{kind}/{name}", self._delete)
+        app.router.add_get("/watch", self._watch)
+        app.router.add_get("/instances", self._instances)
+        app.router.add_put("/admin/instances", self._set_instances)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/calls", self._calls)
+        return app
+
+    @web.middleware
+    async def _faulty(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        if request.path in ("/faults", "/calls", "/admin/instances"):
+            return await handler(request)
+        self.calls[f"{request.method} {request.path.split('/')[1]}"] += 1
+        if self.faults.down:
+            raise web.HTTPServiceUnavailable()
+        await asyncio.sleep(self.faults.delay_s)
+        response = await handler(request)
+        if request.method in ("PUT", "DELETE") and self.faults.lose_replies:
+            self.faults.lose_replies -= 1
+            if request.transport is not None:
+                request.transport.abort()
+        return response
+
+    async def _list(self, request: web.Request) -> web.Response:
+        kind = request.query.get("kind", "")
+        items = [
+            o
+            for (k, _), o in self.objects.items()
+            if (k == kind if kind else k not in UNWATCHED)
+        ]
+        return web.json_response({"revision": self.revision, "items": items})
+
+    async def _get(self, request: web.Request) -> web.Response:
+        found = self.objects.get(_key(request))
+        if found is None:
+            raise web.HTTPNotFound()
+        return web.json_response(found)
+
+    async def _put(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        key = _key(request)
+        current = self._checked(request, key)
+        self.revision += 1
+        stored = {
+            "kind": key[0],
+            "name": key[1],
+            "spec": body["spec"],
+            "labels": body.get("labels", {}),
+            "version": current + 1,
+            "revision": self.revision,
+        }
+        self.objects[key] = stored
+        await self._publish(stored)
+        return web.json_response(stored)
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        key = _key(request)
+        if key not in self.objects:
+            raise web.HTTPNotFound()
+        self._checked(request, key)
+        gone = self.objects.pop(key)
+        self.revision += 1
+        await self._publish(
+            {**gone, "revision": self.revision, "deleted": True}
+        )
+        return web.json_response({"revision": self.revision})
+
+    def _checked(self, request: web.Request, key: tuple[str, str]) -> int:
+        current = self.objects.get(key, {}).get("version", 0)
+        expected = request.headers.get("If-Match")
+        if expected is not None and int(expected) != current:
+            raise web.HTTPPreconditionFailed()
+        if request.headers.get("If-None-Match") == "*" and current:
+            raise web.HTTPPreconditionFailed()
+        return int(current)
+
+    async def _publish(self, stored: dict[str, Any]) -> None:
+        if stored["kind"] in UNWATCHED:
+            return
+        async with self.changed:
+            self.log.append(stored)
+            self.changed.notify_all()
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        since = int(request.query["since"])
+        wait_s = float(request.query["wait"])
+        if self.faults.silent_watch:
+            await asyncio.sleep(3600)
+        if len(self.log) == LOG_LENGTH and since < self.log[0]["revision"] - 1:
+            raise web.HTTPGone()
+        try:
+            async with asyncio.timeout(wait_s), self.changed:
+                await self.changed.wait_for(lambda: self._after(since))
+        except TimeoutError:
+            pass
+        items = self._after(since)
+        return web.json_response({"revision": self.revision, "items": items})
+
+    def _after(self, since: int) -> list[dict[str, Any]]:
+        return [o for o in self.log if o["revision"] > since]
+
+    async def _instances(self, request: web.Request) -> web.Response:
+        return web.json_response({"items": self.members})
+
+    async def _set_instances(self, request: web.Request) -> web.Response:
+        self.members = await request.json()
+        return web.json_response({})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        for name, value in (await request.json()).items():
+            setattr(self.faults, name, value)
+        return web.json_response(dataclasses.asdict(self.faults))
+
+    async def _calls(self, request: web.Request) -> web.Response:
+        return web.json_response(dict(self.calls))
+
+
+def _key(request: web.Request) -> tuple[str, str]:
+    return (request.match_info["kind"], request.match_info["name"])
--- /dev/null
+++ b/src/yuccatally_standins/site.py
@@ -0,0 +1,398 @@
+"""Starts a small site as separate processes, for the demo and for tests."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+import urllib.error
+import urllib.request
+
+if TYPE_CHECKING:
+    import pathlib
+
+MODEL = "litter-7b"
+VERSION = "v1"
+LAYERS = 12
+ACCOUNT_KEY = "desk-key"
+OPERATORS_KEY = "operator-key"
+READY_TIMEOUT_S = 20.0
+DATA_CENTRES = ("north", "south", "east")
+
+
+@dataclasses.dataclass(frozen=True)
+class EnginePlan:
+    """An engine to start."""
+
+    name: str
+    first_layer: int
+    last_layer: int
+    step_ms: float
+    labels: dict[str, str]
+    data_centre: str = "north"
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What a site consists of.
+
+    Attributes:
+        instances: Number of entry instances.
+        engines: Engines to start.
+        pipelines: Names of pipelines with label selectors and layer ranges.
+    """
+
+    instances: int
+    engines: tuple[EnginePlan, ...]
+    pipelines: dict[str, tuple[tuple[str, int, int], ...]]
+
+
+DEFAULT_PLAN = Plan(
+    instances=3,
+    engines=(
+        EnginePlan("fast-a", 0, 8, 1.0, {"pool": "fast", "part": "front"}),
+        EnginePlan("fast-b", 8, 12, 1.0, {"pool": "fast", "part": "back"}),
+        EnginePlan("slow-a", 0, 4, 4.0, {"pool": "slow", "part": "front"}),
+        EnginePlan(
+            "slow-b", 4, 8, 4.0, {"pool": "slow", "part": "middle"}, "south"
+        ),
+        EnginePlan(
+            "slow-c", 8, 12, 4.0, {"pool": "slow", "part": "back"}, "south"
+        ),
+    ),
+    pipelines={
+        "fast": (
+            ("pool=fast,part=front", 0, 8),
+            ("pool=fast,part=back", 8, 12),
+        ),
+        "slow": (
+            ("pool=slow,part=front", 0, 4),
+            ("pool=slow,part=middle", 4, 8),
+            ("pool=slow,part=back", 8, 12),
+        ),
+    },
+)
+
+
+@dataclasses.dataclass
+class Process:
+    """A process of the site."""
+
+    role: str
+    name: str
+    address: str
+    popen: subprocess.Popen[bytes]
+    extra: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    @property
+    def url(self) -> str:
+        """Base URL of the process."""
+        return f"http://{self.address}"
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        self.popen.kill()
+        self.popen.wait()
+
+
+class Site:
+    """The processes of one site.
+
+    Attributes:
+        processes: Running processes by name.
+        folder: Folder for settings and logs.
+    """
+
+    def __init__(
+        self,
+        plan: Plan,
+        folder: pathlib.Path,
+        program: tuple[str, ...] = (sys.executable, "-m", "yuccatally"),
+    ) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.program = program
+        self.processes: dict[str, Process] = {}
+
+    def start(self) -> None:
+        """Starts everything and waits until it can serve."""
+        self.start_standin("platform", "platform", [])
+        self.start_standin("service", "reservations", [])
+        for engine in self.plan.engines:
+            self.start_engine(engine)
+        for process in self.processes.values():
+            _await_port(process)
+        self.declare_objects()
+        for number in range(1, self.plan.instances + 1):
+            self.start_instance(f"i{number}")
+        self.publish_instances()
+        for process in self.of_role("instance"):
+            self.await_ready(process)
+
+    def start_standin(
+        self, role: str, name: str, arguments: list[str], port: int = 0
+    ) -> Process:
+        """Starts a stand-in process."""
+        port = port or free_port()
+        command = [
+            sys.executable,
+            "-m",
+            "yuccatally_standins",
+            role,
+            "--port",
+            str(port),
+            *arguments,
+        ]
+        return self._spawn(role, name, f"127.0.0.1:{port}", command)
+
+    def start_engine(self, plan: EnginePlan, port: int = 0) -> Process:
+        """Starts an engine stand-in."""
+        arguments = [
+            "--name",
+            plan.name,
+            "--layers",
+            str(plan.first_layer),
+            str(plan.last_layer),
+            "--model",
+            MODEL,
+            "--version",
+            VERSION,
+            "--step-ms",
+            str(plan.step_ms),
+        ]
+        return self.start_standin("engine", plan.name, arguments, port)
+
+    def start_instance(self, name: str) -> Process:
+        """Starts an entry instance."""
+        index = len(self.of_role("instance"))
+        addresses = {
+            role: f"127.0.0.1:{free_port()}"
+            for role in ("callers", "operators", "peers")
+        }
+        settings = self.folder / f"{name}.toml"
+        settings.write_text(
+            settings_text(
+                name,
+                DATA_CENTRES[index % len(DATA_CENTRES)],
+                addresses,
+                self.processes["platform"].address,
+            )
+        )
+        command = [*self.program, "run", str(settings)]
+        return self._spawn(
+            "instance", name, addresses["callers"], command, addresses
+        )
+
+    def declare_objects(self) -> None:
+        """Writes the objects of the plan to the platform."""
+        self.declare("model", MODEL, {"layers": LAYERS, "version": VERSION})
+        for engine in self.plan.engines:
+            spec = {
+                "address": self.processes[engine.name].address,
+                "data_centre": engine.data_centre,
+            }
+            self.declare("engine", engine.name, spec, engine.labels)
+        for name, stages in self.plan.pipelines.items():
+            described = [
+                {"selector": s, "first_layer": first, "last_layer": last}
+                for s, first, last in stages
+            ]
+            spec = {"model": MODEL, "version": VERSION, "stages": described}
+            self.declare("pipeline", name, spec)
+        service = {
+            "addresses": [self.processes["reservations"].address],
+            "data_centre": "north",
+        }
+        self.declare("service", "reservations", service)
+        rule = {
+            "service": "reservations",
+            "methods": ["GET"],
+            "path_prefix": "/stock",
+            "idempotent": True,
+        }
+        self.declare("routing_rule", "stock-checks", rule)
+        key = hashlib.sha256(ACCOUNT_KEY.encode()).hexdigest()
+        self.declare("client_account", "desk", {"key_sha256": key})
+
+    def declare(
+        self,
+        kind: str,
+        name: str,
+        spec: dict[str, Any],
+        labels: dict[str, str] | None = None,
+    ) -> dict[str, Any]:
+        """Writes one object without a condition."""
+        url = f"{self.processes['platform'].url}/objects/{kind}/{name}"
+        body = {"spec": spec, "labels": labels or {}}
+        return fetch("PUT", url, body).json()
+
+    def publish_instances(self) -> None:
+        """Tells the platform which instances run."""
+        members = [
+            {
+                "name": p.name,
+                "data_centre": DATA_CENTRES[i % len(DATA_CENTRES)],
+                "callers_address": p.extra["callers"],
+                "operators_address": p.extra["operators"],
+                "peers_address": p.extra["peers"],
+            }
+            for i, p in enumerate(self.of_role("instance"))
+        ]
+        url = f"{self.processes['platform'].url}/admin/instances"
+        fetch("PUT", url, members)
+
+    def of_role(self, role: str) -> list[Process]:
+        """Returns the processes of a role in order of their start."""
+        return [p for p in self.processes.values() if p.role == role]
+
+    def status(self, process: Process) -> dict[str, Any]:
+        """Returns the status that an instance reports."""
+        url = f"http://{process.extra['operators']}/operator/status"
+        return fetch("GET", url, key=OPERATORS_KEY).json()
+
+    def set_faults(self, name: str, **faults: Any) -> None:
+        """Switches faults of a stand-in on or off."""
+        fetch("POST", f"{self.processes[name].url}/faults", faults)
+
+    def await_ready(self, process: Process) -> None:
+        """Waits until an instance is connected to every declared engine."""
+        wanted = len(self.plan.engines)
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                engines = self.status(process)["engines"].values()
+                if sum(e["connected"] for e in engines) >= wanted:
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f"{process.name} did not get ready")
+
+    def stop(self) -> None:
+        """Ends all processes of the site."""
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+
+    def _spawn(
+        self,
+        role: str,
+        name: str,
+        address: str,
+        command: list[str],
+        extra: dict[str, str] | None = None,
+    ) -> Process:
+        log = (self.folder / f"{name}.log").open("ab")
+        popen = subprocess.Popen(
+            command, stdout=log, stderr=subprocess.STDOUT, env=os.environ
+        )
+        log.close()
+        process = Process(role, name, address, popen, extra or {})
+        self.processes[name] = process
+        return process
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """An HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the decoded body."""
+        return json.loads(self.body)
+
+    @property
+    def outcome(self) -> str:
+        """The outcome named in the header."""
+        return self.headers.get("yuccatally-outcome", "").partition(";")[0]
+
+
+def fetch(
+    method: str,
+    url: str,
+    body: Any = None,
+    key: str = "",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> Response:
+    """Makes one HTTP call and returns the answer whatever its status."""
+    request = urllib.request.Request(
+        url,
+        method=method,
+        data=None if body is None else json.dumps(body).encode(),
+        headers={"Content-Type": "application/json", **(headers or {})},
+    )
+    if key:
+        request.add_header("Authorization", f"Bearer {key}")
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
+            return _response(response.status, response)
+    except urllib.error.HTTPError as error:
+        return _response(error.code, error)
+
+
+def settings_text(
+    name: str, data_centre: str, addresses: dict[str, str], platform: str
+) -> str:
+    """Returns the settings file of an instance."""
+    digest = hashlib.sha256(OPERATORS_KEY.encode()).hexdigest()
+    return f"""\
+[instance]
+name = "{name}"
+data_centre = "{data_centre}"
+
+[callers]
+address = "{addresses["callers"]}"
+
+[operators]
+address = "{addresses["operators"]}"
+key_sha256 = "{digest}"
+
+[peers]
+address = "{addresses["peers"]}"
+
+[platform]
+address = "{platform}"
+"""
+
+
+def free_port() -> int:
+    """Returns a TCP port on the loopback interface that is not in use."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def _await_port(process: Process) -> None:
+    host, _, port = process.address.rpartition(":")
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    while time.monotonic() < deadline:
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+            return
+        except OSError:
+            time.sleep(0.02)
+    raise TimeoutError(f"{process.name} does not accept connections")
+
+
+def _response(status: int, answer: Any) -> Response:
+    headers = {k.lower(): v for k, v in answer.headers.items()}
+    return Response(status, headers, answer.read())
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,76 @@
+"""Fixtures shared by all tests, and the list of known failures."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import TYPE_CHECKING
+
+import pytest
+
+from yuccatally_standins import site
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def known_red() -> dict[str, str]:
+    """Returns the listed test ids with their lines."""
+    entries = {}
+    for line in KNOWN_RED.read_text().splitlines():
+        if line.strip() and not line.startswith("#"):
+            entries[line.split("|")[0].strip()] = line
+    return entries
+
+
+def pytest_collection_modifyitems(
+    config: pytest.Config, items: list[pytest.Item]
+) -> None:
+    """Passes over exactly the tests that KNOWN-RED.txt lists."""
+    listed = known_red()
+    passed_over = [i for i in items if i.nodeid in listed]
+    items[:] = [i for i in items if i.nodeid not in listed]
+    config.hook.pytest_deselected(items=passed_over)
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Prints the tests that were passed over."""
+    for line in known_red().values():
+        terminalreporter.write_line(f"KNOWN RED, not run: {line}")
+
+
+@pytest.fixture
+def start_site(
+    tmp_path: pathlib.Path,
+) -> Iterator[Callable[..., site.Site]]:
+    """Returns a function that starts a site; it is stopped at the end."""
+    sites: list[site.Site] = []
+
+    def start(plan: site.Plan = site.DEFAULT_PLAN) -> site.Site:
+        folder = tmp_path / f"site{len(sites)}"
+        folder.mkdir()
+        started = site.Site(plan, folder)
+        sites.append(started)
+        started.start()
+        return started
+
+    yield start
+    for started in sites:
+        started.stop()
+
+
+@pytest.fixture(scope="module")
+def shared_site(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[site.Site]:
+    """A site that the tests of one module share and do not harm."""
+    started = site.Site(site.DEFAULT_PLAN, tmp_path_factory.mktemp("site"))
+    try:
+        started.start()
+        yield started
+    finally:
+        started.stop()
