Move type-only imports of the report module

Cause: the linter refused a runtime import that only annotations use. Change: the import moved under TYPE_CHECKING.

--- a/src/yuccatally_bench/report.py
+++ b/src/yuccatally_bench/report.py
@@ -4,9 +4,12 @@
 
 import dataclasses
 import html
-import pathlib
 import statistics
 import subprocess
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import pathlib
 
 
 @dataclasses.dataclass(frozen=True)
