Let engine stand-ins take orders to load and unload layers

Cause: control over engines has nothing to act on: the stand-in's layers were fixed at its start. Change: holdings bounded by capacity, orders with fencing numbers that are checked or ignored, a rate-limited stand-in for the weight store.

--- a/src/yuccatally_standins/__main__.py
+++ b/src/yuccatally_standins/__main__.py
@@ -8,6 +8,7 @@
 from yuccatally_standins import engine
 from yuccatally_standins import platform
 from yuccatally_standins import service
+from yuccatally_standins import weights as weights_module
 
 _PORT = click.option("--port", type=int, required=True)
 
@@ -33,6 +34,8 @@
 @click.option("--step-ms", default=2.0)
 @click.option("--token-layer-us", default=20.0)
 @click.option("--checks-fencing", is_flag=True)
+@click.option("--capacity-layers", default=1024)
+@click.option("--weights", default="", help="IP:PORT of the weight store.")
 def run_engine(
     port: int,
     name: str,
@@ -42,6 +45,8 @@
     step_ms: float,
     token_layer_us: float,
     checks_fencing: bool,
+    capacity_layers: int,
+    weights: str,
 ) -> None:
     """Runs a model engine."""
     config = engine.EngineConfig(
@@ -52,10 +57,20 @@
         step_base_s=step_ms / 1e3,
         token_layer_s=token_layer_us / 1e6,
         checks_fencing=checks_fencing,
+        capacity_layers=capacity_layers,
+        weights=weights,
     )
     _serve(engine.Engine(config).application(), port)
 
 
+@main.command("weights")
+@_PORT
+@click.option("--layer-ms", default=10.0)
+def run_weights(port: int, layer_ms: float) -> None:
+    """Runs the store of model weights."""
+    _serve(weights_module.Weights(layer_ms / 1e3).application(), port)
+
+
 @main.command("service")
 @_PORT
 def run_service(port: int) -> None:
--- a/src/yuccatally_standins/engine.py
+++ b/src/yuccatally_standins/engine.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from yuccatally.core.stages import messages
+from yuccatally_standins import holdings
 from yuccatally_standins import reference
 
 _encoder = msgspec.msgpack.Encoder()
@@ -32,6 +33,8 @@
         step_base_s: Fixed time of a step, in seconds.
         token_layer_s: Time for one layer and token, in seconds.
         checks_fencing: Whether old fencing numbers are refused.
+        capacity_layers: Layers of all models that fit into memory.
+        weights: Address of the weight store; empty if loading takes no time.
     """
 
     name: str
@@ -42,6 +45,8 @@
     step_base_s: float = 0.002
     token_layer_s: float = 0.00002
     checks_fencing: bool = False
+    capacity_layers: int = 1024
+    weights: str = ""
 
 
 @dataclasses.dataclass
@@ -67,6 +72,9 @@
     sequences: dict[tuple[str, int], reference.LayerState] = dataclasses.field(
         default_factory=dict
     )
+    versions: dict[tuple[str, int], tuple[str, str]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Engine:
@@ -80,7 +88,18 @@
         self.order = 0
         self.steps = 0
         self.tokens = 0
-        self.loaded = {(config.model, config.version)}
+        self.holdings = holdings.Holdings(
+            config.capacity_layers,
+            config.checks_fencing,
+            config.weights,
+            self._sequences_of,
+        )
+        if config.last_layer > config.first_layer:
+            self.holdings.add_ready(
+                config.model,
+                config.version,
+                range(config.first_layer, config.last_layer),
+            )
         self.connections: set[_Connection] = set()
         self.applied: collections.Counter[str] = collections.Counter()
 
@@ -89,6 +108,8 @@
         app = web.Application()
         app.router.add_get("/v1/steps", self._steps)
         app.router.add_get("/v1/engine", self._describe)
+        app.router.add_post("/v1/orders", self.holdings.on_order)
+        app.router.add_get("/orders", self.holdings.on_history)
         app.router.add_post("/faults", self._set_faults)
         app.on_startup.append(self._start)
         return app
@@ -100,7 +121,7 @@
         return web.json_response(
             {
                 **dataclasses.asdict(self.config),
-                "loaded": sorted(self.loaded),
+                **self.holdings.describe(),
                 "steps": self.steps,
                 "tokens": self.tokens,
                 "sequences": sum(len(c.sequences) for c in self.connections),
@@ -199,6 +220,7 @@
             connection.sequences[key] = reference.LayerState.empty(
                 item.first_layer, item.last_layer
             )
+            connection.versions[key] = (item.model, item.version)
         seed = reference.seed_of(item.model, item.version)
         values = connection.sequences[key].apply(seed, item.values)
         self.tokens += len(item.values)
@@ -207,24 +229,25 @@
         return messages.StepOutput(*key, item.position, values)
 
     def _refusal(self, connection: _Connection, item: messages.StepItem) -> str:
-        config = self.config
         if self.faults.refuse:
             return self.faults.refuse
-        if (item.model, item.version) not in self.loaded:
-            return "not loaded"
-        if not (
-            config.first_layer
-            <= item.first_layer
-            < item.last_layer
-            <= config.last_layer
+        if not self.holdings.covers(
+            item.model, item.version, item.first_layer, item.last_layer
         ):
-            return "layers not held"
+            return "not loaded"
         state = connection.sequences.get((item.request, item.attempt))
         expected = 0 if state is None else state.position
         if item.position != expected:
             return "not the next position"
         return ""
 
+    def _sequences_of(self, model: str, version: str) -> int:
+        return sum(
+            c.versions.get(key) == (model, version)
+            for c in self.connections
+            for key in c.sequences
+        )
+
     async def _send(
         self, connection: _Connection, message: messages.FromEngine
     ) -> None:
