Let engine stand-ins declare batch size and link times

Cause: the bound of a site cannot be calculated without a declared batch size, and the time a stand-in computes lowered its declared step rate.

Change: engine stand-ins take a batch size, a link delay and a transfer time for each activation, follow the declared step times while items wait, and count token-layers. Objects of kind engine state these rates; the kind placement and routing settings are added with strict checks.

--- /dev/null
+++ b/src/yuccatally/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decision which requests run, and in which order."""
--- a/src/yuccatally/core/objects/kinds.py
+++ b/src/yuccatally/core/objects/kinds.py
@@ -25,6 +25,7 @@
     "pipeline": specs.PipelineSpec,
     "routing_rule": specs.RoutingRuleSpec,
     "client_account": specs.ClientAccountSpec,
+    "placement": specs.PlacementSpec,
 }
 
 
@@ -121,6 +122,11 @@
         match declared.spec:
             case specs.PipelineSpec() as spec:
                 problems += _pipeline_problems(declared.name, spec, known)
+            case specs.PlacementSpec(model=model):
+                if ("model", model) not in known:
+                    key = f"placement/{declared.name}.model"
+                    message = f"model {model!r} is not declared"
+                    problems.append(strict.Problem(key, message))
             case specs.RoutingRuleSpec(service=service):
                 if ("service", service) not in known:
                     key = f"routing_rule/{declared.name}.service"
--- a/src/yuccatally/core/objects/specs.py
+++ b/src/yuccatally/core/objects/specs.py
@@ -4,12 +4,14 @@
 
 import dataclasses
 import enum
+import math
 import re
 
 from yuccatally.core import selectors
 
 ADDRESS_PATTERN = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}")
 SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
+MAX_WEIGHT = 1000
 
 
 class Urgency(enum.IntEnum):
@@ -29,15 +31,26 @@
         data_centre: Where it runs.
         kind: Kind of accelerator, free text.
         checks_fencing: Whether it refuses orders with an old fencing number.
+        step_base_ms: Declared fixed time of a step; 0 if not known.
+        token_layer_us: Declared time for one layer and token; 0 if not known.
+        batch: Declared greatest number of items in a step; 0 if not known.
+        max_layers: Layers that fit into its memory; 0 if not known.
     """
 
     address: str
     data_centre: str
     kind: str = "generic"
     checks_fencing: bool = False
+    step_base_ms: float = 0.0
+    token_layer_us: float = 0.0
+    batch: int = 0
+    max_layers: int = 0
 
     def __post_init__(self) -> None:
         _check_address(self.address)
+        for key in ("step_base_ms", "token_layer_us", "batch", "max_layers"):
+            if not 0 <= getattr(self, key) < math.inf:
+                raise ValueError(f"{key}: must be at least 0")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -175,8 +188,37 @@
             raise ValueError("key_sha256: expected 64 hexadecimal digits")
         if self.urgency.upper() not in Urgency.__members__:
             raise ValueError("urgency: expected urgent, normal or batch")
-        if self.weight < 1:
-            raise ValueError("weight: must be at least 1")
+        if not 1 <= self.weight <= MAX_WEIGHT:
+            raise ValueError(f"weight: must be from 1 to {MAX_WEIGHT}")
+        for key in ("requests_per_s", "tokens_per_s"):
+            if not 0 <= getattr(self, key) < math.inf:
+                raise ValueError(f"{key}: must be at least 0; 0 is no limit")
+
+
+@dataclasses.dataclass(frozen=True)
+class PlacementSpec:
+    """How a model is spread over engines.
+
+    Attributes:
+        model: Name of the model object.
+        version: Version of the weights.
+        selector: Label selector over engines that may be used.
+        exclude: Label selector over engines that must not be used; empty
+            excludes none.
+        pipelines: Greatest number of pipelines; 0 is as many as are useful.
+    """
+
+    model: str
+    version: str
+    selector: str = ""
+    exclude: str = ""
+    pipelines: int = 0
+
+    def __post_init__(self) -> None:
+        _check_selector(self.selector)
+        _check_selector(self.exclude)
+        if self.pipelines < 0:
+            raise ValueError("pipelines: must be at least 0")
 
 
 def _check_address(address: str) -> None:
--- /dev/null
+++ b/src/yuccatally/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Assignment of layer ranges to engines."""
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -94,6 +94,30 @@
     request_timeout_s: float = 60.0
 
 
+@dataclasses.dataclass(frozen=True)
+class RoutingSettings:
+    """Routing and admission.
+
+    Attributes:
+        policy: ``work`` weighs outstanding work, reports, cache and links;
+            ``least-outstanding`` and ``round-robin`` are for comparison.
+        demand: Whether the queued work of a request is estimated from what
+            its account used so far instead of from its token limit.
+        queue: Greatest number of requests that wait for an engine.
+    """
+
+    policy: str = "work"
+    demand: bool = True
+    queue: int = 512
+
+    def __post_init__(self) -> None:
+        known = ("work", "least-outstanding", "round-robin")
+        if self.policy not in known:
+            raise ValueError(f"policy: expected one of {', '.join(known)}")
+        if self.queue < 1:
+            raise ValueError("queue: must be at least 1")
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """All settings of one instance."""
@@ -104,6 +128,7 @@
     peers: ListenerSettings
     platform: PlatformSettings
     limits: LimitsSettings = LimitsSettings()
+    routing: RoutingSettings = RoutingSettings()
 
     @classmethod
     def from_config(
--- a/src/yuccatally_standins/__main__.py
+++ b/src/yuccatally_standins/__main__.py
@@ -36,6 +36,9 @@
 @click.option("--checks-fencing", is_flag=True)
 @click.option("--capacity-layers", default=1024)
 @click.option("--weights", default="", help="IP:PORT of the weight store.")
+@click.option("--max-batch", default=512)
+@click.option("--link-ms", default=0.0)
+@click.option("--link-value-us", default=0.0)
 def run_engine(
     port: int,
     name: str,
@@ -47,6 +50,9 @@
     checks_fencing: bool,
     capacity_layers: int,
     weights: str,
+    max_batch: int,
+    link_ms: float,
+    link_value_us: float,
 ) -> None:
     """Runs a model engine."""
     config = engine.EngineConfig(
@@ -59,6 +65,9 @@
         checks_fencing=checks_fencing,
         capacity_layers=capacity_layers,
         weights=weights,
+        max_batch=max_batch,
+        link_delay_s=link_ms / 1e3,
+        link_value_s=link_value_us / 1e6,
     )
     _serve(engine.Engine(config).application(), port)
 
--- a/src/yuccatally_standins/engine.py
+++ b/src/yuccatally_standins/engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import time
 from typing import Any
 
 from aiohttp import web
@@ -12,12 +13,12 @@
 
 from yuccatally.core.stages import messages
 from yuccatally_standins import holdings
+from yuccatally_standins import links
 from yuccatally_standins import reference
 
-_encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(messages.ToEngine)
 
-MAX_BATCH = 512
+CATCH_UP_S = 0.05
 
 
 @dataclasses.dataclass
@@ -35,6 +36,9 @@
         checks_fencing: Whether old fencing numbers are refused.
         capacity_layers: Layers of all models that fit into memory.
         weights: Address of the weight store; empty if loading takes no time.
+        max_batch: Greatest number of items in a step.
+        link_delay_s: Delay of everything it sends, in seconds.
+        link_value_s: Time one activation occupies its link, in seconds.
     """
 
     name: str
@@ -47,6 +51,9 @@
     checks_fencing: bool = False
     capacity_layers: int = 1024
     weights: str = ""
+    max_batch: int = 512
+    link_delay_s: float = 0.0
+    link_value_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -57,12 +64,14 @@
         frozen: Steps are not computed; heartbeats are answered.
         silent: Nothing is sent on open connections.
         slow_factor: Factor on the time of each step.
+        link_factor: Factor on the delay and transfer time of its link.
         refuse: Reason with which every item is refused; empty for none.
     """
 
     frozen: bool = False
     silent: bool = False
     slow_factor: float = 1.0
+    link_factor: float = 1.0
     refuse: str = ""
 
 
@@ -100,6 +109,9 @@
                 config.version,
                 range(config.first_layer, config.last_layer),
             )
+        self.token_layers = 0
+        self.busy_until = 0.0
+        self.link = links.OutboundLink(config.link_delay_s, config.link_value_s)
         self.connections: set[_Connection] = set()
         self.applied: collections.Counter[str] = collections.Counter()
 
@@ -124,6 +136,7 @@
                 **self.holdings.describe(),
                 "steps": self.steps,
                 "tokens": self.tokens,
+                "token_layers": self.token_layers,
                 "sequences": sum(len(c.sequences) for c in self.connections),
             }
         )
@@ -181,18 +194,26 @@
         while True:
             await self.arrived.wait()
             self.arrived.clear()
+            if self.queue:
+                self.busy_until = time.monotonic()
             while self.queue and not self.faults.frozen:
                 await self._step()
 
     async def _step(self) -> None:
         self.queue.sort(key=lambda entry: entry[:2])
-        batch, self.queue = self.queue[:MAX_BATCH], self.queue[MAX_BATCH:]
+        size = self.config.max_batch
+        batch, self.queue = self.queue[:size], self.queue[size:]
         work = sum(
             len(i.values) * (i.last_layer - i.first_layer)
             for _, _, _, _, i in batch
         )
         seconds = self.config.step_base_s + work * self.config.token_layer_s
-        await asyncio.sleep(seconds * self.faults.slow_factor)
+        # While items wait, steps follow each other at the declared times, so
+        # that the time this process computes does not lower the rate.
+        now = time.monotonic()
+        started = max(self.busy_until, now - CATCH_UP_S)
+        self.busy_until = started + seconds * self.faults.slow_factor
+        await asyncio.sleep(self.busy_until - now)
         self.steps += 1
         results: dict[
             tuple[int, int], tuple[_Connection, messages.StepResult]
@@ -224,6 +245,9 @@
         seed = reference.seed_of(item.model, item.version)
         values = connection.sequences[key].apply(seed, item.values)
         self.tokens += len(item.values)
+        self.token_layers += len(item.values) * (
+            item.last_layer - item.first_layer
+        )
         if item.final:
             values = [reference.token_of(values[-1])]
         return messages.StepOutput(*key, item.position, values)
@@ -254,6 +278,8 @@
         if self.faults.silent or connection.socket.closed:
             return
         try:
-            await connection.socket.send_bytes(_encoder.encode(message))
+            await self.link.send(
+                connection.socket, message, self.faults.link_factor
+            )
         except (ConnectionError, RuntimeError):
             self.connections.discard(connection)
--- a/src/yuccatally_standins/site.py
+++ b/src/yuccatally_standins/site.py
@@ -38,6 +38,8 @@
     step_ms: float
     labels: dict[str, str]
     data_centre: str = "north"
+    arguments: tuple[str, ...] = ()
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,11 +50,17 @@
         instances: Number of entry instances.
         engines: Engines to start.
         pipelines: Names of pipelines with label selectors and layer ranges.
+        settings: Text added to the settings of each instance.
+        accounts: Specifications of further accounts by name.
     """
 
     instances: int
     engines: tuple[EnginePlan, ...]
     pipelines: dict[str, tuple[tuple[str, int, int], ...]]
+    settings: str = ""
+    accounts: dict[str, dict[str, Any]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 DEFAULT_PLAN = Plan(
@@ -171,6 +179,7 @@
             VERSION,
             "--step-ms",
             str(plan.step_ms),
+            *plan.arguments,
         ]
         return self.start_standin("engine", plan.name, arguments, port)
 
@@ -189,6 +198,7 @@
                 addresses,
                 self.processes["platform"].address,
             )
+            + self.plan.settings
         )
         command = [*self.program, "run", str(settings)]
         return self._spawn(
@@ -202,6 +212,7 @@
             spec = {
                 "address": self.processes[engine.name].address,
                 "data_centre": engine.data_centre,
+                **engine.rates,
             }
             self.declare("engine", engine.name, spec, engine.labels)
         for name, stages in self.plan.pipelines.items():
@@ -225,6 +236,9 @@
         self.declare("routing_rule", "stock-checks", rule)
         key = hashlib.sha256(ACCOUNT_KEY.encode()).hexdigest()
         self.declare("client_account", "desk", {"key_sha256": key})
+        for name, account in self.plan.accounts.items():
+            key = hashlib.sha256(f"{name}-key".encode()).hexdigest()
+            self.declare("client_account", name, {"key_sha256": key, **account})
 
     def declare(
         self,
