Plan pipelines and measure the share of the bound

Cause: nothing told how close a site comes to what its engines allow, and layers were split by hand.

--- /dev/null
+++ b/src/yuccatally/core/placement/objects.py
@@ -0,0 +1,93 @@
+"""Plans from declared objects, and the objects that a plan stands for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccatally.core.config import configuration
+from yuccatally.core.objects import specs
+from yuccatally.core.placement import groups
+from yuccatally.core.placement import planner
+from yuccatally.core.placement import rates
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from yuccatally.core.objects import kinds
+
+# Used until requests were counted: a prompt of some paragraphs and an answer
+# of one.
+DEFAULT_SHAPE = rates.Shape(prefill=512, decode=128)
+
+
+def plan_for(
+    placement: kinds.Object,
+    config: configuration.Configuration,
+    links: rates.Links,
+    shape: rates.Shape = DEFAULT_SHAPE,
+    previous: planner.Plan | None = None,
+) -> planner.Plan | None:
+    """Plans the pipelines of one placement object.
+
+    Args:
+        placement: Object of kind ``placement``.
+        config: Objects in force.
+        links: Links between data centres.
+        shape: Mean size of a request.
+        previous: Plan in force.
+
+    Returns:
+        The plan, None if the model is not declared.
+    """
+    spec = placement.spec
+    model = config.get("model", spec.model)
+    if model is None:
+        return None
+    need = groups.Need(model.spec.layers, shape)
+    return planner.plan(
+        need, eligible(spec, config), links, spec.pipelines, previous
+    )
+
+
+def eligible(
+    spec: specs.PlacementSpec, config: configuration.Configuration
+) -> Iterator[rates.EngineRate]:
+    """Yields the engines that a placement may use.
+
+    An engine whose rates are not declared cannot be planned and is left out.
+    """
+    chosen = config.select("engine", spec.selector)
+    barred: set[str] = set()
+    if spec.exclude:
+        excluded = configuration.select(chosen, spec.exclude)
+        barred = {e.name for e in excluded}
+    for engine in chosen:
+        declared = engine.spec
+        known = declared.batch and declared.max_layers
+        if engine.name in barred or not (known and declared.token_layer_us):
+            continue
+        yield rates.EngineRate(
+            name=engine.name,
+            step_base_s=declared.step_base_ms / 1e3,
+            token_layer_s=declared.token_layer_us / 1e6,
+            batch=declared.batch,
+            max_layers=declared.max_layers,
+            site=declared.data_centre,
+        )
+
+
+def pipeline_specs(
+    placement: kinds.Object, plan: planner.Plan
+) -> dict[str, specs.PipelineSpec]:
+    """Returns the pipeline objects of a plan by name."""
+    return {
+        f"{placement.name}-{pipeline.number}": specs.PipelineSpec(
+            model=placement.spec.model,
+            version=placement.spec.version,
+            stages=tuple(
+                specs.StageSpec(s.first_layer, s.last_layer, f"name={s.engine}")
+                for s in pipeline.stages
+            ),
+        )
+        for pipeline in plan.pipelines
+    }
--- /dev/null
+++ b/src/yuccatally_bench/mixes.py
@@ -0,0 +1,157 @@
+"""Hardware mixes with declared rates, and the bound that they allow."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from yuccatally.core.placement import groups
+from yuccatally.core.placement import planner
+from yuccatally.core.placement import rates
+from yuccatally_standins import site
+
+SHAPE = rates.Shape(prefill=24, decode=16)
+NEED = groups.Need(site.LAYERS, SHAPE)
+MAX_LAYERS = 8
+BATCH = 16
+HALF = site.LAYERS // 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Mix:
+    """Engines and links of a site.
+
+    Attributes:
+        name: Name of the mix.
+        engines: Declared rates; the first half serves the front layers when
+            layers are split evenly.
+        far: Rates of the link of engines at the site ``far``.
+    """
+
+    name: str
+    engines: tuple[rates.EngineRate, ...]
+    far: rates.LinkRate = rates.LOCAL
+
+    @property
+    def links(self) -> rates.Links:
+        """Links as the instances, which relay activations, see them.
+
+        A stand-in delays what it sends, so a link costs by its source.
+        """
+        pairs = {("far", "near"): self.far, ("far", "far"): self.far}
+        return rates.Links(pairs)
+
+    def plan(self) -> planner.Plan:
+        """Returns the best plan."""
+        return planner.plan(NEED, self.engines, self.links)
+
+    def bound_requests_per_s(self) -> float:
+        """Returns the rate of the slowest stages or links of the best plan."""
+        return self.plan().requests_per_s
+
+
+def _engine(
+    name: str, base_ms: float, layer_us: float, where: str = "near"
+) -> rates.EngineRate:
+    return rates.EngineRate(
+        name, base_ms / 1e3, layer_us / 1e6, BATCH, MAX_LAYERS, where
+    )
+
+
+MIXES = (
+    Mix("uniform", tuple(_engine(n, 16, 100) for n in ("a", "b", "c", "d"))),
+    Mix(
+        "mixed",
+        (
+            _engine("fast-a", 8, 50),
+            _engine("slow-a", 24, 200),
+            _engine("fast-b", 8, 50),
+            _engine("slow-b", 24, 200),
+        ),
+    ),
+    Mix(
+        "links",
+        (
+            _engine("near-a", 16, 100),
+            _engine("far-a", 16, 100, "far"),
+            _engine("near-b", 16, 100),
+            _engine("far-b", 16, 100, "far"),
+        ),
+        rates.LinkRate(delay_s=0.02, token_s=0.0015),
+    ),
+)
+
+
+def site_plan(
+    mix: Mix,
+    planned: bool,
+    instances: int,
+    settings: str,
+    accounts: dict[str, dict[str, object]],
+) -> site.Plan:
+    """Returns the processes that stand for a mix.
+
+    Args:
+        mix: Engines and links.
+        planned: Whether pipelines are planned; otherwise the layers are split
+            evenly and the engines of each half replace each other.
+        instances: Number of instances.
+        settings: Text added to their settings.
+        accounts: Client accounts by name.
+    """
+    if planned:
+        ranges = {
+            s.engine: (s.first_layer, s.last_layer)
+            for p in mix.plan().pipelines
+            for s in p.stages
+        }
+        pipelines = {
+            f"planned-{p.number}": tuple(
+                (f"name={s.engine}", s.first_layer, s.last_layer)
+                for s in p.stages
+            )
+            for p in mix.plan().pipelines
+        }
+    else:
+        half = len(mix.engines) // 2
+        ranges = {
+            e.name: (0, HALF) if i < half else (HALF, site.LAYERS)
+            for i, e in enumerate(mix.engines)
+        }
+        pipelines = {
+            "even": (("part=front", 0, HALF), ("part=back", HALF, site.LAYERS))
+        }
+    engines = tuple(
+        _standin(mix, engine, ranges[engine.name])
+        for engine in mix.engines
+        if engine.name in ranges
+    )
+    return site.Plan(instances, engines, pipelines, settings, accounts)
+
+
+def _standin(
+    mix: Mix, engine: rates.EngineRate, layers: tuple[int, int]
+) -> site.EnginePlan:
+    link = mix.far if engine.site == "far" else rates.LOCAL
+    return site.EnginePlan(
+        engine.name,
+        *layers,
+        engine.step_base_s * 1e3,
+        {"part": "front" if layers[0] == 0 else "back"},
+        engine.site,
+        arguments=(
+            "--token-layer-us",
+            str(engine.token_layer_s * 1e6),
+            "--max-batch",
+            str(engine.batch),
+            "--link-ms",
+            str(link.delay_s * 1e3),
+            "--link-value-us",
+            str(link.token_s * 1e6),
+        ),
+        rates={
+            "step_base_ms": engine.step_base_s * 1e3,
+            "token_layer_us": engine.token_layer_s * 1e6,
+            "batch": engine.batch,
+            "max_layers": engine.max_layers,
+        },
+    )
