Resume answers on other engines and detect stalls by progress

Cause: a stalled engine was found by missed heartbeats only, every message counted as a heartbeat, a cancelled step left KV state on the engine, and a failed engine that left the configuration raised KeyError instead of moving its sequences.

Change: step time is estimated by work and bounds the time without progress; reports of completed steps tell a busy engine from a frozen one; lost answers show as an idle engine or as an overtaken step. A connection that failed is closed, the next one carries a probe step, and reconnects have jitter. Prefill runs in chunks that overlap between stages; the stages behind a failed one continue a copy of their KV state. A budget bounds the prefill of recovery.

--- a/src/yuccatally/core/generation/actions.py
+++ b/src/yuccatally/core/generation/actions.py
@@ -79,12 +79,41 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ImportState:
+    """Continue the KV state of an earlier attempt under a new attempt.
+
+    Attributes:
+        source: Engine that holds the state.
+        target: Engine of the new attempt; equal to the source for a copy.
+        request: Request id.
+        source_attempt: Attempt that built the state.
+        attempt: Attempt that continues it.
+        position: Position that the state must be at, exactly.
+    """
+
+    source: str
+    target: str
+    request: str
+    source_attempt: int
+    attempt: int
+    position: int
+
+
 @dataclasses.dataclass(frozen=True)
 class NeedRoute:
-    """Choose a route, without the engines that just failed."""
+    """Choose a route, without the engines that just failed.
+
+    Attributes:
+        request: Request id.
+        excluded: Engines that must not be part of the next route.
+        delay_s: Wait before the choice, in seconds; grows with attempts that
+            gave no token.
+    """
 
     request: str
     excluded: frozenset[str]
+    delay_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,6 +145,7 @@
     SubmitStep
     | EmitToken
     | ReleaseAttempt
+    | ImportState
     | NeedRoute
     | Finished
     | Failed
--- a/src/yuccatally/core/generation/generation.py
+++ b/src/yuccatally/core/generation/generation.py
@@ -6,13 +6,23 @@
 from typing import TYPE_CHECKING
 
 from yuccatally.core.generation import actions
+from yuccatally.core.generation import attempt as attempt_module
+from yuccatally.core.generation import resume
 from yuccatally.core.requests import outcomes
-from yuccatally.core.stages import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterator
 
-MAX_ATTEMPTS = 8
+    from yuccatally.core.stages import messages
+
+# Attempts in a row that give no token; a token starts the count anew, so a
+# long answer survives any number of separate faults.
+MAX_FRUITLESS_ATTEMPTS = 12
+FRUITLESS_FIRST_DELAY_S = 0.02
+FRUITLESS_LAST_DELAY_S = 1.0
+# Tokens that a caller has not taken yet before its generation pauses.
+WINDOW_TOKENS = 32
 
 
 class State(enum.Enum):
@@ -35,18 +45,40 @@
         tokens: Token ids generated so far.
         attempt: Number of the current attempt, 0 before the first.
         handed_over: Whether any item was sent to an engine.
+        last_route: Route of the latest attempt.
+        unread: Tokens emitted that the caller has not taken.
+        paused: Whether the next step waits until the caller reads on.
     """
 
-    def __init__(self, job: actions.Job) -> None:
+    def __init__(self, job: actions.Job, window: int = WINDOW_TOKENS) -> None:
         self.job = job
+        self.window = window
         self.tokens: list[int] = []
         self.attempt = 0
         self.handed_over = False
         self.state = State.WAITING
-        self.route: actions.Route | None = None
-        self.stage = 0
-        self.position = 0
-        self.width = 0
+        self.current: attempt_module.Attempt | None = None
+        self.last_route: actions.Route | None = None
+        self.kept: resume.Kept | None = None
+        self.fruitless = 0
+        self.unread = 0
+        self.paused = False
+
+    @property
+    def known(self) -> list[int]:
+        """Prompt and tokens so far: what a new attempt has to prefill."""
+        return [*self.job.prompt, *self.tokens]
+
+    @property
+    def in_prefill(self) -> bool:
+        """Whether the current attempt has not given a token yet."""
+        return self.current is not None and self.fruitless > 0
+
+    def prefer_kept(
+        self, route: actions.Route, usable: Collection[str]
+    ) -> actions.Route:
+        """Returns the route with the engines of the attempt before it."""
+        return resume.prefer_kept(route, self.last_route, usable)
 
     def start(self, route: actions.Route) -> tuple[actions.Action, ...]:
         """Starts an attempt with a prefill of the prompt and known tokens.
@@ -55,51 +87,84 @@
             route: One engine for each stage; covers the model's layers.
 
         Returns:
-            The first step.
+            Imports of kept KV state, releases of what is not used, and the
+            first step.
         """
         self.attempt += 1
-        self.route = route
+        self.fruitless += 1
         self.state = State.RUNNING
-        self.position = 0
-        values = [*self.job.prompt, *self.tokens]
-        return (self._submit(0, values),)
+        imports = resume.imports(
+            self.kept, self.job.request, self.attempt, route
+        )
+        sources = {i.source for i in imports}
+        released = tuple(self._release_kept(excluded=sources))
+        at = {i.target: i.position for i in imports}
+        starts = [at.get(h.engine, 0) for h in route.hops]
+        self.last_route = route
+        self.current = attempt_module.Attempt(
+            self.job, self.attempt, route, self.known, starts
+        )
+        return (*released, *imports, *self.current.begin())
 
     def on_sent(self, attempt: int) -> None:
         """Records that an item of an attempt left for an engine."""
-        if attempt == self.attempt:
+        if attempt <= self.attempt:
             self.handed_over = True
 
     def on_output(
         self, item: messages.StepItem, output: messages.StepOutput
     ) -> tuple[actions.Action, ...]:
-        """Continues with the next stage or the next token.
+        """Continues with the next stage, chunk or token.
 
         Args:
             item: The item that the engine was given.
             output: What the engine returned for it.
 
         Returns:
-            Next step, a token for the caller, or the end of the answer.
+            Next steps, a token for the caller, or the end of the answer.
         """
-        if not self._is_current(item):
+        stage = self.stage_of(item)
+        if stage is None or self.current is None:
             return (actions.Dropped(self.job.request, "not the current step"),)
-        if self.route is None:
-            return ()
-        if self.stage + 1 < len(self.route.hops):
-            if len(output.values) != self.width:
-                return self.on_failure(self.route.hops[self.stage].engine)
-            return (self._submit(self.stage + 1, list(output.values)),)
-        if len(output.values) != 1:
-            return self.on_failure(self.route.hops[self.stage].engine)
-        return self._on_token(output.values[0])
+        try:
+            steps, token = self.current.on_output(stage, output)
+        except attempt_module.MalformedOutputError as error:
+            return self.on_failure(str(error))
+        return steps if token is None else (*steps, *self._on_token(token))
 
     def on_refusal(
         self, item: messages.StepItem, refusal: messages.StepRefusal
     ) -> tuple[actions.Action, ...]:
         """Abandons the attempt because an engine did not apply a step."""
-        if not self._is_current(item) or self.route is None:
+        stage = self.stage_of(item)
+        if stage is None or self.current is None:
             return (actions.Dropped(self.job.request, refusal.reason),)
-        return self.on_failure(self.route.hops[self.stage].engine)
+        engine = self.current.lanes[stage].hop.engine
+        # The engine may still hold the state of earlier steps.
+        release = actions.ReleaseAttempt(engine, self.job.request, self.attempt)
+        return (release, *self.on_failure(engine))
+
+    def on_imported(
+        self, wanted: actions.ImportState, succeeded: bool
+    ) -> tuple[actions.Action, ...]:
+        """Goes on after an import of KV state, or without it.
+
+        Returns:
+            Release of the source, and the steps that waited. A failed import
+            ends the attempt; the next one prefills every stage.
+        """
+        release = actions.ReleaseAttempt(
+            wanted.source, wanted.request, wanted.source_attempt
+        )
+        if self.current is None or wanted.attempt != self.attempt:
+            # The import may have taken effect after the attempt's release.
+            stray = actions.ReleaseAttempt(
+                wanted.target, wanted.request, wanted.attempt
+            )
+            return (release, stray)
+        if succeeded:
+            return (release, *self.current.on_imported(wanted.target))
+        return (release, *self._abandon_attempt(frozenset(), None))
 
     def on_failure(self, engine: str) -> tuple[actions.Action, ...]:
         """Abandons the attempt if it uses an engine that failed.
@@ -108,30 +173,43 @@
             Release of the other engines and a request for a new route, or the
             end of the request when the attempts are used up.
         """
-        if self.state is not State.RUNNING or self.route is None:
+        if self.kept is not None and engine in {
+            h.engine for h in self.kept.hops
+        }:
+            self._drop_kept_on(engine)
+        if self.state is not State.RUNNING or self.current is None:
             return ()
-        if engine not in {h.engine for h in self.route.hops}:
+        if engine not in {h.engine for h in self.current.route.hops}:
             return ()
-        released = tuple(self._releases(excluded=engine))
-        self.state = State.WAITING
-        self.route = None
-        if self.attempt >= MAX_ATTEMPTS:
-            refusal = self.refusal(
-                outcomes.Reason.UPSTREAM_FAILED,
-                f"gave up after {self.attempt} attempts",
-            )
-            return (*released, *self.abandon(refusal))
-        excluded = frozenset([engine])
-        return (*released, actions.NeedRoute(self.job.request, excluded))
+        kept = resume.keep(self.current, engine)
+        return self._abandon_attempt(frozenset([engine]), kept)
+
+    def on_consumed(self, count: int = 1) -> tuple[actions.Action, ...]:
+        """Records that the caller took tokens; a paused one may go on."""
+        self.unread -= count
+        if not self.paused or self.unread > self.window // 2:
+            return ()
+        self.paused = False
+        if self.state is State.DONE:
+            return ()
+        if self.current is None:
+            return (actions.NeedRoute(self.job.request, frozenset()),)
+        return self.current.feed(self.tokens[-1])
+
+    def stage_of(self, item: messages.StepItem) -> int | None:
+        """Returns the stage that waits for an item's result, if one does."""
+        if self.state is not State.RUNNING or self.current is None:
+            return None
+        return self.current.stage_of(item)
 
     def abandon(self, refusal: outcomes.Refusal) -> tuple[actions.Action, ...]:
         """Ends the request without a whole answer."""
         if self.state is State.DONE:
             return ()
-        released = tuple(self._releases(excluded=None))
-        self.state = State.DONE
-        self.route = None
-        return (*released, actions.Failed(self.job.request, refusal))
+        return (
+            *self._end(),
+            actions.Failed(self.job.request, refusal),
+        )
 
     def refusal(
         self, reason: outcomes.Reason, message: str
@@ -145,62 +223,91 @@
         return outcomes.Refusal(outcome, reason, message, retry_after_s=1.0)
 
     def _on_token(self, token: int) -> tuple[actions.Action, ...]:
-        self.position += self.width
-        stopped = token == self.job.end_token
-        emitted: tuple[actions.Action, ...] = ()
-        if not stopped:
-            self.tokens.append(token)
-            emitted = (actions.EmitToken(self.job.request, token),)
-        if stopped or len(self.tokens) >= self.job.max_tokens:
-            return (*emitted, *self._finish(stopped))
-        return (*emitted, self._submit(0, [token]))
+        assert self.current is not None
+        self.fruitless = 0
+        if token == self.job.end_token:
+            return self._finish(stopped=True)
+        self.tokens.append(token)
+        self.unread += 1
+        emitted = actions.EmitToken(self.job.request, token)
+        if len(self.tokens) >= self.job.max_tokens:
+            return (emitted, *self._finish(stopped=False))
+        if self.unread >= self.window:
+            self.paused = True
+            return (emitted,)
+        return (emitted, *self.current.feed(token))
 
     def _finish(self, stopped: bool) -> tuple[actions.Action, ...]:
-        released = tuple(self._releases(excluded=None))
+        finished = actions.Finished(self.job.request, len(self.tokens), stopped)
+        return (*self._end(), finished)
+
+    def _end(self) -> tuple[actions.Action, ...]:
+        released = (*self._releases(frozenset()), *self._release_kept(set()))
         self.state = State.DONE
-        count = len(self.tokens)
-        return (
-            *released,
-            actions.Finished(self.job.request, count, stopped),
-        )
+        self.current = None
+        return released
 
-    def _submit(self, stage: int, values: list[int]) -> actions.SubmitStep:
-        assert self.route is not None
-        hop = self.route.hops[stage]
-        self.stage = stage
-        self.width = len(values)
-        item = messages.StepItem(
-            request=self.job.request,
-            attempt=self.attempt,
-            position=self.position,
-            first_layer=hop.first_layer,
-            last_layer=hop.last_layer,
-            model=self.route.model,
-            version=self.route.version,
-            values=values,
-            priority=self.job.priority,
-            final=stage + 1 == len(self.route.hops),
+    def _abandon_attempt(
+        self, failed: frozenset[str], kept: resume.Kept | None
+    ) -> tuple[actions.Action, ...]:
+        spared = {h.engine for h in kept.hops} if kept else set()
+        released = (
+            *self._releases(failed | spared),
+            *self._release_kept(set()),
         )
-        return actions.SubmitStep(hop.engine, item)
+        self.kept = kept
+        self.state = State.WAITING
+        self.current = None
+        if self.fruitless >= MAX_FRUITLESS_ATTEMPTS:
+            refusal = self.refusal(
+                outcomes.Reason.UPSTREAM_FAILED,
+                f"gave up after {self.fruitless} attempts without a token; "
+                "ask again later",
+            )
+            return (*released, *self.abandon(refusal))
+        if self.paused:
+            # Nobody waits for the next token; recovery can wait as well.
+            return released
+        delay_s = _delay_s(self.fruitless)
+        need = actions.NeedRoute(self.job.request, failed, delay_s)
+        return (*released, need)
 
-    def _is_current(self, item: messages.StepItem) -> bool:
-        if self.state is not State.RUNNING or self.route is None:
-            return False
-        hop = self.route.hops[self.stage]
-        return (
-            item.attempt == self.attempt
-            and item.position == self.position
-            and item.first_layer == hop.first_layer
-            and item.last_layer == hop.last_layer
+    def _drop_kept_on(self, engine: str) -> None:
+        # Only the stages behind the lost one are still of use.
+        assert self.kept is not None
+        engines = [h.engine for h in self.kept.hops]
+        rest = self.kept.hops[engines.index(engine) + 1 :]
+        self.kept = (
+            resume.Kept(self.kept.attempt, self.kept.position, rest)
+            if rest
+            else None
         )
 
     def _releases(
-        self, excluded: str | None
+        self, excluded: frozenset[str] | set[str]
     ) -> Iterator[actions.ReleaseAttempt]:
-        if self.route is None:
+        if self.current is None:
             return
-        for hop in self.route.hops:
-            if hop.engine != excluded:
+        for hop in self.current.route.hops:
+            if hop.engine not in excluded:
+                yield actions.ReleaseAttempt(
+                    hop.engine, self.job.request, self.current.number
+                )
+
+    def _release_kept(
+        self, excluded: set[str]
+    ) -> Iterator[actions.ReleaseAttempt]:
+        kept, self.kept = self.kept, None
+        for hop in kept.hops if kept else ():
+            if hop.engine not in excluded:
                 yield actions.ReleaseAttempt(
-                    hop.engine, self.job.request, self.attempt
+                    hop.engine, self.job.request, kept.attempt
                 )
+
+
+def _delay_s(fruitless: int) -> float:
+    """Returns no delay after the first failure, then a growing one."""
+    if fruitless <= 1:
+        return 0.0
+    grown = FRUITLESS_FIRST_DELAY_S * 2.0 ** (fruitless - 2)
+    return min(grown, FRUITLESS_LAST_DELAY_S)
--- a/src/yuccatally/core/stages/messages.py
+++ b/src/yuccatally/core/stages/messages.py
@@ -88,14 +88,16 @@
     """Load that an engine reports; it lags.
 
     Attributes:
-        queued: Items that wait for a step.
+        queued: Items that wait for a step or are part of the current one.
         sequences: Sequences with KV state.
         age_s: Age of the report when it was sent, in seconds.
+        steps: Steps completed since the engine started, -1 if not reported.
     """
 
     queued: int
     sequences: int
     age_s: float = 0.0
+    steps: int = -1
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
--- a/src/yuccatally/instance/generations.py
+++ b/src/yuccatally/instance/generations.py
@@ -4,20 +4,25 @@
 
 import asyncio
 import dataclasses
+import random
 import time
 from typing import TYPE_CHECKING
 
 import structlog
 
 from yuccatally.core.generation import actions
+from yuccatally.core.generation import budget
 from yuccatally.core.generation import generation
 from yuccatally.core.requests import outcomes
 from yuccatally.core.routing import router
 from yuccatally.core.stages import messages
+from yuccatally.instance import hops
 from yuccatally.upstreams import engines
+from yuccatally.upstreams import kv
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     import aiohttp
@@ -31,15 +36,30 @@
 FIRST_ROUTE_WAIT_S = 1.0  # covers a reconnect to an engine that restarted
 
 _log = structlog.get_logger()
+_WAITING = generation.State.WAITING
 
 Emitted = actions.EmitToken | actions.Finished | actions.Failed
 
 
 @dataclasses.dataclass
 class _Running:
+    """One generation in flight.
+
+    Attributes:
+        generation: Its state machine.
+        emitted: What the caller has not taken; the machine bounds it.
+        hops: Its spans.
+        timers: Deadlines to cancel at the end.
+        failed_at: When an attempt was lost without a token since.
+        excluded: Engines that the next route must not use.
+    """
+
     generation: generation.Generation
     emitted: asyncio.Queue[Emitted]
-    span: trace.Span | None = None
+    hops: hops.HopRecorder
+    timers: list[asyncio.TimerHandle] = dataclasses.field(default_factory=list)
+    failed_at: float | None = None
+    excluded: frozenset[str] = frozenset()
 
 
 class Generations:
@@ -60,18 +80,23 @@
         self.connections: dict[str, engines.EngineConnection] = {}
         self.running: dict[str, _Running] = {}
         self.waiting: dict[str, frozenset[str]] = {}
+        self.budget = budget.RetryBudget()
+        self.imports: set[asyncio.Task[None]] = set()
         self.retry_scheduled = False
 
-    def reconcile(self, session: aiohttp.ClientSession) -> list[str]:
+    def reconcile(
+        self, session: aiohttp.ClientSession
+    ) -> list[engines.EngineConnection]:
         """Connects declared engines.
 
         Returns:
-            Names of connections whose engine is not declared any more.
+            Connections whose engine is not declared any more or has moved to
+            another address; the caller closes them.
         """
         declared = {o.name: o for o in self.config.of_kind("engine")}
         gone = [
-            name
-            for name, connection in self.connections.items()
+            self.connections.pop(name)
+            for name, connection in list(self.connections.items())
             if name not in declared
             or declared[name].spec.address != connection.address
         ]
@@ -85,6 +110,9 @@
     async def generate(self, job: actions.Job) -> AsyncIterator[Emitted]:
         """Yields the tokens of one answer, then how it ended.
 
+        A token counts as taken when the next one is asked for; a caller that
+        does not ask pauses its own generation.
+
         Args:
             job: What to generate.
 
@@ -92,23 +120,24 @@
             ``EmitToken`` for each token, then one ``Finished`` or ``Failed``.
         """
         machine = generation.Generation(job)
-        entry = _Running(machine, asyncio.Queue())
+        recorder = hops.HopRecorder(self.tracer, job.request)
+        entry = _Running(machine, asyncio.Queue(), recorder)
         self.running[job.request] = entry
-        self._route(job.request, frozenset())
+        self._set_timers(entry)
         try:
+            self._try(job.request, frozenset())
             while True:
-                emitted = await self._next(entry)
+                emitted = await entry.emitted.get()
                 yield emitted
                 if not isinstance(emitted, actions.EmitToken):
                     return
+                self._perform(machine.on_consumed())
         finally:
             gone = machine.refusal(
                 outcomes.Reason.CALLER_GONE, "the caller closed the connection"
             )
             self._perform(machine.abandon(gone))
-            self._end_attempt(entry)
-            self.running.pop(job.request, None)
-            self.waiting.pop(job.request, None)
+            self._forget(entry)
 
     def on_sent(self, engine: str, step: messages.Step) -> None:
         """See ``engines.Receiver``."""
@@ -125,8 +154,10 @@
         """See ``engines.Receiver``."""
         for match in matched:
             entry = self.running.get(match.item.request)
-            if entry is None:
+            if entry is None or entry.generation.stage_of(match.item) is None:
+                self._drop_late(engine, match)
                 continue
+            entry.hops.on_result(match.item)
             machine = entry.generation
             if isinstance(match.result, messages.StepOutput):
                 self._perform(machine.on_output(match.item, match.result))
@@ -139,15 +170,29 @@
                 )
                 self._perform(machine.on_refusal(match.item, match.result))
 
+    def on_unmatched(self, engine: str, count: int) -> None:
+        """See ``engines.Receiver``."""
+        self.metrics.count("results_dropped", amount=count)
+        _log.info("result_dropped", engine=engine, count=count)
+
     def on_connected(self, engine: str) -> None:
         """See ``engines.Receiver``."""
         _log.info("engine_connected", engine=engine)
         self._retry_waiting()
 
-    def on_disconnected(self, engine: str, reason: str) -> None:
+    def on_disconnected(self, engine: str, lost: engines.Lost) -> None:
         """See ``engines.Receiver``."""
-        _log.warning("engine_disconnected", engine=engine, reason=reason)
-        for request in list(self.connections[engine].sequences):
+        _log.warning(
+            "engine_disconnected",
+            engine=engine,
+            reason=lost.reason,
+            sequences=len(lost.sequences),
+        )
+        self.metrics.count("engine_failures", lost.reason)
+        if lost.progress_at:
+            detected_s = time.monotonic() - lost.progress_at
+            self.metrics.observe("recovery_detection", detected_s)
+        for request in lost.sequences:
             entry = self.running.get(request)
             if entry is not None:
                 self._perform(entry.generation.on_failure(engine))
@@ -156,24 +201,40 @@
         """Returns the state of each engine for routing."""
         return {
             name: router.EngineView(
-                connected=c.opened is not None,
+                connected=c.usable,
                 outstanding=c.opened.link.outstanding if c.opened else 0,
                 sequences=len(c.sequences),
             )
             for name, c in self.connections.items()
         }
 
-    async def _next(self, entry: _Running) -> Emitted:
-        job = entry.generation.job
-        wait_s = job.deadline - time.monotonic()
-        if entry.generation.attempt == 0:
-            wait_s = min(wait_s, FIRST_ROUTE_WAIT_S)
-        try:
-            async with asyncio.timeout(wait_s):
-                return await entry.emitted.get()
-        except TimeoutError:
-            self._perform(entry.generation.abandon(_late(entry.generation)))
-            return await entry.emitted.get()
+    def _set_timers(self, entry: _Running) -> None:
+        loop = asyncio.get_running_loop()
+        left_s = max(0.0, entry.generation.job.deadline - time.monotonic())
+
+        def if_not_started() -> None:
+            if entry.generation.attempt == 0:
+                self._give_up(entry)
+
+        waits: list[tuple[float, Callable[[], None]]] = [
+            (left_s, lambda: self._give_up(entry)),
+            (min(left_s, FIRST_ROUTE_WAIT_S), if_not_started),
+        ]
+        entry.timers = [loop.call_later(s, call) for s, call in waits]
+
+    def _give_up(self, entry: _Running) -> None:
+        machine = entry.generation
+        self._perform(machine.abandon(_late(machine)))
+        self._end_attempt(entry, "deadline")
+
+    def _forget(self, entry: _Running) -> None:
+        request = entry.generation.job.request
+        for timer in entry.timers:
+            timer.cancel()
+        self._end_attempt(entry, "end")
+        self.running.pop(request, None)
+        self.waiting.pop(request, None)
+        self._settle(request)
 
     def _perform(self, wanted: Iterable[actions.Action]) -> None:
         for action in wanted:
@@ -181,59 +242,145 @@
                 case actions.SubmitStep(engine=engine, item=item):
                     self._submit(engine, item)
                 case actions.ReleaseAttempt():
-                    connection = self.connections.get(action.engine)
-                    if connection is not None:
-                        connection.release(action.request, action.attempt)
-                case actions.NeedRoute(request=request, excluded=excluded):
-                    self.metrics.count("attempts_abandoned")
-                    self._end_attempt(self.running[request])
-                    self._route(request, excluded)
-                case (
-                    actions.EmitToken() | actions.Finished() | actions.Failed()
-                ):
+                    self._release(action.engine, action.request, action.attempt)
+                case actions.ImportState():
+                    task = asyncio.create_task(self._import(action))
+                    self.imports.add(task)
+                    task.add_done_callback(self.imports.discard)
+                case actions.NeedRoute():
+                    self._need_route(action)
+                case actions.EmitToken():
+                    self._on_token(action)
+                case actions.Finished() | actions.Failed():
                     self.running[action.request].emitted.put_nowait(action)
                 case actions.Dropped(request=request, reason=reason):
                     self.metrics.count("results_dropped")
                     _log.info("result_dropped", request=request, reason=reason)
 
     def _submit(self, engine: str, item: messages.StepItem) -> None:
+        entry = self.running[item.request]
+        # An action before this one may have ended the attempt.
+        if entry.generation.stage_of(item) is None:
+            return
+        entry.hops.on_submit(item)
         connection = self.connections.get(engine)
         if connection is None or not connection.submit(item):
-            machine = self.running[item.request].generation
-            self._perform(machine.on_failure(engine))
+            self._perform(entry.generation.on_failure(engine))
 
-    def _route(self, request: str, excluded: frozenset[str]) -> None:
-        entry = self.running[request]
-        job = entry.generation.job
+    def _release(self, engine: str, request: str, attempt: int) -> None:
+        connection = self.connections.get(engine)
+        if connection is not None:
+            connection.release(request, attempt)
+
+    def _drop_late(self, engine: str, match: link.Matched) -> None:
+        item = match.item
+        self.metrics.count("results_dropped", "late")
+        _log.info("result_late", request=item.request, attempt=item.attempt)
+        # The step ran after the attempt was released, so the engine may hold
+        # its state again.
+        if isinstance(match.result, messages.StepOutput):
+            self._release(engine, item.request, item.attempt)
+
+    async def _import(self, wanted: actions.ImportState) -> None:
+        source = self.connections.get(wanted.source)
+        target = self.connections.get(wanted.target)
+        succeeded = False
+        if source is not None and target is not None:
+            succeeded = await kv.import_state(
+                target.session, wanted, source.address, target.address
+            )
+        self.metrics.count("state_imports", "ok" if succeeded else "failed")
+        entry = self.running.get(wanted.request)
+        if entry is None:
+            for engine, attempt in (
+                (wanted.source, wanted.source_attempt),
+                (wanted.target, wanted.attempt),
+            ):
+                self._release(engine, wanted.request, attempt)
+            return
+        self._perform(entry.generation.on_imported(wanted, succeeded))
+
+    def _on_token(self, action: actions.EmitToken) -> None:
+        entry = self.running[action.request]
+        self._settle(action.request)
+        entry.emitted.put_nowait(action)
+        if entry.failed_at is not None:
+            elapsed_s = time.monotonic() - entry.failed_at
+            self.metrics.observe("recovery", elapsed_s)
+            entry.failed_at = None
+
+    def _need_route(self, need: actions.NeedRoute) -> None:
+        entry = self.running[need.request]
+        self.metrics.count("attempts_abandoned")
+        self._end_attempt(entry, "abandoned")
+        self._settle(need.request)
+        if entry.failed_at is None:
+            entry.failed_at = time.monotonic()
+        if not need.delay_s:
+            self._try(need.request, need.excluded)
+            return
+        delay_s = need.delay_s * (0.5 + random.random())
+        asyncio.get_running_loop().call_later(
+            delay_s, self._try, need.request, need.excluded
+        )
+
+    def _try(self, request: str, excluded: frozenset[str]) -> None:
+        """Starts an attempt if the budget and the engines allow it."""
+        entry = self.running.get(request)
+        if entry is None or entry.generation.state is not _WAITING:
+            return
+        machine = entry.generation
+        job = machine.job
+        entry.excluded = excluded
+        self.waiting.pop(request, None)
+        if machine.attempt and not self.budget.ask(
+            request, job.priority, len(machine.known)
+        ):
+            return
         route = router.choose(
             job.model, job.version, self.config, self.view(), excluded
         )
         if route is None:
             self.waiting[request] = excluded
+            self._settle(request)
             self._schedule_retry()
             return
-        self.waiting.pop(request, None)
+        usable = {
+            name
+            for name, c in self.connections.items()
+            if c.usable and name not in excluded
+        }
+        self._start(entry, machine.prefer_kept(route, usable))
+
+    def _start(self, entry: _Running, route: actions.Route) -> None:
+        machine = entry.generation
+        if entry.failed_at is not None:
+            waited_s = time.monotonic() - entry.failed_at
+            self.metrics.observe("recovery_choice", waited_s)
+            tokens = len(machine.known)
+            self.metrics.count("recovery_prefill_tokens", amount=tokens)
         for hop in route.hops:
-            self.connections[hop.engine].sequences.add(request)
-        entry.span = self.tracer.start_span(
-            "attempt",
-            attributes={
-                "request": request,
-                "attempt": entry.generation.attempt + 1,
-                "pipeline": route.pipeline,
-                "engines": ",".join(h.engine for h in route.hops),
-            },
-        )
-        self._perform(entry.generation.start(route))
-
-    def _end_attempt(self, entry: _Running) -> None:
-        request = entry.generation.job.request
-        for connection in self.connections.values():
-            connection.sequences.discard(request)
-        if entry.span is not None:
-            entry.span.set_attribute("tokens", len(entry.generation.tokens))
-            entry.span.end()
-            entry.span = None
+            self.connections[hop.engine].sequences.add(machine.job.request)
+        entry.hops.start_attempt(machine.attempt + 1, route)
+        self._perform(machine.start(route))
+
+    def _end_attempt(self, entry: _Running, reason: str) -> None:
+        machine = entry.generation
+        for hop in machine.last_route.hops if machine.last_route else ():
+            connection = self.connections.get(hop.engine)
+            if connection is not None:
+                connection.sequences.discard(machine.job.request)
+        entry.hops.end_attempt(len(machine.tokens), reason)
+
+    def _settle(self, request: str) -> None:
+        """Returns a request's share of the retry budget."""
+        self.budget.forget(request)
+        for admitted in self.budget.admitted():
+            entry = self.running.get(admitted)
+            if entry is None:
+                self.budget.forget(admitted)
+            else:
+                self._try(admitted, entry.excluded)
 
     def _schedule_retry(self) -> None:
         if not self.retry_scheduled:
@@ -245,8 +392,7 @@
         self.retry_scheduled = False
         # Engines excluded at the first try may be used again after a wait.
         for request in list(self.waiting):
-            if request in self.running:
-                self._route(request, frozenset())
+            self._try(request, frozenset())
 
 
 def _late(machine: generation.Generation) -> outcomes.Refusal:
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -221,8 +221,7 @@
             await asyncio.sleep(MEMBERS_REFRESH_S)
 
     def _on_config_change(self) -> None:
-        for name in self.generations.reconcile(self.session):
-            connection = self.generations.connections.pop(name)
+        for connection in self.generations.reconcile(self.session):
             self._spawn(connection.close())
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
--- a/src/yuccatally/upstreams/engines.py
+++ b/src/yuccatally/upstreams/engines.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import dataclasses
+import os
+import random
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -13,15 +15,15 @@
 import msgspec
 import structlog
 
+from yuccatally.core.stages import backoff
 from yuccatally.core.stages import link
 from yuccatally.core.stages import messages
+from yuccatally.core.stages import steptime
 
 if TYPE_CHECKING:
     from yuccatally.core.objects import kinds
 
 CONNECT_TIMEOUT_S = 1.0
-RECONNECT_FIRST_S = 0.1
-RECONNECT_LAST_S = 2.0
 TICK_S = 0.05
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
@@ -30,6 +32,22 @@
 _decoder = msgspec.msgpack.Decoder(messages.FromEngine)
 
 
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """A connection that ended.
+
+    Attributes:
+        sequences: Requests that were routed over it.
+        reason: Why it ended.
+        progress_at: When the engine last showed progress on outstanding
+            steps, monotonic seconds; 0 if there were none.
+    """
+
+    sequences: frozenset[str]
+    reason: str
+    progress_at: float
+
+
 class Receiver(Protocol):
     """What an engine's connection reports to."""
 
@@ -44,7 +62,10 @@
     def on_connected(self, engine: str) -> None:
         """The engine can be used."""
 
-    def on_disconnected(self, engine: str, reason: str) -> None:
+    def on_unmatched(self, engine: str, count: int) -> None:
+        """Results that belong to no outstanding step were dropped."""
+
+    def on_disconnected(self, engine: str, lost: Lost) -> None:
         """The engine failed; its sequences have to move."""
 
 
@@ -59,32 +80,46 @@
 class EngineConnection:
     """Keeps one engine connected and exchanges frames with it.
 
+    A connection that failed is never used again. After a stall the next
+    connection carries a probe step first: an engine that accepts connections
+    but computes nothing must not get sequences of callers.
+
     Attributes:
         name: Name of the engine object.
         address: ``IP:PORT`` of the engine.
         opened: The current connection, None while there is none.
         sequences: Sequences of this instance routed over the engine.
+        times: Step time of the engine over all connections.
+        probe: Step that the engine has to answer before it is used.
     """
 
     def __init__(
         self,
-        declared: kinds.Object,
+        engine: kinds.Object,
         session: aiohttp.ClientSession,
         receiver: Receiver,
     ) -> None:
-        self.name = declared.name
-        self.address = declared.spec.address
+        self.name = engine.name
+        self.address = engine.spec.address
         self.session = session
         self.receiver = receiver
         self.opened: Opened | None = None
         self.sequences: set[str] = set()
+        self.times = steptime.StepTime()
+        self.backoff = backoff.Backoff()
+        self.probe: messages.StepItem | None = None
         self.flush_scheduled = False
         self.outbox: asyncio.Queue[bytes] = asyncio.Queue()
         self.task = asyncio.create_task(self._run(), name=f"engine-{self.name}")
 
+    @property
+    def usable(self) -> bool:
+        """Whether sequences may be routed over the engine."""
+        return self.opened is not None and self.probe is None
+
     def submit(self, item: messages.StepItem) -> bool:
-        """Queues an item; returns whether the engine is connected."""
-        if self.opened is None:
+        """Queues an item; returns whether the engine can be used."""
+        if self.opened is None or not self.usable:
             return False
         self.opened.link.submit(item)
         self._schedule_flush()
@@ -93,7 +128,7 @@
     def release(self, request: str, attempt: int) -> None:
         """Releases an attempt's KV state, if the engine is connected."""
         if self.opened is not None:
-            self.opened.link.withdraw(request)
+            self.opened.link.withdraw(request, attempt)
             self._send(messages.Cancel(request, attempt))
 
     async def close(self) -> None:
@@ -121,16 +156,20 @@
         self.outbox.put_nowait(_encoder.encode(message))
 
     async def _run(self) -> None:
-        delay_s = RECONNECT_FIRST_S
         while True:
+            opened_at = time.monotonic()
             reason = "closed"
             try:
                 reason = await self._connect_and_serve()
-                delay_s = RECONNECT_FIRST_S
             except (TimeoutError, aiohttp.ClientError, OSError) as error:
                 reason = type(error).__name__
-            await asyncio.sleep(delay_s)
-            delay_s = min(delay_s * 2, RECONNECT_LAST_S)
+                opened_at = time.monotonic()
+            except Exception:
+                # A fault of this program must not end the reconnects.
+                _log.exception("engine_connection_failed", engine=self.name)
+                opened_at = time.monotonic()
+            self.backoff.on_closed(time.monotonic() - opened_at)
+            await asyncio.sleep(self.backoff.delay(random.random()))
             _log.debug("engine_reconnect", engine=self.name, reason=reason)
 
     async def _connect_and_serve(self) -> str:
@@ -140,10 +179,15 @@
                 max_msg_size=MAX_FRAME_BYTES,
                 autoping=True,
             )
-        stage_link = link.StageLink(self.name, time.monotonic())
+        now = time.monotonic()
+        stage_link = link.StageLink(self.name, now, self.times)
         self.outbox = asyncio.Queue()
         self.opened = Opened(socket, stage_link)
-        self.receiver.on_connected(self.name)
+        if self.probe is None:
+            self.receiver.on_connected(self.name)
+        else:
+            stage_link.submit(self.probe)
+            self._flush()
         tasks = [
             asyncio.create_task(part)
             for part in (
@@ -161,9 +205,13 @@
         finally:
             for task in tasks:
                 task.cancel()
+            progress_at = stage_link.progress_at if stage_link.frames else 0.0
             self.opened = None
             _abort(socket)
-            self.receiver.on_disconnected(self.name, reason)
+            moved, self.sequences = self.sequences, set()
+            self.receiver.on_disconnected(
+                self.name, Lost(frozenset(moved), reason, progress_at)
+            )
         return reason
 
     async def _read(self, opened: Opened) -> str:
@@ -178,17 +226,37 @@
         return "connection closed"
 
     def _on_message(self, opened: Opened, message: messages.FromEngine) -> None:
+        if opened is not self.opened:
+            return
         now = time.monotonic()
         match message:
             case messages.StepResult():
+                dropped = opened.link.dropped
                 matched = opened.link.on_result(message, now)
-                self.receiver.on_matched(self.name, matched)
+                if opened.link.dropped > dropped:
+                    self.receiver.on_unmatched(
+                        self.name, opened.link.dropped - dropped
+                    )
+                self.receiver.on_matched(
+                    self.name, self._without_probe(matched)
+                )
                 self._flush()
             case messages.Pong():
                 opened.link.on_pong(message, now)
             case messages.CacheEvents():
                 pass
 
+    def _without_probe(
+        self, matched: tuple[link.Matched, ...]
+    ) -> tuple[link.Matched, ...]:
+        probe = self.probe
+        if probe is None or all(m.item is not probe for m in matched):
+            return matched
+        self.probe = None
+        self.release(probe.request, probe.attempt)
+        self.receiver.on_connected(self.name)
+        return tuple(m for m in matched if m.item is not probe)
+
     async def _write(self, opened: Opened) -> str:
         while True:
             payload = await self.outbox.get()
@@ -197,13 +265,34 @@
     async def _tick(self, opened: Opened) -> str:
         while True:
             match opened.link.on_tick(time.monotonic()):
-                case link.Failure(reason=reason):
-                    return reason
+                case link.Failure() as failure:
+                    if failure.stalled:
+                        self.probe = _probe_for(opened.link) or self.probe
+                    return failure.reason
                 case messages.Ping() as ping:
                     self._send(ping)
             await asyncio.sleep(TICK_S)
 
 
+def _probe_for(stage_link: link.StageLink) -> messages.StepItem | None:
+    """Returns a step of one value for the layers the engine last served."""
+    for frame in stage_link.frames.values():
+        for item in frame.items.values():
+            return messages.StepItem(
+                request=f"probe-{os.urandom(6).hex()}",
+                attempt=1,
+                position=0,
+                first_layer=item.first_layer,
+                last_layer=item.last_layer,
+                model=item.model,
+                version=item.version,
+                values=[0],
+                priority=item.priority,
+                final=item.final,
+            )
+    return None
+
+
 def _abort(socket: aiohttp.ClientWebSocketResponse) -> None:
     """Drops a connection without waiting for the other end."""
     transport: Any = socket.get_extra_info("transport")
--- a/src/yuccatally_standins/engine.py
+++ b/src/yuccatally_standins/engine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 from typing import Any
 
@@ -11,6 +10,8 @@
 import msgspec
 
 from yuccatally.core.stages import messages
+from yuccatally_standins import engine_faults
+from yuccatally_standins import engine_states
 from yuccatally_standins import holdings
 from yuccatally_standins import reference
 
@@ -49,32 +50,20 @@
     weights: str = ""
 
 
-@dataclasses.dataclass
-class Faults:
-    """Faults that a test switches on.
-
-    Attributes:
-        frozen: Steps are not computed; heartbeats are answered.
-        silent: Nothing is sent on open connections.
-        slow_factor: Factor on the time of each step.
-        refuse: Reason with which every item is refused; empty for none.
-    """
-
-    frozen: bool = False
-    silent: bool = False
-    slow_factor: float = 1.0
-    refuse: str = ""
-
-
 @dataclasses.dataclass(eq=False)
 class _Connection:
     socket: web.WebSocketResponse
-    sequences: dict[tuple[str, int], reference.LayerState] = dataclasses.field(
-        default_factory=dict
-    )
-    versions: dict[tuple[str, int], tuple[str, str]] = dataclasses.field(
-        default_factory=dict
-    )
+    transport: asyncio.Transport | None
+    deaf: bool = False
+    mute: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class _Queued:
+    order: tuple[int, int]
+    connection: _Connection
+    frame: int
+    item: messages.StepItem
 
 
 class Engine:
@@ -82,8 +71,10 @@
 
     def __init__(self, config: EngineConfig) -> None:
         self.config = config
-        self.faults = Faults()
-        self.queue: list[tuple[int, int, _Connection, int, Any]] = []
+        self.faults = engine_faults.Faults()
+        self.queue: list[_Queued] = []
+        self.batch: list[_Queued] = []
+        self.cancelled: set[engine_states.Key] = set()
         self.arrived = asyncio.Event()
         self.order = 0
         self.steps = 0
@@ -101,15 +92,19 @@
                 range(config.first_layer, config.last_layer),
             )
         self.connections: set[_Connection] = set()
-        self.applied: collections.Counter[str] = collections.Counter()
+        self.states = engine_states.States()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     def application(self) -> web.Application:
         """Returns the HTTP application."""
-        app = web.Application()
+        app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_get("/v1/steps", self._steps)
         app.router.add_get("/v1/engine", self._describe)
+        app.router.add_get("/v1/kv/{request}/{attempt}", self._export)
+        app.router.add_put("/v1/kv/{request}/{attempt}", self._import)
         app.router.add_post("/v1/orders", self.holdings.on_order)
         app.router.add_get("/orders", self.holdings.on_history)
+        app.router.add_get("/executed", self._executed)
         app.router.add_post("/faults", self._set_faults)
         app.on_startup.append(self._start)
         return app
@@ -124,32 +119,66 @@
                 **self.holdings.describe(),
                 "steps": self.steps,
                 "tokens": self.tokens,
-                "sequences": sum(len(c.sequences) for c in self.connections),
+                "sequences": len(self.states.held),
             }
         )
 
+    async def _executed(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            [[*key, ranges] for key, ranges in self.states.ranges.items()]
+        )
+
+    async def _export(self, request: web.Request) -> web.Response:
+        raw = self.states.exported(_key(request))
+        if raw is None:
+            raise web.HTTPNotFound()
+        return web.Response(body=raw)
+
+    async def _import(self, request: web.Request) -> web.Response:
+        position = int(request.query["position"])
+        key = _key(request)
+        if "from" in request.query:
+            source = (key[0], int(request.query["from"]))
+            taken = self.states.copy(source, key, position)
+        else:
+            body = await request.read()
+            taken = self.states.imported(key, body, position)
+        if not taken:
+            raise web.HTTPConflict()
+        return web.Response(status=204)
+
     async def _set_faults(self, request: web.Request) -> web.Response:
         for name, value in (await request.json()).items():
-            setattr(self.faults, name, value)
+            if name == "once":
+                self.faults.once += value
+            else:
+                setattr(self.faults, name, value)
         self.arrived.set()
         return web.json_response(dataclasses.asdict(self.faults))
 
     async def _steps(self, request: web.Request) -> web.WebSocketResponse:
         socket = web.WebSocketResponse(max_msg_size=16 * 1024 * 1024)
         await socket.prepare(request)
-        connection = _Connection(socket)
+        transport: Any = request.transport
+        connection = _Connection(socket, transport)
         self.connections.add(connection)
         try:
             async for message in socket:
                 if message.type is not web.WSMsgType.BINARY:
                     break
-                await self._on_message(
-                    connection, _decoder.decode(message.data)
-                )
+                if not connection.deaf:
+                    await self._on_message(
+                        connection, _decoder.decode(message.data)
+                    )
         finally:
-            self.connections.discard(connection)
+            self._drop(connection)
         return socket
 
+    def _drop(self, connection: _Connection) -> None:
+        self.connections.discard(connection)
+        self.states.release_of(connection)
+        self.queue = [q for q in self.queue if q.connection is not connection]
+
     async def _on_message(
         self, connection: _Connection, message: messages.ToEngine
     ) -> None:
@@ -157,26 +186,38 @@
             case messages.Step():
                 for item in message.items:
                     self.order += 1
+                    order = (item.priority, self.order)
                     self.queue.append(
-                        (
-                            item.priority,
-                            self.order,
-                            connection,
-                            message.frame,
-                            item,
-                        )
+                        _Queued(order, connection, message.frame, item)
                     )
                 self.arrived.set()
             case messages.Cancel():
-                key = (message.request, message.attempt)
-                connection.sequences.pop(key, None)
+                await self._cancel(connection, message)
             case messages.Ping():
                 load = messages.Load(
-                    len(self.queue),
-                    sum(len(c.sequences) for c in self.connections),
+                    len(self.queue) + len(self.batch),
+                    len(self.states.held),
+                    steps=self.steps,
                 )
                 await self._send(connection, messages.Pong(message.nonce, load))
 
+    async def _cancel(
+        self, connection: _Connection, cancel: messages.Cancel
+    ) -> None:
+        key = (cancel.request, cancel.attempt)
+        self.states.release(*key)
+        self.cancelled.add(key)
+        gone = [
+            q for q in self.queue if (q.item.request, q.item.attempt) == key
+        ]
+        self.queue = [q for q in self.queue if q not in gone]
+        for queued in gone:
+            refusal = messages.StepRefusal(
+                *key, queued.item.position, "cancelled"
+            )
+            result = messages.StepResult(queued.frame, [], [refusal])
+            await self._send(connection, result)
+
     async def _work(self) -> None:
         while True:
             await self.arrived.wait()
@@ -185,75 +226,126 @@
                 await self._step()
 
     async def _step(self) -> None:
-        self.queue.sort(key=lambda entry: entry[:2])
-        batch, self.queue = self.queue[:MAX_BATCH], self.queue[MAX_BATCH:]
+        self.queue.sort(key=lambda q: q.order)
+        self.batch, self.queue = self.queue[:MAX_BATCH], self.queue[MAX_BATCH:]
+        self.cancelled.clear()
+        fault = None
+        if self.faults.once:
+            fault = engine_faults.Once(self.faults.once.pop(0))
+        self._before(fault)
         work = sum(
-            len(i.values) * (i.last_layer - i.first_layer)
-            for _, _, _, _, i in batch
+            len(q.item.values) * (q.item.last_layer - q.item.first_layer)
+            for q in self.batch
         )
         seconds = self.config.step_base_s + work * self.config.token_layer_s
+        if fault is engine_faults.Once.STALL:
+            seconds += engine_faults.STALL_S
         await asyncio.sleep(seconds * self.faults.slow_factor)
         self.steps += 1
+        results = self._computed(fault)
+        if fault is engine_faults.Once.DISCONNECT_DURING:
+            self._abort_batch()
+        if fault is engine_faults.Once.LATE:
+            task = asyncio.create_task(
+                self._deliver(results, engine_faults.LATE_S)
+            )
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        elif results:
+            sent = engine_faults.altered(fault, [r for _, r in results])
+            for (connection, _), given in zip(results, sent, strict=True):
+                await self._deliver([(connection, r) for r in given])
+        if fault is engine_faults.Once.DISCONNECT_AFTER:
+            self._abort_batch()
+        self.batch = []
+
+    def _before(self, fault: engine_faults.Once | None) -> None:
+        match fault:
+            case engine_faults.Once.DISCONNECT_BEFORE:
+                self._abort_batch()
+            case engine_faults.Once.SILENCE_IN:
+                self.batch[0].connection.deaf = True
+            case engine_faults.Once.SILENCE_OUT:
+                self.batch[0].connection.mute = True
+
+    def _abort_batch(self) -> None:
+        for queued in self.batch:
+            if queued.connection.transport is not None:
+                queued.connection.transport.abort()
+            self._drop(queued.connection)
+
+    def _computed(
+        self, fault: engine_faults.Once | None
+    ) -> list[tuple[_Connection, messages.StepResult]]:
         results: dict[
             tuple[int, int], tuple[_Connection, messages.StepResult]
         ] = {}
-        for _, _, connection, frame, item in batch:
-            key = (id(connection), frame)
-            empty = messages.StepResult(frame, [], [])
-            _, result = results.setdefault(key, (connection, empty))
-            answer = self._compute(connection, item)
+        for index, queued in enumerate(self.batch):
+            # State for a closed connection would never be released.
+            if queued.connection not in self.connections:
+                continue
+            refused = fault is engine_faults.Once.REFUSE and index == 0
+            empty = messages.StepResult(queued.frame, [], [])
+            key = (id(queued.connection), queued.frame)
+            _, result = results.setdefault(key, (queued.connection, empty))
+            answer = self._compute(queued, "fault" if refused else "")
             if isinstance(answer, messages.StepOutput):
                 result.outputs.append(answer)
             else:
                 result.refusals.append(answer)
-        for connection, result in results.values():
-            await self._send(connection, result)
+        return list(results.values())
 
     def _compute(
-        self, connection: _Connection, item: messages.StepItem
+        self, queued: _Queued, refused: str
     ) -> messages.StepOutput | messages.StepRefusal:
-        reason = self._refusal(connection, item)
+        item = queued.item
+        reason = refused or self._refusal(item)
         key = (item.request, item.attempt)
         if reason:
             return messages.StepRefusal(*key, item.position, reason)
-        if item.position == 0:
-            connection.sequences[key] = reference.LayerState.empty(
-                item.first_layer, item.last_layer
-            )
-            connection.versions[key] = (item.model, item.version)
-        seed = reference.seed_of(item.model, item.version)
-        values = connection.sequences[key].apply(seed, item.values)
+        values = self.states.apply(queued.connection, item)
         self.tokens += len(item.values)
         if item.final:
             values = [reference.token_of(values[-1])]
         return messages.StepOutput(*key, item.position, values)
 
-    def _refusal(self, connection: _Connection, item: messages.StepItem) -> str:
+    def _refusal(self, item: messages.StepItem) -> str:
         if self.faults.refuse:
             return self.faults.refuse
+        if (item.request, item.attempt) in self.cancelled:
+            return "cancelled"
         if not self.holdings.covers(
             item.model, item.version, item.first_layer, item.last_layer
         ):
             return "not loaded"
-        state = connection.sequences.get((item.request, item.attempt))
-        expected = 0 if state is None else state.position
-        if item.position != expected:
+        if item.position != self.states.position(item):
             return "not the next position"
         return ""
 
     def _sequences_of(self, model: str, version: str) -> int:
-        return sum(
-            c.versions.get(key) == (model, version)
-            for c in self.connections
-            for key in c.sequences
-        )
+        weights = (model, version)
+        return sum(s.weights == weights for s in self.states.held.values())
+
+    async def _deliver(
+        self,
+        results: list[tuple[_Connection, messages.StepResult]],
+        delay_s: float = 0.0,
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        for connection, result in results:
+            await self._send(connection, result)
 
     async def _send(
         self, connection: _Connection, message: messages.FromEngine
     ) -> None:
-        if self.faults.silent or connection.socket.closed:
+        if self.faults.silent or connection.mute or connection.socket.closed:
             return
         try:
             await connection.socket.send_bytes(_encoder.encode(message))
         except (ConnectionError, RuntimeError):
-            self.connections.discard(connection)
+            self._drop(connection)
+
+
+def _key(request: web.Request) -> engine_states.Key:
+    info = request.match_info
+    return (info["request"], int(info["attempt"]))
