Exchange messages between instances over pynng

Cause: instances had no way to reach each other. Conclusion: tests of the silent connection and of the socket bound were seen to fail with the replacement and the eviction taken out.

--- /dev/null
+++ b/src/yuccatally/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange of messages between instances."""
--- /dev/null
+++ b/src/yuccatally/peers/transport.py
@@ -0,0 +1,311 @@
+"""Request and reply between instances over pynng."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import inspect
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import pynng
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Handler = Callable[[Any], Any | Awaitable[Any]]
+
+FRAME_LIMIT_BYTES = 64 * 1024
+SOCKET_LIMIT = 32
+REPLY_CONTEXTS = 16
+RETRY_LISTEN_S = 0.05
+NO_RESEND = -1
+
+# The defaults start one thread per core and role, 31 on a machine with 10
+# cores; frames of a few kilobytes a second need no parallel work.
+NNG_THREADS = {
+    pynng.lib.NNG_INIT_NUM_TASK_THREADS: 2,
+    pynng.lib.NNG_INIT_NUM_EXPIRE_THREADS: 1,
+    pynng.lib.NNG_INIT_NUM_POLLER_THREADS: 1,
+    pynng.lib.NNG_INIT_NUM_RESOLVER_THREADS: 1,
+}
+for _parameter, _count in NNG_THREADS.items():
+    pynng.lib.nng_init_set_parameter(_parameter, _count)
+
+_log = structlog.get_logger()
+
+
+class PeerError(Exception):
+    """An exchange with another instance did not succeed.
+
+    The other instance may have acted on the message.
+    """
+
+
+class UnreachableError(PeerError):
+    """No connection came up within the deadline; nothing was sent."""
+
+
+class FrameTooLongError(PeerError):
+    """The message is longer than ``FRAME_LIMIT_BYTES``; nothing was sent."""
+
+
+class _Frame(msgspec.Struct, array_like=True, frozen=True):
+    """Name of the message type and the encoded message.
+
+    ``error`` is set in a reply when the message was not handled.
+    """
+
+    kind: str
+    body: msgspec.Raw
+    error: str = ""
+
+
+@dataclasses.dataclass
+class Traffic:
+    """Bytes and exchanges since the transport was opened.
+
+    Attributes:
+        sent_bytes: Payload handed to pynng, requests and replies.
+        received_bytes: Payload received.
+        exchanges: Exchanges started.
+        failed: Exchanges that ended in a ``PeerError``.
+        served: Messages answered.
+        opened: Sockets opened.
+    """
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    exchanges: int = 0
+    failed: int = 0
+    served: int = 0
+    opened: int = 0
+
+
+class _Outgoing:
+    """A socket to one address."""
+
+    def __init__(self, address: str) -> None:
+        self.connected = asyncio.Event()
+        self.users = 0
+        self.retired = False
+        self.socket = pynng.Req0(
+            recv_max_size=FRAME_LIMIT_BYTES, resend_time=NO_RESEND
+        )
+        loop = asyncio.get_running_loop()
+
+        def on_pipe(_pipe: pynng.Pipe) -> None:
+            # Runs on a thread of nng, possibly after the loop was closed.
+            with contextlib.suppress(RuntimeError):
+                loop.call_soon_threadsafe(self.connected.set)
+
+        self.socket.add_post_pipe_connect_cb(on_pipe)
+        self.socket.dial(f"tcp://{address}", block=False)
+
+    def retire(self) -> None:
+        """Closes the socket once no exchange uses it."""
+        self.retired = True
+        if self.users == 0:
+            self.socket.close()
+
+
+class PeerTransport:
+    """Sends messages to other instances and answers theirs.
+
+    A message type is a ``msgspec.Struct`` with ``array_like=True`` and a class
+    variable ``reply`` that names the type of its reply. New fields are added
+    at the end with a default, so that instances of two versions understand
+    each other.
+
+    Attributes:
+        address: ``IP:PORT`` to listen on.
+        traffic: Counts since the transport was opened.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.traffic = Traffic()
+        self.handlers: dict[str, tuple[type, Handler]] = {}
+        self.outgoing: collections.OrderedDict[str, _Outgoing] = (
+            collections.OrderedDict()
+        )
+        self.listening: pynng.Rep0 | None = None
+        self.workers: list[asyncio.Task[None]] = []
+        self.closed = False
+
+    def register(self, message_type: type, handler: Handler) -> None:
+        """Sets the handler of a message type.
+
+        Args:
+            message_type: Type with a class variable ``reply``.
+            handler: Function or coroutine function that returns the reply. An
+                exception is logged and reported to the sender.
+        """
+        self.handlers[message_type.__name__] = (message_type, handler)
+
+    def open(self) -> None:
+        """Starts to answer messages.
+
+        Raises:
+            PeerError: The address cannot be listened on.
+        """
+        listening = pynng.Rep0(recv_max_size=FRAME_LIMIT_BYTES)
+        try:
+            listening.listen(f"tcp://{self.address}")
+        except pynng.NNGException as error:
+            listening.close()
+            raise PeerError(f"{self.address}: {error}") from error
+        self.listening = listening
+        self.workers = [
+            asyncio.create_task(self._serve(listening))
+            for _ in range(REPLY_CONTEXTS)
+        ]
+
+    async def exchange(
+        self, address: str, message: Any, timeout_s: float
+    ) -> Any:
+        """Sends a message and returns the reply.
+
+        Args:
+            address: ``IP:PORT`` of the peers listener of an instance.
+            message: Instance of a message type.
+            timeout_s: Deadline of the whole exchange, in seconds.
+
+        Raises:
+            UnreachableError: No connection came up in time.
+            FrameTooLongError: The message is too long.
+            PeerError: No reply came in time, or the message was not handled.
+        """
+        kind = type(message).__name__
+        frame = _encode(kind, message)
+        self.traffic.exchanges += 1
+        outgoing = self._socket(address)
+        outgoing.users += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await self._ask(outgoing, frame)
+        except (TimeoutError, pynng.NNGException) as error:
+            self.traffic.failed += 1
+            self._replace(address, outgoing)
+            message = f"{kind} to {address}: {type(error).__name__}"
+            if not outgoing.connected.is_set():
+                raise UnreachableError(message) from error
+            raise PeerError(message) from error
+        finally:
+            outgoing.users -= 1
+            if outgoing.retired:
+                outgoing.retire()
+        return _decode_reply(kind, type(message).reply, reply)
+
+    async def close(self) -> None:
+        """Closes all sockets."""
+        self.closed = True
+        for worker in self.workers:
+            worker.cancel()
+        await asyncio.gather(*self.workers, return_exceptions=True)
+        if self.listening is not None:
+            self.listening.close()
+        for outgoing in self.outgoing.values():
+            outgoing.retire()
+        self.outgoing.clear()
+
+    async def _ask(self, outgoing: _Outgoing, frame: bytes) -> bytes:
+        # A message that waits for a connection would not be freed by pynng
+        # if the exchange is abandoned.
+        await outgoing.connected.wait()
+        with outgoing.socket.new_context() as context:
+            await context.asend(frame)
+            self.traffic.sent_bytes += len(frame)
+            reply = await context.arecv()
+        self.traffic.received_bytes += len(reply)
+        return reply
+
+    def _socket(self, address: str) -> _Outgoing:
+        found = self.outgoing.get(address)
+        if found is not None:
+            self.outgoing.move_to_end(address)
+            return found
+        if self.closed:
+            raise PeerError("the transport is closed")
+        while len(self.outgoing) >= SOCKET_LIMIT:
+            _, oldest = self.outgoing.popitem(last=False)
+            oldest.retire()
+        opened = _Outgoing(address)
+        self.traffic.opened += 1
+        self.outgoing[address] = opened
+        return opened
+
+    def _replace(self, address: str, failed: _Outgoing) -> None:
+        """Keeps a silent connection from being used by the next exchange."""
+        if self.outgoing.get(address) is failed:
+            del self.outgoing[address]
+        failed.retired = True
+
+    async def _serve(self, listening: pynng.Rep0) -> None:
+        context = listening.new_context()
+        try:
+            while True:
+                try:
+                    received = await context.arecv()
+                    self.traffic.received_bytes += len(received)
+                    reply = await self._handle(received)
+                    self.traffic.served += 1
+                    self.traffic.sent_bytes += len(reply)
+                    await context.asend(reply)
+                except pynng.Closed:
+                    return
+                except pynng.NNGException as error:
+                    _log.warning("peer_reply_failed", error=str(error))
+                    await asyncio.sleep(RETRY_LISTEN_S)
+        finally:
+            with contextlib.suppress(pynng.NNGException):
+                context.close()
+
+    async def _handle(self, received: bytes) -> bytes:
+        try:
+            frame = msgspec.msgpack.decode(received, type=_Frame)
+            if frame.kind not in self.handlers:
+                return _refusal(frame.kind, "unknown message type")
+            message_type, handler = self.handlers[frame.kind]
+            message = msgspec.msgpack.decode(frame.body, type=message_type)
+        except msgspec.MsgspecError as error:
+            return _refusal("", f"not a valid message: {error}")
+        try:
+            reply = handler(message)
+            if inspect.isawaitable(reply):
+                reply = await reply
+            return _encode(frame.kind, reply)
+        except Exception as error:
+            _log.exception("peer_message_failed", kind=frame.kind)
+            return _refusal(frame.kind, f"not handled: {type(error).__name__}")
+
+
+def _encode(kind: str, message: Any) -> bytes:
+    body = msgspec.Raw(msgspec.msgpack.encode(message))
+    frame = msgspec.msgpack.encode(_Frame(kind, body))
+    if len(frame) > FRAME_LIMIT_BYTES:
+        raise FrameTooLongError(
+            f"{kind}: {len(frame)} bytes, the limit is {FRAME_LIMIT_BYTES}; "
+            "send it in parts"
+        )
+    return frame
+
+
+def _refusal(kind: str, error: str) -> bytes:
+    empty = msgspec.Raw(msgspec.msgpack.encode(None))
+    return msgspec.msgpack.encode(_Frame(kind, empty, error))
+
+
+def _decode_reply(kind: str, reply_type: type, reply: bytes) -> Any:
+    try:
+        frame = msgspec.msgpack.decode(reply, type=_Frame)
+        if frame.error:
+            raise PeerError(f"{kind}: {frame.error}")
+        return msgspec.msgpack.decode(frame.body, type=reply_type)
+    except msgspec.MsgspecError as error:
+        raise PeerError(f"{kind}: reply not understood: {error}") from error
