Decide membership and configuration spread in the core

Cause: instances did not know of each other, and each one listed and watched the platform by itself. Change: SWIM-style failure detection with leaving members and sync by bucket; two watchers for each data centre, bounded push, pull by compared revisions; objects merge by their own revision, so that no object goes back whatever the order. A carrier on a test clock loses, doubles and delays messages. Figures: the state machine found that two instances which declared a member dead at different times kept it suspected for ever through syncs; reports of a suspicion no longer count as a sign of life.

--- a/src/yuccatally/core/config/configuration.py
+++ b/src/yuccatally/core/config/configuration.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from yuccatally.core import selectors
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from yuccatally.core.config import documents
     from yuccatally.core.objects import kinds
 
-EVENT_LOG_LENGTH = 4096
+TOMBSTONES_KEPT = 4096
+
+Key = tuple[str, str]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -24,62 +28,84 @@
         revision: Revision of the store after the change.
         kind: Kind of the object.
         name: Name of the object.
-        declared: The new object; None if it was deleted.
+        declared: The new object; None if it was deleted or is blocked.
+        blocked: The object as stored, if it did not pass the checks.
     """
 
     revision: int
     kind: str
     name: str
     declared: kinds.Object | None
+    blocked: documents.Blocked | None = None
 
 
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
-    """The complete set of objects at one revision."""
+    """The complete set of objects at one revision.
+
+    Attributes:
+        revision: Revision of the store.
+        objects: All objects that passed the checks.
+        blocked: All objects that did not.
+    """
 
     revision: int
     objects: tuple[kinds.Object, ...]
+    blocked: tuple[documents.Blocked, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class Delta:
-    """Consecutive events after one revision, up to another.
+    """Changes after one revision, up to another.
 
     Attributes:
-        since: Revision the events follow.
+        since: Revision the events follow; every change between it and
+            ``revision`` is contained unless a later one replaced it.
         revision: Revision reached once all events are applied.
         events: Events in order of revision.
+        floor: Objects that are missing and were not changed after this
+            revision are deleted; 0 if ``events`` holds all deletions.
     """
 
     since: int
     revision: int
     events: tuple[Event, ...]
+    floor: int = 0
 
 
 class Configuration:
-    """Objects in force; its revision only ever grows.
+    """Objects in force; neither it nor any object in it ever goes back.
+
+    For each object the change with the highest revision wins, whatever the
+    order in which changes arrive.
 
     Attributes:
-        revision: Revision of the last applied change.
+        revision: Revision up to which every known change is in force.
         objects: Objects by kind and name.
-        rejected: Snapshots, deltas and events that were refused because they
-            were older than what is in force, counted.
+        blocked: Stored objects that did not pass the checks here; the version
+            before stays in force.
+        content: Hash of kind, name and revision of all objects.
+        rejected: Snapshots and events that were refused because they were
+            older than what is in force, counted.
+        floor: Deletions up to this revision are not kept one by one: what is
+            not held here and was not changed since is deleted.
     """
 
     def __init__(self) -> None:
         self.revision = 0
-        self.objects: dict[tuple[str, str], kinds.Object] = {}
+        self.objects: dict[Key, kinds.Object] = {}
+        self.blocked: dict[Key, documents.Blocked] = {}
+        self.content = 0
         self.rejected = 0
-        self.log: collections.deque[Event] = collections.deque(
-            maxlen=EVENT_LOG_LENGTH
-        )
-        self.log_start = 0
+        self.revisions: dict[Key, int] = {}
+        self.tombstones: dict[Key, int] = {}
+        self.floor = 0
 
     def apply_snapshot(self, snapshot: Snapshot) -> bool:
-        """Replaces all objects unless the snapshot is older.
+        """Takes a complete set unless it is older than what is in force.
 
         Args:
-            snapshot: Complete set, from the platform or a peer.
+            snapshot: Complete set from the platform.
 
         Returns:
             Whether it is now in force.
@@ -87,11 +113,16 @@
         if snapshot.revision < self.revision:
             self.rejected += 1
             return False
-        if snapshot.revision > self.revision:
-            self.log.clear()
-            self.log_start = snapshot.revision
+        first = not self.revisions and not self.tombstones
+        listed: set[Key] = set()
+        for event in _events(snapshot):
+            listed.add((event.kind, event.name))
+            self._apply(event)
+        for kind, name in [k for k in self.revisions if k not in listed]:
+            self._apply(Event(snapshot.revision, kind, name, None))
+        if first:
+            self.floor = snapshot.revision
         self.revision = snapshot.revision
-        self.objects = {(o.kind, o.name): o for o in snapshot.objects}
         return True
 
     def apply_delta(self, delta: Delta) -> bool:
@@ -102,25 +133,36 @@
 
         Returns:
             False if events between the own revision and the delta are missing,
-            so that the caller has to ask for a snapshot.
+            so that the caller has to ask for them.
         """
         if delta.since > self.revision:
             return False
+        contained = {(e.kind, e.name) for e in delta.events}
         for event in delta.events:
             self._apply(event)
+        for key, revision in list(self.revisions.items()):
+            if revision <= delta.floor and key not in contained:
+                self._apply(Event(delta.floor, *key, None))
         self.revision = max(self.revision, delta.revision)
         return True
 
     def delta_since(self, revision: int) -> Delta | None:
-        """Returns the events after a revision, None if they are not kept."""
-        if revision < self.log_start:
+        """Returns the changes after a revision, None if some are not kept."""
+        if revision < self.floor:
             return None
-        events = tuple(e for e in self.log if e.revision > revision)
-        return Delta(revision, self.revision, events)
+        return Delta(revision, self.revision, self._changes(revision))
+
+    def everything(self) -> Delta:
+        """Returns all objects and all deletions that are still known."""
+        return Delta(0, self.revision, self._changes(-1), self.floor)
 
     def snapshot(self) -> Snapshot:
         """Returns the complete set in force."""
-        return Snapshot(self.revision, tuple(self.objects.values()))
+        return Snapshot(
+            self.revision,
+            tuple(self.objects.values()),
+            tuple(self.blocked.values()),
+        )
 
     def of_kind(self, kind: str) -> tuple[kinds.Object, ...]:
         """Returns the objects of one kind."""
@@ -135,18 +177,51 @@
         return select(self.of_kind(kind), selector)
 
     def _apply(self, event: Event) -> None:
-        if event.revision <= self.revision:
+        key = (event.kind, event.name)
+        held = self.revisions.get(key, -1)
+        known = max(held, self.tombstones.get(key, -1))
+        if event.revision < max(known, self.floor if known < 0 else 0):
             self.rejected += 1
             return
-        if len(self.log) == self.log.maxlen:
-            self.log_start = self.log[0].revision
-        self.log.append(event)
-        self.revision = event.revision
-        key = (event.kind, event.name)
-        if event.declared is None:
-            self.objects.pop(key, None)
-        else:
+        if event.revision == self.tombstones.get(key):
+            return
+        self.revision = max(self.revision, event.revision)
+        if held >= 0:
+            self.content ^= _digest(key, held)
+        self.tombstones.pop(key, None)
+        self.blocked.pop(key, None)
+        if event.blocked is not None:
+            self.blocked[key] = event.blocked
+        elif event.declared is not None:
             self.objects[key] = event.declared
+        else:
+            self.objects.pop(key, None)
+            self.revisions.pop(key, None)
+            self._bury(key, event.revision)
+            return
+        self.revisions[key] = event.revision
+        self.content ^= _digest(key, event.revision)
+
+    def _bury(self, key: Key, revision: int) -> None:
+        self.tombstones[key] = revision
+        while len(self.tombstones) > TOMBSTONES_KEPT:
+            oldest = min(self.tombstones, key=self.tombstones.__getitem__)
+            dropped = self.tombstones.pop(oldest)
+            self.floor = max(self.floor, dropped)
+
+    def _changes(self, after: int) -> tuple[Event, ...]:
+        events = [
+            Event(r, *key, None)
+            for key, r in self.tombstones.items()
+            if r > after
+        ]
+        for key, revision in self.revisions.items():
+            if revision <= after:
+                continue
+            blocked = self.blocked.get(key)
+            declared = None if blocked else self.objects[key]
+            events.append(Event(revision, *key, declared, blocked))
+        return tuple(sorted(events, key=lambda e: e.revision))
 
 
 def select(
@@ -160,3 +235,15 @@
     return tuple(
         o for o in objects if parsed.matches({**o.labels, "name": o.name})
     )
+
+
+def _events(snapshot: Snapshot) -> list[Event]:
+    return [Event(o.revision, o.kind, o.name, o) for o in snapshot.objects] + [
+        Event(b.document.revision, b.document.kind, b.document.name, None, b)
+        for b in snapshot.blocked
+    ]
+
+
+def _digest(key: Key, revision: int) -> int:
+    text = f"{key[0]}/{key[1]}/{revision}"
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/src/yuccatally/core/config/spread.py
@@ -0,0 +1,297 @@
+"""Which instances watch the platform, and how changes reach the others."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+import msgspec
+
+from yuccatally.core import rendezvous
+from yuccatally.core.config import configuration
+from yuccatally.core.config import documents
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    import random
+
+WATCHERS = 2
+FAN_OUT = 4
+PUSH_BYTES = 16_000
+# Changes beyond this rate reach the others by comparing revisions in probes.
+PUSH_BYTES_S = 4_000.0
+PART_BYTES = 48_000
+ENCODED_KEPT = 4
+# An equal revision with other objects means that one side missed an event;
+# within this time the missing change may still be on its way.
+DIFFERENCE_S = 1.0
+
+
+class PushReply(msgspec.Struct, array_like=True, frozen=True):
+    """Where the receiver of a push stands after it."""
+
+    revision: int
+    content: int
+
+
+class ConfigPush(msgspec.Struct, array_like=True, frozen=True):
+    """Changes since a revision, from an instance that has just taken them."""
+
+    reply: ClassVar[type] = PushReply
+    sender: str
+    address: str
+    since: int
+    revision: int
+    changes: tuple[documents.Document, ...]
+
+
+class ConfigPart(msgspec.Struct, array_like=True, frozen=True):
+    """Part of the encoded changes.
+
+    Attributes:
+        tag: First revision, revision and content; the same in all parts.
+        floor: See ``configuration.Delta``.
+        total: Length of the whole in bytes.
+        data: Bytes from the offset that was asked for.
+    """
+
+    tag: tuple[int, int, int]
+    floor: int
+    total: int
+    data: bytes
+
+
+class ConfigPull(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for changes since a revision; -1 asks for everything known."""
+
+    reply: ClassVar[type] = ConfigPart
+    since: int
+    offset: int = 0
+    tag: tuple[int, int, int] = (0, 0, 0)
+
+
+class BlockedObject(msgspec.Struct, array_like=True, frozen=True):
+    """An object that an instance cannot put into force, and why."""
+
+    kind: str
+    name: str
+    revision: int
+    problem: str
+
+
+class InForce(msgspec.Struct, array_like=True, frozen=True):
+    """What is in force on one instance.
+
+    ``platform`` is empty, ``down`` or ``behind``; the latter means that the
+    platform reports a revision below the one in force.
+    """
+
+    name: str
+    revision: int
+    content: int
+    watching: bool
+    platform: str
+    blocked: tuple[BlockedObject, ...] = ()
+
+
+class InForceQuery(msgspec.Struct, array_like=True, frozen=True):
+    """Asks an instance what is in force."""
+
+    reply: ClassVar[type] = InForce
+
+
+@dataclasses.dataclass(frozen=True)
+class Pull:
+    """Ask a member for changes.
+
+    Attributes:
+        name: Member.
+        since: Revision to start from; -1 for everything.
+    """
+
+    name: str
+    since: int
+
+
+def watchers(names: Iterable[str], data_centre: str) -> tuple[str, ...]:
+    """Returns the members of a data centre that watch the platform."""
+    return rendezvous.ranked(data_centre, names, WATCHERS)
+
+
+class Spread:
+    """Decides what to push, what to pull and what to serve.
+
+    Attributes:
+        config: Configuration of the instance.
+        known: Highest revision that each member is known to have.
+    """
+
+    def __init__(
+        self, config: configuration.Configuration, rng: random.Random
+    ) -> None:
+        self.config = config
+        self.rng = rng
+        self.known: dict[str, int] = {}
+        self.pulling = False
+        self.seen = (0, 0)
+        self.seen_at = -math.inf
+        self.compared_at = -math.inf
+        self.credit = float(PUSH_BYTES)
+        self.credit_at = 0.0
+        self.pushed = 0
+        self.encoded: dict[tuple[int, int, int], bytes] = {}
+
+    def targets(
+        self,
+        members: Iterable[tuple[str, str]],
+        own: tuple[str, str],
+        now: float,
+    ) -> tuple[list[str], ConfigPush | None]:
+        """Returns whom to push what is in force since the last call.
+
+        Args:
+            members: Names and addresses of living members but the own.
+            own: Own name and address.
+            now: Current time.
+        """
+        self.credit += (now - self.credit_at) * PUSH_BYTES_S
+        self.credit = min(self.credit, float(PUSH_BYTES))
+        self.credit_at = now
+        since, self.pushed = self.pushed, self.config.revision
+        if since == 0 or self.pushed <= since:
+            # At the start others have it already.
+            return [], None
+        addresses = [
+            address
+            for name, address in members
+            if self.known.get(name, 0) < self.pushed
+        ]
+        chosen = self.rng.sample(addresses, min(FAN_OUT, len(addresses)))
+        delta = self.config.delta_since(since)
+        if delta is None or not chosen:
+            return [], None
+        changes = tuple(map(documents.document_from, delta.events))
+        length = len(msgspec.msgpack.encode(changes))
+        if length > PUSH_BYTES or length * len(chosen) > self.credit:
+            # The receivers pull it in parts.
+            changes, since = (), self.pushed
+            length = 0
+        self.credit -= length * len(chosen)
+        return chosen, ConfigPush(*own, since, self.pushed, changes)
+
+    def on_push(self, push: ConfigPush) -> tuple[bool, Pull | None]:
+        """Applies a push.
+
+        Returns:
+            Whether the configuration changed, and what to pull if changes in
+            between are missing.
+        """
+        self.heard(push.sender, push.revision)
+        if push.revision <= self.config.revision:
+            return False, None
+        if push.since > self.config.revision or not push.changes:
+            return False, self._pull(push.sender, self.config.revision)
+        return self.apply(push.since, push.revision, push.changes), None
+
+    def apply(
+        self,
+        since: int,
+        revision: int,
+        changes: Iterable[documents.Document],
+        floor: int = 0,
+    ) -> bool:
+        """Applies changes from a peer and returns whether anything changed."""
+        before = (self.config.revision, self.config.content)
+        events = tuple(map(documents.event_from, changes))
+        self.config.apply_delta(
+            configuration.Delta(max(since, 0), revision, events, floor)
+        )
+        return before != (self.config.revision, self.config.content)
+
+    def on_standing(
+        self, name: str, revision: int, content: int, now: float
+    ) -> Pull | None:
+        """Compares what a member reports of itself with the own state."""
+        self.heard(name, revision)
+        if revision > self.config.revision:
+            return self._pull(name, self.config.revision)
+        own = (self.config.revision, self.config.content)
+        if own != self.seen:
+            self.seen, self.seen_at = own, now
+        if revision < self.config.revision or content == self.config.content:
+            return None
+        if now - max(self.seen_at, self.compared_at) < DIFFERENCE_S:
+            return None
+        self.compared_at = now
+        return self._pull(name, -1)
+
+    def heard(self, name: str, revision: int) -> None:
+        """Notes that a member has a revision."""
+        self.known[name] = max(revision, self.known.get(name, 0))
+
+    def forget(self, name: str) -> None:
+        """Drops what is known of a member that is gone."""
+        self.known.pop(name, None)
+
+    def pulled(self) -> None:
+        """Notes that a pull has ended."""
+        self.pulling = False
+
+    def serve(self, pull: ConfigPull) -> ConfigPart:
+        """Returns a part of the changes that a peer asks for.
+
+        A peer whose tag does not match has to start again, because the
+        configuration has changed between its calls.
+        """
+        since = pull.since
+        if since < self.config.floor:
+            since = -1
+        tag = (since, self.config.revision, self.config.content)
+        if pull.offset and pull.tag in self.encoded:
+            tag = pull.tag
+        data = self._encode(tag)
+        offset = pull.offset if pull.tag == tag else 0
+        floor = self.config.floor if since < 0 else 0
+        part = data[offset : offset + PART_BYTES]
+        return ConfigPart(tag, floor, len(data), part)
+
+    def _encode(self, tag: tuple[int, int, int]) -> bytes:
+        found = self.encoded.get(tag)
+        if found is None:
+            delta = self.config.delta_since(tag[0])
+            if tag[0] < 0 or delta is None:
+                delta = self.config.everything()
+            changes = tuple(map(documents.document_from, delta.events))
+            found = msgspec.msgpack.encode(changes)
+            while len(self.encoded) >= ENCODED_KEPT:
+                del self.encoded[next(iter(self.encoded))]
+            self.encoded[tag] = found
+        return found
+
+    def _pull(self, name: str, since: int) -> Pull | None:
+        if self.pulling:
+            return None
+        self.pulling = True
+        return Pull(name, since)
+
+
+def in_force(
+    name: str,
+    config: configuration.Configuration,
+    watching: bool,
+    platform: str,
+    limit: int = 64,
+    problem_length: int = 200,
+) -> InForce:
+    """Returns what is in force, with a bounded number of blocked objects."""
+    blocked = tuple(
+        BlockedObject(
+            kind, object_name, b.document.revision, b.problem[:problem_length]
+        )
+        for (kind, object_name), b in list(config.blocked.items())[:limit]
+    )
+    return InForce(
+        name, config.revision, config.content, watching, platform, blocked
+    )
--- /dev/null
+++ b/src/yuccatally/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are alive, leaving or suspected."""
--- /dev/null
+++ b/src/yuccatally/core/membership/table.py
@@ -0,0 +1,244 @@
+"""Records of all members and the rules that merge two beliefs."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from yuccatally.core.membership import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+BUCKETS = 16
+QUEUE_LENGTH = 512
+TRANSMISSIONS_FACTOR = 3
+# A member that was declared dead longer ago than detection, suspicion and
+# spreading take is believed again when a peer still reports it alive; within
+# that time the peer may simply not know yet.
+SETTLED_S = 10.0
+TOMBSTONE_KEEP_S = 300.0
+
+
+@dataclasses.dataclass
+class Record:
+    """One member as seen from here.
+
+    Attributes:
+        update: Belief that is passed on.
+        suspected_at: Time of the suspicion or of the declared death.
+        suspect_until: Time at which a suspect is declared dead.
+        heard_at: Time of the last message from the member itself.
+        revision: Revision of its configuration when last heard.
+        content: Hash of its configuration when last heard.
+        load: Requests in flight when last heard.
+    """
+
+    update: messages.Update
+    suspected_at: float = 0.0
+    suspect_until: float = 0.0
+    heard_at: float = -math.inf
+    revision: int = 0
+    content: int = 0
+    load: int = 0
+
+    @property
+    def state(self) -> messages.State:
+        """Belief about the member."""
+        return self.update.state
+
+
+@dataclasses.dataclass
+class _Queued:
+    update: messages.Update
+    length: int
+    sent: int = 0
+
+
+class Table:
+    """Members by name, their hashes, and the updates to pass on.
+
+    Attributes:
+        records: Everything known, including the dead.
+        suspects: Names of suspects.
+        dead: Names of the dead.
+        digest: Hash of all records that are not dead.
+        buckets: The same by bucket of names.
+        changed_at: Time of the last change to ``digest``.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+        self.suspects: set[str] = set()
+        self.dead: set[str] = set()
+        self.digest = 0
+        self.buckets = [0] * BUCKETS
+        self.changed_at = -math.inf
+        self.queue: dict[str, _Queued] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of members that are not dead."""
+        return len(self.records) - len(self.dead)
+
+    def living(self) -> Iterator[Record]:
+        """Yields the records that are not dead."""
+        return (
+            r
+            for r in self.records.values()
+            if r.state is not messages.State.DEAD
+        )
+
+    def set(
+        self, update: messages.Update, now: float, announce: bool = True
+    ) -> Record:
+        """Stores a belief and queues it for passing on."""
+        name = update.member.name
+        record = self.records.get(name)
+        before = 0
+        if record is None:
+            record = self.records[name] = Record(update)
+        else:
+            before = _counted(record.update)
+            if record.update.member.boot != update.member.boot:
+                record.revision = record.content = record.load = 0
+            if record.update.state is not update.state:
+                record.suspected_at = now
+            record.update = update
+        change = before ^ _counted(update)
+        if change:
+            self.digest ^= change
+            self.buckets[bucket_of(name)] ^= change
+            self.changed_at = now
+        self._file(name, update.state)
+        if announce:
+            self.enqueue(update)
+        return record
+
+    def enqueue(self, update: messages.Update) -> None:
+        """Queues an update; it replaces an earlier one on the member."""
+        name = update.member.name
+        self.queue.pop(name, None)
+        if len(self.queue) >= QUEUE_LENGTH:
+            # A sync repairs what is dropped here.
+            del self.queue[next(iter(self.queue))]
+        self.queue[name] = _Queued(update, length_of(update))
+
+    def take(self, limit_bytes: int) -> tuple[messages.Update, ...]:
+        """Returns queued updates, newest first, up to a length in bytes."""
+        repeats = TRANSMISSIONS_FACTOR * math.ceil(math.log2(len(self) + 2))
+        taken: list[messages.Update] = []
+        for name in reversed(list(self.queue)):
+            entry = self.queue[name]
+            if entry.length > limit_bytes:
+                break
+            limit_bytes -= entry.length
+            taken.append(entry.update)
+            entry.sent += 1
+            if entry.sent >= repeats:
+                del self.queue[name]
+        return tuple(taken)
+
+    def of_buckets(
+        self, wanted: Iterable[int], limit_bytes: int, start: int
+    ) -> tuple[messages.Update, ...]:
+        """Returns living records of some buckets, up to a length in bytes.
+
+        Args:
+            wanted: Indices of buckets.
+            limit_bytes: Greatest length of all records together.
+            start: Where to begin, so that repeated calls reach all records.
+        """
+        indices = set(wanted)
+        found = [
+            r.update
+            for r in self.living()
+            if bucket_of(r.update.member.name) in indices
+        ]
+        start %= max(1, len(found))
+        chosen: list[messages.Update] = []
+        for update in found[start:] + found[:start]:
+            limit_bytes -= length_of(update)
+            if limit_bytes < 0:
+                break
+            chosen.append(update)
+        return tuple(chosen)
+
+    def drop_tombstones(self, now: float) -> None:
+        """Forgets members that have been dead for long."""
+        for name in list(self.dead):
+            if now - self.records[name].suspected_at > TOMBSTONE_KEEP_S:
+                del self.records[name]
+                self.dead.discard(name)
+
+    def _file(self, name: str, state: messages.State) -> None:
+        self.suspects.discard(name)
+        self.dead.discard(name)
+        if state is messages.State.SUSPECT:
+            self.suspects.add(name)
+        elif state is messages.State.DEAD:
+            self.dead.add(name)
+
+
+def merged(
+    held: messages.Update,
+    told: messages.Update,
+    believe_alive: bool,
+    settled: bool = True,
+) -> messages.Update:
+    """Returns the belief after an update from another instance.
+
+    Nobody is declared dead on hearsay: a reported death starts a suspicion,
+    which the member can refute. ``leaving`` is never taken back within a life.
+
+    Args:
+        held: Belief so far.
+        told: Belief of another instance.
+        believe_alive: Whether an equally old ``ALIVE`` overrides a death.
+        settled: Whether the death is older than ``SETTLED_S``; if not, it
+            only becomes a suspicion again.
+    """
+    same_life = held.member.boot == told.member.boot
+    if not same_life:
+        newer = (told.incarnation, told.member.boot) > (
+            held.incarnation,
+            held.member.boot,
+        )
+        return told if newer else held
+    leaving = held.leaving or told.leaving
+    if told.incarnation > held.incarnation:
+        state = min(told.state, messages.State.SUSPECT)
+        if held.state is messages.State.DEAD:
+            state = told.state
+        return messages.Update(told.member, told.incarnation, state, leaving)
+    state = held.state
+    if told.incarnation == held.incarnation:
+        if held.state is messages.State.ALIVE:
+            state = min(told.state, messages.State.SUSPECT)
+        elif (
+            held.state is messages.State.DEAD
+            and believe_alive
+            and told.state is messages.State.ALIVE
+        ):
+            # A report of a suspicion is no sign of life: two instances that
+            # took it for one would keep a dead member suspected for ever.
+            state = messages.State.ALIVE if settled else messages.State.SUSPECT
+    return messages.Update(held.member, held.incarnation, state, leaving)
+
+
+def length_of(update: messages.Update) -> int:
+    """Returns the encoded length of an update in bytes."""
+    return len(msgspec.msgpack.encode(update))
+
+
+def bucket_of(name: str) -> int:
+    """Returns the index of a name's bucket."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % BUCKETS
+
+
+def _counted(update: messages.Update) -> int:
+    return 0 if update.state is messages.State.DEAD else update.digest
--- /dev/null
+++ b/src/yuccatally_standins/carrier.py
@@ -0,0 +1,291 @@
+"""Carries the messages of core agents in one process, on a clock of its own.
+
+It stands in for the network and the adapters, with lost, doubled, late and
+reordered messages.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from yuccatally.core.config import configuration
+from yuccatally.core.config import documents
+from yuccatally.core.membership import agent as agent_module
+from yuccatally.core.membership import membership
+from yuccatally.core.membership import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+LATENCY_S = (0.0005, 0.003)
+LATE_S = (0.2, 2.0)
+WATCH_DELAY_S = 0.05
+# TCP and SP headers of a message, and the acknowledgement of its segment.
+OVERHEAD_BYTES = 100
+
+
+@dataclasses.dataclass
+class Node:
+    """One instance."""
+
+    agent: agent_module.Agent
+    config: configuration.Configuration
+    running: bool = True
+    paused: bool = False
+    cursor: int = 0
+    held: list[Callable[[], None]] = dataclasses.field(default_factory=list)
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+class Carrier:
+    """Agents and what lies between them.
+
+    Attributes:
+        now: Time in seconds.
+        cut: Pairs of names between which messages are lost, in one direction.
+        loss: Share of messages that are lost.
+        doubled: Share of requests that arrive twice.
+        late: Share of messages that are late, and so overtaken.
+        platform_up: Whether watchers learn of changes.
+        changes: Changes accepted by the platform.
+    """
+
+    def __init__(
+        self,
+        names: Iterable[str],
+        seed: int = 0,
+        data_centres: int = 3,
+        timing: membership.Timing | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.timing = timing or membership.Timing()
+        self.data_centres = data_centres
+        self.now = 100.0
+        self.nodes: dict[str, Node] = {}
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.sequence = 0
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = self.doubled = self.late = 0.0
+        self.platform_up = True
+        self.changes: list[documents.Document] = []
+        self.boots = 0
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Starts an instance; a second start is a new life of the name."""
+        self.boots += 1
+        member = messages.Member(
+            name,
+            f"b{self.boots:07d}",
+            f"dc{int(name[1:]) % self.data_centres}",
+            name,
+            f"10.11.12.13:{20_000 + int(name[1:])}",
+            f"10.11.12.13:{30_000 + int(name[1:])}",
+        )
+        config = configuration.Configuration()
+        agent = agent_module.Agent(
+            member,
+            int(self.now * 1000),
+            config,
+            random.Random(self.rng.random()),
+            self.timing,
+        )
+        node = Node(agent, config)
+        self.nodes[name] = node
+        self.list_members(node)
+        delay_s = self.rng.uniform(0, self.timing.period_s)
+        self._later(delay_s, lambda: self._tick(node))
+        self._later(delay_s, lambda: self._watch(node))
+
+    def list_members(self, node: Node) -> None:
+        """Hands the platform's list to a node, if the platform is up."""
+        if self.platform_up:
+            node.agent.membership.seed(
+                (name, name) for name, n in self.nodes.items() if n.running
+            )
+
+    def kill(self, name: str) -> None:
+        """Ends an instance without notice."""
+        self.nodes[name].running = False
+
+    def pause(self, name: str) -> None:
+        """Stops an instance; what reaches it is kept for later."""
+        self.nodes[name].paused = True
+
+    def resume(self, name: str) -> None:
+        """Continues a paused instance."""
+        node = self.nodes[name]
+        node.paused = False
+        held, node.held = node.held, []
+        for action in held:
+            self._later(self.rng.uniform(0, 0.01), action)
+
+    def leave(self, name: str) -> None:
+        """Starts the shutdown of an instance; it still answers."""
+        node = self.nodes[name]
+        self._perform(node, node.agent.leave(self.now))
+
+    def change(self, name: str, deleted: bool = False) -> int:
+        """Accepts a change of one object and returns its revision."""
+        revision = (self.changes[-1].revision if self.changes else 0) + 1
+        spec = {"layers": revision, "version": "v1"}
+        self.changes.append(
+            documents.Document("model", name, revision, 1, deleted, spec)
+        )
+        return revision
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        self.now = end
+
+    def running(self) -> dict[str, Node]:
+        """Returns the nodes that were not killed."""
+        return {k: n for k, n in self.nodes.items() if n.running}
+
+    def _later(self, delay_s: float, action: Callable[[], None]) -> None:
+        self.sequence += 1
+        heapq.heappush(self.events, (self.now + delay_s, self.sequence, action))
+
+    def _at(self, node: Node, action: Callable[[], None]) -> None:
+        if node.paused:
+            node.held.append(action)
+        elif node.running:
+            action()
+
+    def _tick(self, node: Node) -> None:
+        def tick() -> None:
+            self._perform(node, node.agent.on_tick(self.now))
+            jitter = self.rng.uniform(0.9, 1.1)
+            self._later(self.timing.period_s * jitter, lambda: self._tick(node))
+
+        self._at(node, tick)
+
+    def _watch(self, node: Node) -> None:
+        def look() -> None:
+            self._later(WATCH_DELAY_S, lambda: self._watch(node))
+            if not self.platform_up or not node.agent.is_watcher():
+                node.cursor = min(node.cursor, node.config.revision)
+                return
+            new = self.changes[node.cursor :]
+            if not new:
+                return
+            node.cursor = len(self.changes)
+            since = min(new[0].revision - 1, node.config.revision)
+            events = tuple(map(documents.event_from, new))
+            before = node.config.revision
+            node.config.apply_delta(
+                configuration.Delta(since, new[-1].revision, events)
+            )
+            if node.config.revision > before:
+                self._perform(node, node.agent.on_config_change(self.now))
+
+        self._at(node, look)
+
+    def _perform(
+        self, node: Node, actions: Iterable[agent_module.Action]
+    ) -> None:
+        for action in actions:
+            if isinstance(action, messages.Send):
+                self._exchange(
+                    node,
+                    action,
+                    lambda reply, at, s=action: self._perform(
+                        node, node.agent.on_reply(s, reply, at, self.now)
+                    ),
+                    lambda at, s=action: self._perform(
+                        node, node.agent.on_failure(s, at, self.now)
+                    ),
+                )
+
+    def _exchange(
+        self,
+        node: Node,
+        send: messages.Send,
+        on_reply: Callable[[Any, float], None],
+        on_failure: Callable[[float], None],
+    ) -> None:
+        sent_at = self.now
+        ended: list[bool] = []
+
+        def end(action: Callable[[], None]) -> None:
+            if not ended:
+                ended.append(True)
+                self._at(node, action)
+
+        def arrived(reply: Any) -> None:
+            end(lambda: on_reply(reply, sent_at))
+
+        self._later(send.timeout_s, lambda: end(lambda: on_failure(sent_at)))
+        for _ in range(2 if self.rng.random() < self.doubled else 1):
+            self._deliver(
+                node,
+                send.address,
+                send.message,
+                lambda target: self._serve(target, node, send, arrived),
+            )
+
+    def _serve(
+        self,
+        target: Node,
+        sender: Node,
+        send: messages.Send,
+        arrived: Callable[[Any], None],
+    ) -> None:
+        name = sender.agent.member.name
+
+        def reply(content: Any) -> None:
+            self._deliver(target, name, content, lambda _: arrived(content))
+
+        if isinstance(send.message, messages.ProbeFor):
+            self._exchange(
+                target,
+                target.agent.relay(send.message),
+                lambda ack, _: reply(messages.IndirectAck(ack)),
+                lambda _: reply(messages.IndirectAck()),
+            )
+            return
+        content, actions = target.agent.on_request(send.message, self.now)
+        reply(content)
+        self._perform(target, actions)
+
+    def _deliver(
+        self,
+        sender: Node,
+        address: str,
+        message: Any,
+        action: Callable[[Node], None],
+    ) -> None:
+        name = sender.agent.member.name
+        length = len(msgspec.msgpack.encode(message)) + OVERHEAD_BYTES
+        sender.sent_bytes += length
+        sender.sent[type(message).__name__] += 1
+        if (name, address) in self.cut or self.rng.random() < self.loss:
+            return
+        target = self.nodes.get(address)
+        if target is None:
+            return
+        span = LATE_S if self.rng.random() < self.late else LATENCY_S
+
+        def arrive() -> None:
+            if target.running:
+                target.received_bytes += length
+            self._at(target, lambda: action(target))
+
+        self._later(self.rng.uniform(*span), arrive)
