Bound exchanges by nng's own deadlines

Cause: pynng drops a cancellation that arrives while an operation completes, so that an exchange or a closing transport waited for ever. Change: deadlines of contexts instead of asyncio time-outs around them; closing the listening socket ends the workers.

--- a/src/yuccatally/core/membership/membership.py
+++ b/src/yuccatally/core/membership/membership.py
@@ -13,7 +13,7 @@
     from collections.abc import Iterable
     import random
 
-MAX_HEALTH = 4
+MAX_HEALTH = 2
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/yuccatally/peers/transport.py
+++ b/src/yuccatally/peers/transport.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import inspect
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -24,6 +25,7 @@
 SOCKET_LIMIT = 32
 REPLY_CONTEXTS = 16
 RETRY_LISTEN_S = 0.05
+CLOSE_S = 1.0
 NO_RESEND = -1
 
 # The defaults start one thread per core and role, 31 on a machine with 10
@@ -187,8 +189,7 @@
         outgoing = self._socket(address)
         outgoing.users += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                reply = await self._ask(outgoing, frame)
+            reply = await self._ask(outgoing, frame, timeout_s)
         except (TimeoutError, pynng.NNGException) as error:
             self.traffic.failed += 1
             self._replace(address, outgoing)
@@ -205,19 +206,28 @@
     async def close(self) -> None:
         """Closes all sockets."""
         self.closed = True
-        for worker in self.workers:
-            worker.cancel()
-        await asyncio.gather(*self.workers, return_exceptions=True)
         if self.listening is not None:
+            # Ends the workers; see ``_ask`` on cancellation.
             self.listening.close()
+            await asyncio.wait(self.workers, timeout=CLOSE_S)
         for outgoing in self.outgoing.values():
             outgoing.retire()
         self.outgoing.clear()
 
-    async def _ask(self, outgoing: _Outgoing, frame: bytes) -> bytes:
+    async def _ask(
+        self, outgoing: _Outgoing, frame: bytes, timeout_s: float
+    ) -> bytes:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
         # A message that waits for a connection would not be freed by pynng
         # if the exchange is abandoned.
-        await outgoing.connected.wait()
+        async with asyncio.timeout(timeout_s):
+            await outgoing.connected.wait()
+        # Deadlines are nng's own: pynng drops a cancellation that arrives
+        # while an operation completes, and the next one would never end.
+        left_ms = max(1, math.ceil((deadline - loop.time()) * 1000))
+        outgoing.socket.send_timeout = left_ms
+        outgoing.socket.recv_timeout = left_ms
         with outgoing.socket.new_context() as context:
             await context.asend(frame)
             self.traffic.sent_bytes += len(frame)
@@ -249,7 +259,7 @@
     async def _serve(self, listening: pynng.Rep0) -> None:
         context = listening.new_context()
         try:
-            while True:
+            while not self.closed:
                 try:
                     received = await context.arecv()
                     self.traffic.received_bytes += len(received)
