Settle streams once and cancel the work of callers that vanish

Cause: a caller that vanished before the first event left its request in flight for ever, a whole answer was generated to the end for a caller that had gone, and a caller that did not read held its state without bound.

Change: an event stream settles its request exactly once; whole answers watch the connection; the kernel buffer of a caller is bounded, and a caller that takes no byte for 30 s is cut.

--- a/src/yuccatally/callers/application.py
+++ b/src/yuccatally/callers/application.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from starlette import applications
+from starlette import requests
 from starlette import routing
 import structlog
 
@@ -17,7 +18,6 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from starlette import requests
     from starlette import responses as http
 
     from yuccatally.core.objects import kinds
@@ -92,7 +92,14 @@
         account = access.account_of(request, self.node.config)
         if account is None:
             return self._unauthenticated(identity)
-        body = await self._body(request)
+        try:
+            body = await self._body(request)
+        except requests.ClientDisconnect:
+            return self._refuse(
+                identity,
+                outcomes.Reason.CALLER_GONE,
+                "the caller closed the connection before the whole request",
+            )
         if body is None:
             limit = self.node.settings.limits.body_bytes
             return self._refuse(
@@ -122,7 +129,9 @@
         body: bytes,
     ) -> http.Response:
         asked = completions.parse_completion(body)
-        return await completions.serve(self.node, identity, account, asked)
+        return await completions.serve(
+            self.node, identity, account, asked, request.receive
+        )
 
     async def _chat(
         self,
@@ -132,7 +141,9 @@
         body: bytes,
     ) -> http.Response:
         asked = completions.parse_chat(body)
-        return await completions.serve(self.node, identity, account, asked)
+        return await completions.serve(
+            self.node, identity, account, asked, request.receive
+        )
 
     async def _service(
         self,
--- a/src/yuccatally/callers/completions.py
+++ b/src/yuccatally/callers/completions.py
@@ -2,25 +2,28 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import time
 from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
-from starlette import responses as starlette_responses
 
 from yuccatally.callers import messages
 from yuccatally.callers import responses
+from yuccatally.callers import streams
 from yuccatally.core.generation import actions
 from yuccatally.core.objects import specs
 from yuccatally.core.requests import outcomes
 from yuccatally.core.requests import text
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
     from collections.abc import AsyncIterator
 
     from starlette import responses as http
+    from starlette import types
 
     from yuccatally.core.objects import kinds
     from yuccatally.instance import instance
@@ -99,7 +102,11 @@
 
 
 async def serve(
-    node: instance.Instance, request: str, account: kinds.Object, asked: Asked
+    node: instance.Instance,
+    request: str,
+    account: kinds.Object,
+    asked: Asked,
+    receive: types.Receive,
 ) -> http.Response:
     """Generates an answer for an accepted request.
 
@@ -108,6 +115,7 @@
         request: Request id.
         account: Client account of the caller.
         asked: What to generate.
+        receive: Tells when the caller closes the connection.
 
     Returns:
         The whole answer or a stream; the ledger is settled in either case.
@@ -130,37 +138,36 @@
     job = _job(node, request, account, asked, model)
     emitted = node.generations.generate(job)
     if asked.stream:
-        return starlette_responses.StreamingResponse(
-            _events(node, asked, job, emitted),
-            media_type="text/event-stream",
-            headers={
-                responses.OUTCOME_HEADER: responses.outcome_header(
-                    request, outcomes.Outcome.IN_FLIGHT
-                ),
-                "Cache-Control": "no-store",
-            },
+        stream = streams.EventStream(node, request)
+        stream.events = _events(node, asked, job, emitted, stream)
+        return stream
+    try:
+        return await streams.unless_gone(
+            receive, _whole(node, asked, job, emitted)
         )
-    return await _whole(node, asked, job, emitted)
+    except streams.CallerGoneError:
+        return node.refuse(request, _gone())
 
 
 async def _whole(
     node: instance.Instance,
     asked: Asked,
     job: actions.Job,
-    emitted: AsyncIterator[Any],
+    emitted: AsyncGenerator[Any],
 ) -> http.Response:
     decoder = text.Decoder()
     parts: list[str] = []
-    async for action in emitted:
-        match action:
-            case actions.EmitToken(token=token):
-                parts.append(decoder.push(token))
-            case actions.Failed(refusal=refusal):
-                return node.refuse(job.request, refusal)
-            case actions.Finished() as finished:
-                parts.append(decoder.finish())
-                body = _body(asked, job, "".join(parts), finished)
-                return node.answer(job.request, body)
+    async with contextlib.aclosing(emitted):
+        async for action in emitted:
+            match action:
+                case actions.EmitToken(token=token):
+                    parts.append(decoder.push(token))
+                case actions.Failed(refusal=refusal):
+                    return node.refuse(job.request, refusal)
+                case actions.Finished() as finished:
+                    parts.append(decoder.finish())
+                    body = _body(asked, job, "".join(parts), finished)
+                    return node.answer(job.request, body)
     raise AssertionError("a generation ended without an outcome")
 
 
@@ -168,34 +175,42 @@
     node: instance.Instance,
     asked: Asked,
     job: actions.Job,
-    emitted: AsyncIterator[Any],
+    emitted: AsyncGenerator[Any],
+    stream: streams.EventStream,
 ) -> AsyncIterator[bytes]:
     decoder = text.Decoder()
-    outcome = outcomes.Outcome.UNKNOWN
     started = time.monotonic()
-    first = True
-    try:
+    stream.outcome = outcomes.Outcome.UNKNOWN
+    async with contextlib.aclosing(emitted):
         async for action in emitted:
             match action:
                 case actions.EmitToken(token=token):
+                    first = not stream.tokens
                     if first:
                         elapsed_s = time.monotonic() - started
                         node.metrics.observe("first_token", elapsed_s)
+                    stream.tokens += 1
                     yield responses.event(
                         _chunk(asked, job, decoder.push(token), None, first)
                     )
-                    first = False
                 case actions.Failed(refusal=refusal):
-                    outcome = refusal.outcome
-                    yield responses.event(
-                        responses.error_body(job.request, refusal)
+                    stream.outcome = refusal.outcome
+                    node.metrics.count("refusals", str(refusal.reason))
+                    yield streams.error_event(
+                        job.request, refusal, stream.tokens
                     )
                 case actions.Finished() as finished:
-                    outcome = outcomes.Outcome.ANSWERED
+                    stream.outcome = outcomes.Outcome.ANSWERED
                     for event in _last_events(asked, job, finished):
                         yield event
-    finally:
-        node.finish(job.request, outcome)
+
+
+def _gone() -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Outcome.UNKNOWN,
+        outcomes.Reason.CALLER_GONE,
+        "the caller closed the connection",
+    )
 
 
 def _last_events(
--- /dev/null
+++ b/src/yuccatally/callers/streams.py
@@ -0,0 +1,152 @@
+"""Delivery of answers to callers that read slowly or vanish."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+
+from starlette import responses as starlette_responses
+import structlog
+
+from yuccatally.callers import messages
+from yuccatally.callers import responses
+from yuccatally.core.requests import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from starlette import types
+
+    from yuccatally.instance import instance
+
+# A caller that takes no byte for this long holds KV state for nothing.
+SEND_TIMEOUT_S = 30.0
+
+_log = structlog.get_logger()
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection before the answer was whole."""
+
+
+class EventStream(starlette_responses.Response):
+    """Server-sent events whose request is settled exactly once.
+
+    The request is settled when the last event was handed over, the caller has
+    vanished or takes no bytes, or the events fail; also if the caller vanishes
+    before the first event is asked for.
+
+    Attributes:
+        request: Request id.
+        outcome: How the request ended; set by the producer of the events.
+        tokens: Tokens handed over; set by the producer of the events.
+    """
+
+    media_type = "text/event-stream"
+
+    def __init__(self, node: instance.Instance, request: str) -> None:
+        super().__init__(
+            headers={
+                responses.OUTCOME_HEADER: responses.outcome_header(
+                    request, outcomes.Outcome.IN_FLIGHT
+                ),
+                "Cache-Control": "no-store",
+            }
+        )
+        del self.headers["content-length"]
+        self.node = node
+        self.request = request
+        self.outcome = outcomes.Outcome.NOT_RUN
+        self.tokens = 0
+        self.events: AsyncIterator[bytes]
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Sends the events; see the ASGI specification."""
+        try:
+            await unless_gone(receive, self._send_all(send))
+        except (CallerGoneError, TimeoutError, OSError) as error:
+            self.node.metrics.count("streams_cut", type(error).__name__)
+            _log.info(
+                "caller_gone", request=self.request, error=type(error).__name__
+            )
+        finally:
+            self.node.finish(self.request, self.outcome)
+
+    async def _send_all(self, send: types.Send) -> None:
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": self.raw_headers,
+            }
+        )
+        events: Any = self.events
+        try:
+            async for event in events:
+                await _send_in_time(send, event)
+        except (TimeoutError, OSError):
+            raise
+        except Exception:
+            _log.exception("stream_failed", request=self.request)
+            self.outcome = outcomes.Outcome.UNKNOWN
+            await _send_in_time(send, self._internal_error())
+        finally:
+            await events.aclose()
+        await send({"type": "http.response.body", "body": b""})
+
+    def _internal_error(self) -> bytes:
+        refusal = outcomes.Refusal(
+            self.outcome,
+            outcomes.Reason.INTERNAL,
+            "an internal error occurred; the instance logged it",
+        )
+        return error_event(self.request, refusal, self.tokens)
+
+
+def error_event(request: str, refusal: outcomes.Refusal, tokens: int) -> bytes:
+    """Returns the final event of a stream that cannot be finished."""
+    body = responses.error_body(request, refusal)
+    ending = messages.Ending(request, str(refusal.outcome), tokens)
+    return responses.event({**body, "yuccatally": ending})
+
+
+async def unless_gone(
+    receive: Callable[[], Awaitable[Any]], work: Coroutine[Any, Any, Any]
+) -> Any:
+    """Runs work until it is done or the caller closes the connection.
+
+    Raises:
+        CallerGoneError: The caller closed the connection; the work is
+            cancelled and has ended.
+    """
+    working = asyncio.create_task(work)
+    watching = asyncio.create_task(_until_gone(receive))
+    try:
+        await asyncio.wait(
+            {working, watching}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if working.done():
+            return working.result()
+        raise CallerGoneError
+    finally:
+        for task in (working, watching):
+            task.cancel()
+        await asyncio.gather(working, watching, return_exceptions=True)
+
+
+async def _until_gone(receive: Callable[[], Awaitable[Any]]) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+async def _send_in_time(send: types.Send, body: bytes) -> None:
+    async with asyncio.timeout(SEND_TIMEOUT_S):
+        await send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
--- a/src/yuccatally/instance/generations.py
+++ b/src/yuccatally/instance/generations.py
@@ -21,7 +21,7 @@
 from yuccatally.upstreams import kv
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
     from collections.abc import Callable
     from collections.abc import Iterable
 
@@ -107,7 +107,7 @@
                 )
         return gone
 
-    async def generate(self, job: actions.Job) -> AsyncIterator[Emitted]:
+    async def generate(self, job: actions.Job) -> AsyncGenerator[Emitted]:
         """Yields the tokens of one answer, then how it ended.
 
         A token counts as taken when the next one is asked for; a caller that
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -17,6 +17,7 @@
 
 KEEP_ALIVE_S = 75
 BACKLOG = 2048
+SEND_BUFFER_BYTES = 32 * 1024
 
 
 class _Server(uvicorn.Server):
@@ -35,6 +36,11 @@
             socket.AF_INET6 if ":" in host else socket.AF_INET
         )
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it. A large kernel buffer would take
+        # thousands of tokens for a caller that does not read.
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
         self.socket.bind((host, port))
         config = uvicorn.Config(
             app,
--- /dev/null
+++ b/tests/core/generation/test_any_fault.py
@@ -0,0 +1,410 @@
+"""Answers under faults at any point, against a model of engines."""
+
+from __future__ import annotations
+
+import collections
+import copy
+import dataclasses
+from typing import TYPE_CHECKING
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import msgspec
+
+from yuccatally.core.generation import actions
+from yuccatally.core.generation import generation
+from yuccatally.core.requests import outcomes
+from yuccatally.core.stages import link
+from yuccatally.core.stages import messages
+from yuccatally_standins import reference
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MODEL, VERSION, LAYERS = "m", "v1", 6
+STAGES = ((0, 2), (2, 5), (5, 6))
+ENGINES = {f"{s}{r}": STAGES[s] for s in range(3) for r in "ab"}
+TICK_S = 0.05
+SETTLE_TICKS = 600
+FAULTS = (
+    "disconnect",
+    "frozen",
+    "deaf",
+    "mute",
+    "refusing",
+    "held",
+    "reorder",
+    "lose",
+    "double",
+    "shift",
+    "alien",
+    "lengthen",
+    "cross",
+)
+
+
+class Engine:
+    """An engine and the two directions of its connection.
+
+    Attributes:
+        applied: How often each layer was applied for each position.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.states: dict[tuple[str, int], reference.LayerState] = {}
+        self.applied: collections.Counter[tuple[str, int, int]] = (
+            collections.Counter()
+        )
+        self.steps = 0
+        self.frozen = False
+        self.deaf = False
+        self.mute = False
+        self.refusing = False
+        self.held = False
+        self.connect(0.0)
+
+    def connect(self, now: float) -> None:
+        self.link = link.StageLink(self.name, now)
+        self.inbox: list[messages.ToEngine] = []
+        self.outbox: list[messages.FromEngine] = []
+        self.states.clear()
+        self.deaf = self.mute = False
+
+    def work(self) -> None:
+        """Handles the oldest message; heartbeats pass a frozen engine."""
+        pings = [m for m in self.inbox if isinstance(m, messages.Ping)]
+        if self.deaf or not self.inbox or (self.frozen and not pings):
+            return
+        message = pings[0] if self.frozen else self.inbox[0]
+        self.inbox.remove(message)
+        match message:
+            case messages.Step():
+                self.answer(messages.StepResult(message.frame, [], []), message)
+            case messages.Cancel():
+                self.states.pop((message.request, message.attempt), None)
+            case messages.Ping():
+                queued = sum(isinstance(m, messages.Step) for m in self.inbox)
+                load = messages.Load(queued, 0, steps=self.steps)
+                self.send(messages.Pong(message.nonce, load))
+
+    def answer(self, result: messages.StepResult, step: messages.Step) -> None:
+        self.steps += 1
+        for item in step.items:
+            key = (item.request, item.attempt)
+            state = self.states.get(key)
+            position = state.position if state else 0
+            if self.refusing or item.position != position:
+                result.refusals.append(
+                    messages.StepRefusal(*key, item.position, "refused")
+                )
+                continue
+            state = self.states.setdefault(
+                key,
+                reference.LayerState.empty(item.first_layer, item.last_layer),
+            )
+            self.count(item, key)
+            seed = reference.seed_of(MODEL, VERSION)
+            values = state.apply(seed, item.values)
+            if item.final:
+                values = [reference.token_of(values[-1])]
+            result.outputs.append(
+                messages.StepOutput(*key, item.position, values)
+            )
+        self.refusing = False
+        self.send(result)
+
+    def count(self, item: messages.StepItem, key: tuple[str, int]) -> None:
+        for position in range(item.position, item.position + len(item.values)):
+            for layer in range(item.first_layer, item.last_layer):
+                self.applied[(f"{key}", position, layer)] += 1
+
+    def send(self, message: messages.FromEngine) -> None:
+        if not self.mute:
+            self.outbox.append(message)
+
+
+@dataclasses.dataclass
+class Caller:
+    """What one caller has received."""
+
+    machine: generation.Generation
+    emitted: list[int] = dataclasses.field(default_factory=list)
+    unread: int = 0
+    sent: bool = False
+    ended: actions.Finished | actions.Failed | None = None
+    waiting: frozenset[str] | None = frozenset()
+    not_before: float = 0.0
+
+
+class AnyFault(stateful.RuleBasedStateMachine):
+    """Guards against lost, repeated, crossed or wrong tokens of an answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.engines = {name: Engine(name) for name in ENGINES}
+        self.callers: dict[str, Caller] = {}
+        self.imports: list[actions.ImportState] = []
+        self.late = 0
+
+    @stateful.initialize(sizes=st.lists(st.integers(1, 300), min_size=1))
+    def ask(self, sizes: list[int]) -> None:
+        for size in sizes[:4]:
+            request = f"r{len(self.callers)}"
+            prompt = tuple((size * 7 + i) % 251 + 1 for i in range(size))
+            job = actions.Job(
+                request, MODEL, VERSION, prompt, 9, 0, size % 3, 1e9
+            )
+            self.callers[request] = Caller(generation.Generation(job, window=4))
+        self.route()
+
+    @stateful.rule(
+        rounds=st.integers(0, 12),
+        reach=st.sampled_from(("queued", "sent", "done", "answered")),
+        pick=st.integers(0, 5),
+        fault=st.sampled_from(FAULTS),
+    )
+    def strike(self, rounds: int, reach: str, pick: int, fault: str) -> None:
+        """Works until a step is before, at or after its execution."""
+        self.run(rounds)
+        for engine in self.engines.values():
+            if reach != "queued":
+                self.flush(engine)
+        for engine in self.engines.values():
+            if reach in ("done", "answered"):
+                engine.work()
+        busy = [
+            e
+            for e in self.engines.values()
+            if e.link.frames or e.link.pending or e.held
+        ]
+        if not busy:
+            return
+        victim = busy[pick % len(busy)]
+        if reach == "answered":
+            self.receive(victim, 0)
+        self.apply(victim, fault)
+
+    def apply(self, engine: Engine, fault: str) -> None:
+        if fault == "disconnect":
+            self.disconnect(engine.name)
+        elif fault in ("frozen", "deaf", "mute", "refusing", "held"):
+            setattr(engine, fault, not getattr(engine, fault))
+        elif fault == "reorder":
+            self.receive(engine, -1)
+        else:
+            for index, message in enumerate(engine.outbox):
+                if isinstance(message, messages.StepResult):
+                    engine.outbox[index : index + 1] = altered(message, fault)
+                    return
+
+    def run(self, rounds: int) -> None:
+        for _ in range(rounds):
+            for engine in self.engines.values():
+                self.flush(engine)
+                engine.work()
+                if not engine.held:
+                    self.receive(engine, 0)
+
+    def disconnect(self, name: str) -> None:
+        self.engines[name].connect(self.now)
+        for caller in list(self.callers.values()):
+            self.perform(caller, caller.machine.on_failure(name))
+        self.route()
+
+    @stateful.rule(ticks=st.integers(1, 30))
+    def wait(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.tick()
+
+    @stateful.rule(succeeds=st.booleans())
+    def finish_import(self, succeeds: bool) -> None:
+        if not self.imports:
+            return
+        wanted = self.imports.pop(0)
+        source = self.engines[wanted.source].states.get(
+            (wanted.request, wanted.source_attempt)
+        )
+        right = source is not None and source.position == wanted.position
+        if right and succeeds:
+            target = self.engines[wanted.target].states
+            target[(wanted.request, wanted.attempt)] = copy.deepcopy(source)
+        caller = self.callers[wanted.request]
+        self.perform(
+            caller, caller.machine.on_imported(wanted, right and succeeds)
+        )
+        self.route()
+
+    @stateful.rule(index=st.integers(0, 3), count=st.integers(1, 4))
+    def read(self, index: int, count: int) -> None:
+        caller = self.callers.get(f"r{index}")
+        if caller is None:
+            return
+        for _ in range(min(count, caller.unread)):
+            caller.unread -= 1
+            self.perform(caller, caller.machine.on_consumed())
+        self.route()
+
+    @stateful.rule(index=st.integers(0, 3))
+    def leave(self, index: int) -> None:
+        caller = self.callers.get(f"r{index}")
+        if caller is not None and caller.ended is None:
+            gone = caller.machine.refusal(outcomes.Reason.CALLER_GONE, "gone")
+            self.perform(caller, caller.machine.abandon(gone))
+
+    @stateful.invariant()
+    def tokens_are_right_so_far(self) -> None:
+        for caller in self.callers.values():
+            job = caller.machine.job
+            right = reference.answer(
+                MODEL, VERSION, LAYERS, list(job.prompt), job.max_tokens
+            )
+            assert caller.emitted == right[: len(caller.emitted)]
+            assert caller.unread <= caller.machine.window
+            if isinstance(caller.ended, actions.Finished):
+                assert caller.emitted == right
+            if isinstance(caller.ended, actions.Failed):
+                not_run = caller.ended.refusal.outcome == "not-run"
+                assert not_run is not caller.sent
+
+    @stateful.invariant()
+    def layers_run_once(self) -> None:
+        for engine in self.engines.values():
+            assert max(engine.applied.values(), default=1) == 1
+
+    def teardown(self) -> None:
+        for engine in self.engines.values():
+            engine.frozen = engine.refusing = engine.held = False
+        for _ in range(SETTLE_TICKS):
+            self.tick()
+            self.run(4)
+            self.finish_import(succeeds=True)
+            for index in range(len(self.callers)):
+                self.read(index, 4)
+            if all(c.ended for c in self.callers.values()) and not any(
+                e.inbox or e.link.frames or self.imports
+                for e in self.engines.values()
+            ):
+                break
+        for caller in self.callers.values():
+            assert caller.ended is not None, "an answer was lost"
+            if isinstance(caller.ended, actions.Failed):
+                given_up = caller.ended.refusal.reason
+                limit = generation.MAX_FRUITLESS_ATTEMPTS
+                assert (
+                    given_up == outcomes.Reason.CALLER_GONE
+                    or caller.machine.fruitless >= limit
+                )
+        leaked = {n: e.states for n, e in self.engines.items() if e.states}
+        assert not leaked
+        self.tokens_are_right_so_far()
+        self.layers_run_once()
+
+    def tick(self) -> None:
+        self.now += TICK_S
+        for name, engine in self.engines.items():
+            match engine.link.on_tick(self.now):
+                case link.Failure():
+                    self.disconnect(name)
+                case messages.Ping() as ping:
+                    engine.inbox.append(ping)
+        self.route()
+
+    def route(self) -> None:
+        for caller in self.callers.values():
+            wanted = caller.waiting
+            if wanted is None or caller.not_before > self.now or caller.ended:
+                continue
+            names = [n for n in sorted(ENGINES) if n not in wanted]
+            hops = []
+            for layers in STAGES:
+                held = [n for n in names if ENGINES[n] == layers]
+                hops.append(actions.Hop(held[0], *layers))
+            route = actions.Route("p", MODEL, VERSION, tuple(hops))
+            caller.waiting = None
+            route = caller.machine.prefer_kept(route, set(names))
+            self.perform(caller, caller.machine.start(route))
+
+    def flush(self, engine: Engine) -> None:
+        while (step := engine.link.next_frame(self.now)) is not None:
+            engine.inbox.append(step)
+            for item in step.items:
+                caller = self.callers[item.request]
+                caller.sent = True
+                caller.machine.on_sent(item.attempt)
+
+    def receive(self, engine: Engine, index: int) -> None:
+        if not engine.outbox:
+            return
+        message = engine.outbox.pop(index)
+        if isinstance(message, messages.Pong):
+            engine.link.on_pong(message, self.now)
+            return
+        for match in engine.link.on_result(message, self.now):
+            caller = self.callers[match.item.request]
+            machine = caller.machine
+            if machine.stage_of(match.item) is None:
+                self.cancel(engine, match.item.request, match.item.attempt)
+            elif isinstance(match.result, messages.StepOutput):
+                done = machine.on_output(match.item, match.result)
+                self.perform(caller, done)
+            else:
+                done = machine.on_refusal(match.item, match.result)
+                self.perform(caller, done)
+        self.route()
+
+    def cancel(self, engine: Engine, request: str, attempt: int) -> None:
+        engine.link.withdraw(request, attempt)
+        engine.inbox.append(messages.Cancel(request, attempt))
+
+    def perform(self, caller: Caller, wanted: Iterable[actions.Action]) -> None:
+        for action in wanted:
+            match action:
+                case actions.SubmitStep(engine=name, item=item):
+                    assert caller.ended is None
+                    self.engines[name].link.submit(item)
+                case actions.ReleaseAttempt(engine=name):
+                    self.cancel(
+                        self.engines[name], action.request, action.attempt
+                    )
+                case actions.ImportState():
+                    self.imports.append(action)
+                case actions.NeedRoute():
+                    caller.waiting = action.excluded
+                    caller.not_before = self.now + action.delay_s
+                case actions.EmitToken(token=token):
+                    caller.emitted.append(token)
+                    caller.unread += 1
+                case actions.Finished() | actions.Failed():
+                    assert caller.ended is None, "ended twice"
+                    caller.ended = action
+
+
+def altered(
+    result: messages.StepResult, fault: str
+) -> list[messages.FromEngine]:
+    """Returns what arrives in place of a result."""
+    replace = msgspec.structs.replace
+    if fault == "double":
+        return [result, result]
+    if fault == "cross":
+        return [replace(result, frame=result.frame + 1)]
+    if not result.outputs:
+        return [result]
+    first, *rest = result.outputs
+    if fault == "lose":
+        return [replace(result, outputs=rest)]
+    changed = {
+        "shift": replace(first, position=first.position + 1),
+        "alien": replace(first, attempt=first.attempt - 1),
+        "lengthen": replace(first, values=[*first.values, 7]),
+    }[fault]
+    return [replace(result, outputs=[changed, *rest])]
+
+
+TestAnyFault = AnyFault.TestCase
+TestAnyFault.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None
+)
--- /dev/null
+++ b/tests/core/generation/test_budget.py
@@ -0,0 +1,31 @@
+"""Limit on the prefill that recovery causes."""
+
+from __future__ import annotations
+
+from yuccatally.core.generation import budget
+
+
+def test_recovery_of_many_streams_is_spread() -> None:
+    """Guards against an overload after an engine with many streams failed."""
+    tested = budget.RetryBudget(limit=1000)
+    asked = [f"r{n}" for n in range(40)]
+    running = [r for r in asked if tested.ask(r, 1, 300)]
+    assert len(running) == 3
+    assert not tested.ask("urgent", 0, 300)
+    order = []
+    while running:
+        assert sum(tested.running.values()) <= 1000
+        tested.forget(running.pop(0))
+        running += tested.admitted()
+        order += running[-1:]
+    assert order[0] == "urgent"
+    assert set(order) == {*asked[3:], "urgent"}
+
+
+def test_prefill_above_the_limit_runs_alone() -> None:
+    """Guards against a long answer that is never recovered."""
+    tested = budget.RetryBudget(limit=10)
+    assert tested.ask("long", 1, 5000)
+    assert not tested.ask("next", 1, 1)
+    tested.forget("next")
+    assert tested.admitted() == ()
