Add the operators' interface and commands

Cause: Operators could read one instance's status and start a drain, but not change, list, watch or explain anything. Settings named only the first wrong type and did not check ranges.

Change: HTTP endpoints for apply, delete, labels, objects, watch, status, requests, spans, and questions to all instances with bounded concurrency; click commands on them with documented exit statuses. The checks of a change as a whole set, the order of its writes, the three-way merge of labels and the recognition of a write whose reply was lost are core code without I/O. Clients of the platform and of upstreams no longer let aiohttp send a PUT or DELETE again on its own: a lost reply made a writer report a conflict with itself, and a service could have run a call twice.

Conclusion: concurrent operators and lost replies are told apart.

--- a/src/yuccatally/cli/main.py
+++ b/src/yuccatally/cli/main.py
@@ -5,46 +5,80 @@
 import asyncio
 import pathlib
 import signal
-import sys
 
 import click
 import uvloop
 
+from yuccatally.cli import exits
+from yuccatally.cli import objects
+from yuccatally.cli import site
 from yuccatally.instance import instance
 from yuccatally.settings import settings as settings_module
 from yuccatally.telemetry import logs
 
-EXIT_INVALID = 2
-
 _SETTINGS = click.argument(
     "settings_file", type=click.Path(path_type=pathlib.Path)
 )
 
 
-@click.group()
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="yuccatally")
 def main() -> None:
-    """Routes requests to model pipelines over mixed accelerators."""
+    """Routes requests to model pipelines over mixed accelerators.
+
+    Exit statuses: 0 done, 1 refused, 2 wrong options or settings, 3 conflict
+    with another operator, 4 unavailable and nothing changed, 5 a change may
+    have been made, 6 not in force everywhere, 7 no access.
+    """
 
 
 @main.command()
 @_SETTINGS
 def check(settings_file: pathlib.Path) -> None:
-    """Checks a settings file."""
-    _load(settings_file)
+    """Checks a settings file and names all problems at once."""
+    settings = _load(settings_file)
+    if not settings.operators.key_sha256:
+        click.echo(
+            f"{settings_file}: warning: operators.key_sha256 is empty, so "
+            f"anyone who reaches {settings.operators.address} is an operator",
+            err=True,
+        )
     click.echo(f"{settings_file}: ok")
 
 
 @main.command()
 @_SETTINGS
-@click.option("--log-level", default="info", show_default=True)
-def run(settings_file: pathlib.Path, log_level: str) -> None:
+@click.option(
+    "--log-level",
+    type=click.Choice(settings_module.LOG_LEVELS),
+    help="Lowest level that is logged, instead of that of the settings.",
+)
+def run(settings_file: pathlib.Path, log_level: str | None) -> None:
     """Runs an instance until it is drained."""
     settings = _load(settings_file)
-    logs.configure(settings.instance.name, log_level)
+    level = log_level or settings.instance.log_level
+    logs.configure(settings.instance.name, level)
     uvloop.run(_run(settings))
 
 
+for _command in (
+    objects.apply,
+    objects.get,
+    objects.list_objects,
+    objects.delete,
+    objects.label,
+    objects.selector,
+    objects.watch,
+    site.status,
+    site.explain,
+    site.drain,
+    site.requests,
+    site.metrics,
+    site.spans,
+):
+    main.add_command(_command)
+
+
 async def _run(settings: settings_module.Settings) -> None:
     node = instance.Instance.from_config(settings)
     loop = asyncio.get_running_loop()
@@ -56,7 +90,6 @@
 def _load(settings_file: pathlib.Path) -> settings_module.Settings:
     loaded = settings_module.Settings.from_file(settings_file)
     if loaded.is_error():
-        for problem in loaded.error:
-            click.echo(f"{settings_file}: {problem}", err=True)
-        sys.exit(EXIT_INVALID)
+        lines = (f"{settings_file}: {problem}" for problem in loaded.error)
+        raise exits.failure(exits.Exit.USAGE, *lines)
     return loaded.ok
--- /dev/null
+++ b/src/yuccatally/core/config/changes.py
@@ -0,0 +1,262 @@
+"""Checks of a change as a whole set, and the order of its writes."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from yuccatally.core.config import configuration
+from yuccatally.core.config import merge
+from yuccatally.core.objects import kinds
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccatally.core import strict
+
+Key = tuple[str, str]
+
+# What others refer to is written first and deleted last.
+KIND_ORDER = (
+    "client_account",
+    "service",
+    "engine",
+    "model",
+    "pipeline",
+    "placement",
+    "routing_rule",
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """What an operator wants.
+
+    Attributes:
+        objects: New contents. A version above 0 is the version that the
+            operator saw, and the change is refused when it is another.
+        keep_labels: Objects whose present labels stay, by kind and name.
+        deleted: Objects to delete, by kind and name.
+        force: Whether models may be left without a whole pipeline.
+    """
+
+    objects: tuple[kinds.Object, ...] = ()
+    keep_labels: frozenset[Key] = frozenset()
+    deleted: tuple[Key, ...] = ()
+    force: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """A checked change.
+
+    Attributes:
+        writes: Writes in order; empty if there are problems or conflicts.
+        unchanged: Names of objects that are as wanted already.
+        problems: Why the change is refused.
+        conflicts: Objects that another operator changed.
+        warnings: What the operator should know although it is accepted.
+    """
+
+    writes: tuple[merge.Write, ...] = ()
+    unchanged: tuple[str, ...] = ()
+    problems: tuple[str, ...] = ()
+    conflicts: tuple[str, ...] = ()
+    warnings: tuple[str, ...] = ()
+
+
+def plan(current: Iterable[kinds.Object], change: Change) -> Plan:
+    """Checks a change against all objects and orders its writes.
+
+    Args:
+        current: Every object that the platform holds now.
+        change: What the operator wants.
+
+    Returns:
+        Writes in an order in which no model loses its last whole pipeline on
+        the way, or why the change is refused. Problems that existed before
+        do not refuse it.
+    """
+    before = {(o.kind, o.name): o for o in current}
+    wanted: dict[Key, kinds.Object | None] = {}
+    problems = [*_unusable(change, before)]
+    conflicts = []
+    for declared in change.objects:
+        key = (declared.kind, declared.name)
+        found = before.get(key)
+        if key in change.keep_labels and found is not None:
+            declared = dataclasses.replace(declared, labels=found.labels)
+        moved = declared.version and declared.version != _version(found)
+        # Equal content is what the operator wants, whoever wrote it; a
+        # change that is sent again after a lost reply ends here.
+        if moved and not _same(found, declared):
+            conflicts.append(
+                f"{'/'.join(key)}: you changed version {declared.version}, but "
+                f"it is at version {_version(found)} now; get it and apply "
+                "your change to that"
+            )
+        wanted[key] = declared
+    wanted.update(dict.fromkeys(change.deleted))
+    differing = {
+        key: declared
+        for key, declared in wanted.items()
+        if not _same(before.get(key), declared)
+    }
+    after = _after(before, differing)
+    problems += _new_problems(before.values(), after.values())
+    lost, planned = _lost_models(before, after)
+    warnings = [*planned, *(lost if change.force else ())]
+    if not change.force:
+        problems += [f"{text}; --force writes it all the same" for text in lost]
+    if problems or conflicts:
+        return Plan(problems=tuple(problems), conflicts=tuple(conflicts))
+    writes, on_the_way = _ordered(before, after, differing)
+    unchanged = tuple("/".join(k) for k in wanted if k not in differing)
+    return Plan(writes, unchanged, warnings=(*warnings, *on_the_way))
+
+
+def gaps(objects: Iterable[kinds.Object]) -> dict[str, str]:
+    """Returns the models without a whole pipeline, and why.
+
+    A pipeline is whole when it is for the model's version and at least one
+    declared engine matches the selector of each stage.
+    """
+    known = tuple(objects)
+    engines = [o for o in known if o.kind == "engine"]
+    pipelines = [o for o in known if o.kind == "pipeline"]
+    found = {}
+    for model in (o for o in known if o.kind == "model"):
+        reasons = [
+            _gap(p, model, engines)
+            for p in pipelines
+            if p.spec.model == model.name
+        ]
+        if not reasons:
+            found[model.name] = "no pipeline names it"
+        elif all(reasons):
+            found[model.name] = ", ".join(r for r in reasons if r)
+    return found
+
+
+def _gap(
+    pipeline: kinds.Object, model: kinds.Object, engines: list[kinds.Object]
+) -> str:
+    spec = pipeline.spec
+    if spec.version != model.spec.version:
+        return (
+            f"pipeline {pipeline.name!r} is for version {spec.version!r}, not "
+            f"{model.spec.version!r}"
+        )
+    for stage in spec.stages:
+        if not configuration.select(engines, stage.selector):
+            return (
+                f"pipeline {pipeline.name!r} has no engine for layers "
+                f"{stage.first_layer} to {stage.last_layer} "
+                f"({stage.selector!r})"
+            )
+    return ""
+
+
+def _unusable(change: Change, before: dict[Key, kinds.Object]) -> Iterable[str]:
+    keys = [(o.kind, o.name) for o in change.objects] + [*change.deleted]
+    if not keys:
+        yield "the change names no object"
+    for key in sorted({k for k in keys if keys.count(k) > 1}):
+        yield f"{'/'.join(key)}: is named more than once"
+    for key in change.deleted:
+        if key not in before:
+            yield f"{'/'.join(key)}: does not exist"
+
+
+def _new_problems(
+    before: Iterable[kinds.Object], after: Iterable[kinds.Object]
+) -> list[str]:
+    old: tuple[strict.Problem, ...] = kinds.check(before)
+    return [str(p) for p in kinds.check(after) if p not in old]
+
+
+def _lost_models(
+    before: dict[Key, kinds.Object], after: dict[Key, kinds.Object]
+) -> tuple[list[str], list[str]]:
+    """Returns models that lose service, and new ones still to be placed."""
+    old = gaps(before.values())
+    placed = {o.spec.model for o in after.values() if o.kind == "placement"}
+    lost = []
+    planned = []
+    for model, reason in gaps(after.values()).items():
+        if model in old:
+            continue
+        text = f"model {model!r} would have no whole pipeline: {reason}"
+        # A new model takes nobody's service away while it is being placed.
+        new = ("model", model) not in before
+        (planned if new and model in placed else lost).append(text)
+    return lost, planned
+
+
+def _ordered(
+    before: dict[Key, kinds.Object],
+    after: dict[Key, kinds.Object],
+    differing: dict[Key, kinds.Object | None],
+) -> tuple[tuple[merge.Write, ...], list[str]]:
+    """Puts the writes in an order that keeps models served on the way.
+
+    A write waits while it would leave a model without a whole pipeline that
+    has one both before and after the change. When only such writes are left,
+    the first is made nevertheless and the operator is warned.
+    """
+    served = {name for kind, name in before if kind == "model"}
+    served -= {*gaps(before.values()), *gaps(after.values())}
+    state = dict(before)
+    pending = sorted(differing, key=lambda k: _rank(k, differing[k]))
+    writes = []
+    warnings = []
+    while pending:
+        safe = next(
+            (
+                k
+                for k in pending
+                if k not in before  # an addition breaks nothing
+                or not _broken(_after(state, {k: differing[k]}), served)
+            ),
+            None,
+        )
+        key = pending[0] if safe is None else safe
+        pending.remove(key)
+        state = _after(state, {key: differing[key]})
+        if safe is None:
+            # The models of this warning are not protected any more.
+            models = ", ".join(sorted(_broken(state, served)))
+            warnings.append(
+                f"while the change is written, {models} has no whole pipeline; "
+                "add new engines or pipelines first to avoid this"
+            )
+            served -= _broken(state, served)
+        version = _version(before.get(key))
+        writes.append(merge.Write(*key, differing[key], version))
+    return tuple(writes), warnings
+
+
+def _broken(state: dict[Key, kinds.Object], served: set[str]) -> set[str]:
+    return served & set(gaps(state.values()))
+
+
+def _rank(key: Key, declared: kinds.Object | None) -> tuple[bool, int, Key]:
+    order = KIND_ORDER.index(key[0]) if key[0] in KIND_ORDER else -1
+    return (declared is None, -order if declared is None else order, key)
+
+
+def _after(
+    state: dict[Key, kinds.Object], edits: dict[Key, kinds.Object | None]
+) -> dict[Key, kinds.Object]:
+    merged = {**state, **edits}
+    return {k: o for k, o in merged.items() if o is not None}
+
+
+def _same(found: kinds.Object | None, wanted: kinds.Object | None) -> bool:
+    if found is None or wanted is None:
+        return found is wanted
+    return found.spec == wanted.spec and found.labels == wanted.labels
+
+
+def _version(found: kinds.Object | None) -> int:
+    return 0 if found is None else found.version
--- /dev/null
+++ b/src/yuccatally/core/config/merge.py
@@ -0,0 +1,167 @@
+"""Merge of concurrent label changes and recognition of own writes."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+import expression
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from yuccatally.core.objects import kinds
+
+
+@dataclasses.dataclass(frozen=True)
+class LabelEdit:
+    """Labels to set and to remove on one object."""
+
+    set: dict[str, str] = dataclasses.field(default_factory=dict)
+    removed: tuple[str, ...] = ()
+
+    def wanted(self) -> dict[str, str | None]:
+        """Returns the wanted value of each edited label, None if removed."""
+        return {**self.set, **dict.fromkeys(self.removed)}
+
+
+@dataclasses.dataclass(frozen=True)
+class LabelConflict:
+    """A label that another operator changed to something else.
+
+    Attributes:
+        key: The label.
+        base: Value that this operator's change started from; None if absent.
+        yours: Value that this operator wants; None to remove it.
+        theirs: Value now in force; None if absent.
+    """
+
+    key: str
+    base: str | None
+    yours: str | None
+    theirs: str | None
+
+    def __str__(self) -> str:
+        """Returns what happened and what the operator can do."""
+        shown = [
+            "absent" if value is None else repr(value)
+            for value in (self.base, self.theirs, self.yours)
+        ]
+        return (
+            f"label {self.key!r}: another operator changed it from {shown[0]} "
+            f"to {shown[1]} at the same time, so {shown[2]} was not written; "
+            "look at the object and repeat the command if it is still wanted"
+        )
+
+
+def merge_labels(
+    base: Mapping[str, str], edit: LabelEdit, theirs: Mapping[str, str]
+) -> expression.Result[dict[str, str], tuple[LabelConflict, ...]]:
+    """Applies an edit to labels that may have changed since it was made.
+
+    Args:
+        base: Labels that the edit was made on.
+        edit: The edit.
+        theirs: Labels as they are now.
+
+    Returns:
+        The merged labels, or each edited label that changed differently.
+
+    >>> edit = LabelEdit({"zone": "b"})
+    >>> merge_labels({"zone": "a"}, edit, {"zone": "a", "new": "x"}).ok
+    {'zone': 'b', 'new': 'x'}
+    >>> [c.theirs for c in merge_labels(
+    ...     {"zone": "a"}, edit, {"zone": "c"}).error]
+    ['c']
+    """
+    merged = dict(theirs)
+    conflicts = []
+    for key, yours in edit.wanted().items():
+        before, now = base.get(key), theirs.get(key)
+        if now not in (before, yours):
+            conflicts.append(LabelConflict(key, before, yours, now))
+        elif yours is None:
+            merged.pop(key, None)
+        else:
+            merged[key] = yours
+    if conflicts:
+        return expression.Error(tuple(conflicts))
+    return expression.Ok(merged)
+
+
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """One conditional write.
+
+    Attributes:
+        kind: Kind of the object.
+        name: Name of the object.
+        declared: New content; None to delete the object.
+        version: Version that the write depends on; 0 if it must not exist.
+    """
+
+    kind: str
+    name: str
+    declared: kinds.Object | None
+    version: int
+
+    def __str__(self) -> str:
+        """Returns ``KIND/NAME``."""
+        return f"{self.kind}/{self.name}"
+
+    def made(self, declared: kinds.Object | None) -> bool:
+        """Returns whether an object's state is what this write leaves."""
+        if declared is None or self.declared is None:
+            return declared is self.declared
+        return (
+            declared.version == self.version + 1
+            and declared.spec == self.declared.spec
+            and declared.labels == self.declared.labels
+        )
+
+
+class WriteState(enum.StrEnum):
+    """What is known of a write whose reply was lost.
+
+    ``PENDING`` means that it has not taken effect and still can.
+    """
+
+    APPLIED = "applied"
+    SUPERSEDED = "superseded"
+    PENDING = "pending"
+    FAILED = "failed"
+    UNDECIDED = "undecided"
+
+
+def recognise(
+    write: Write,
+    current: kinds.Object | None,
+    history: Iterable[kinds.Object | None] | None,
+) -> WriteState:
+    """Decides whether a write whose reply was lost took effect.
+
+    Versions are consecutive, so the state with the version after the
+    expected one is either this write or the write that made it fail.
+
+    Args:
+        write: The write.
+        current: The object as read back; None if it does not exist.
+        history: States of the object after the one that the write depends
+            on, in order, None for a deletion; None if the log has a gap.
+
+    Returns:
+        The state. A write with the same content by another operator counts
+        as this one: its effect is the same.
+    """
+    if write.made(current):
+        return WriteState.APPLIED
+    if history is not None and any(map(write.made, history)):
+        return WriteState.SUPERSEDED
+    version = 0 if current is None else current.version
+    if version == write.version:
+        # A delete and a new creation restart the versions, so that an equal
+        # version is only conclusive together with the complete history.
+        return WriteState.PENDING if history == () else WriteState.UNDECIDED
+    return WriteState.UNDECIDED if history is None else WriteState.FAILED
--- a/src/yuccatally/core/objects/kinds.py
+++ b/src/yuccatally/core/objects/kinds.py
@@ -15,6 +15,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
 
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 
@@ -61,7 +63,11 @@
     def __str__(self) -> str:
         """Returns every problem, separated by semicolons."""
         listed = "; ".join(str(p) for p in self.problems)
-        return f"{self.kind}/{self.name}: {listed}"
+        return f"{self.label()}: {listed}"
+
+    def label(self) -> str:
+        """Returns ``KIND/NAME``, shortened."""
+        return f"{self.kind:.64}/{self.name:.64}"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -134,9 +140,42 @@
                     problems.append(strict.Problem(key, message))
             case _:
                 pass
+    problems += _shared(known.values(), "engine", "address")
+    problems += _shared(known.values(), "client_account", "key_sha256")
     return tuple(problems)
 
 
+def check_labels(labels: Mapping[str, str]) -> Iterator[strict.Problem]:
+    """Yields each label whose key or value has a form that is not allowed."""
+    for key, value in labels.items():
+        for text in (key, value):
+            if not selectors.LABEL_PATTERN.fullmatch(text):
+                message = (
+                    f"{text!r} is not a label key or value: expected 1 to 63 "
+                    "letters, digits, '.', '_', '/' and '-'"
+                )
+                yield strict.Problem(f"labels.{key}", message)
+
+
+def _shared(
+    objects: Iterable[Object], kind: str, field: str
+) -> Iterable[strict.Problem]:
+    """Yields objects of a kind that share a value that must be unique.
+
+    An engine address that occurs twice would run a layer twice; a key of two
+    accounts would not say which account a caller belongs to.
+    """
+    seen: dict[str, str] = {}
+    for declared in sorted(objects, key=lambda o: o.name):
+        if declared.kind != kind:
+            continue
+        first = seen.setdefault(getattr(declared.spec, field), declared.name)
+        if first != declared.name:
+            message = f"is also the {field} of {kind}/{first}"
+            key = f"{kind}/{declared.name}.{field}"
+            yield strict.Problem(key, message)
+
+
 def _envelope_problems(envelope: _Envelope) -> Iterable[strict.Problem]:
     if envelope.kind not in SPEC_TYPES:
         known = ", ".join(sorted(SPEC_TYPES))
@@ -144,11 +183,7 @@
     if not NAME_PATTERN.fullmatch(envelope.name):
         message = "expected lower-case letters, digits and hyphens, at most 63"
         yield strict.Problem("name", message)
-    for key, value in envelope.labels.items():
-        for text in (key, value):
-            if not selectors.LABEL_PATTERN.fullmatch(text):
-                message = f"{text!r} is not a label key or value"
-                yield strict.Problem(f"labels.{key}", message)
+    yield from check_labels(envelope.labels)
 
 
 def _below_spec(
--- a/src/yuccatally/core/strict.py
+++ b/src/yuccatally/core/strict.py
@@ -4,16 +4,23 @@
 
 import dataclasses
 import difflib
+import tomllib
 import types
 import typing
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
 
 import expression
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 T = TypeVar("T")
 
+CHECK = "check"
+
 
 @dataclasses.dataclass(frozen=True)
 class Problem:
@@ -39,10 +46,14 @@
 
     Args:
         raw: Data as returned by a TOML or JSON decoder.
-        target: Frozen data class to build.
+        target: Frozen data class to build. A ``ValueError`` of its
+            ``__post_init__`` is a problem, and so are what the checks of
+            ``checked`` return and what a method ``problems``, if it has one,
+            yields as key and message.
 
     Returns:
-        The value, or every unknown key and the first wrong type.
+        The value, or every unknown key, missing key, wrong type and value
+        out of range.
 
     >>> @dataclasses.dataclass(frozen=True)
     ... class Listener:
@@ -52,44 +63,153 @@
     >>> [str(p) for p in convert({"prot": 1}, Listener).error]
     ["prot: unknown key, did you mean 'port'?", 'port: required key is missing']
     """
-    problems = list(_unknown_keys(raw, target, ""))
-    try:
-        value = msgspec.convert(raw, target)
-    except msgspec.ValidationError as error:
-        problems.append(_problem_from(str(error)))
-    except ValueError as error:
-        problems.append(Problem("", str(error)))
-    if problems:
-        return expression.Error(tuple(problems))
+    builder = _Builder()
+    value = builder.build(raw, target, "")
+    if builder.problems:
+        return expression.Error(tuple(builder.problems))
     return expression.Ok(value)
 
 
-def _unknown_keys(raw: Any, target: Any, path: str) -> typing.Iterator[Problem]:
-    for candidate in _data_classes(target):
+def checked(
+    check: Callable[[Any], str],
+    default: Any = dataclasses.MISSING,
+    secret: bool = False,
+) -> Any:
+    """Returns a field of a data class whose value ``convert`` checks.
+
+    Args:
+        check: Returns what is wrong with a value of the right type, else "".
+        default: Default of the field, which is not checked.
+        secret: Whether the value must not appear in the representation.
+    """
+    return dataclasses.field(
+        default=default, repr=not secret, metadata={CHECK: check}
+    )
+
+
+def decode_toml(content: bytes) -> expression.Result[dict[str, Any], Problem]:
+    """Decodes TOML; no input raises an exception."""
+    try:
+        return expression.Ok(tomllib.loads(content.decode()))
+    except UnicodeDecodeError as error:
+        message = f"is not UTF-8 at byte {error.start}"
+    except RecursionError:
+        message = "is not valid TOML: nested too deeply"
+    except ValueError as error:  # also integers of too many digits
+        message = f"is not valid TOML: {error}"
+    return expression.Error(Problem("", message))
+
+
+def decode_json(content: bytes) -> expression.Result[Any, Problem]:
+    """Decodes JSON; no input raises an exception."""
+    try:
+        return expression.Ok(msgspec.json.decode(content))
+    except RecursionError:
+        message = "is not valid JSON: nested too deeply"
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        message = f"is not valid JSON: {error}"
+    return expression.Error(Problem("", message))
+
+
+class _Builder:
+    """Builds values and collects the problems met on the way."""
+
+    def __init__(self) -> None:
+        self.problems: list[Problem] = []
+
+    def build(self, raw: Any, target: Any, path: str) -> Any:
+        data_class = _data_class(target)
+        if data_class is not None and not (raw is None and _optional(target)):
+            return self._object(raw, data_class, path)
+        element = _element_type(target)
+        if element is not None and isinstance(raw, list):
+            return tuple(
+                self.build(value, element, f"{path}[{index}]")
+                for index, value in enumerate(raw)
+            )
+        try:
+            return msgspec.convert(raw, target)
+        except msgspec.ValidationError as error:
+            self.problems.append(_problem_from(path, str(error)))
+        return None
+
+    def _object(self, raw: Any, target: Any, path: str) -> Any:
         if not isinstance(raw, dict):
-            return
-        hints = typing.get_type_hints(candidate)
-        for key, value in raw.items():
-            here = f"{path}.{key}" if path else str(key)
-            if key in hints:
-                yield from _unknown_keys(value, hints[key], here)
-                continue
+            found = type(raw).__name__
+            message = f"expected a table of keys, found {found}"
+            self.problems.append(Problem(path, message))
+            return None
+        before = len(self.problems)
+        hints = typing.get_type_hints(target)
+        self.problems += _unknown_keys(raw, hints, path)
+        values = {}
+        for field in dataclasses.fields(target):
+            here = _join(path, field.name)
+            if field.name in raw:
+                values[field.name] = self._field(
+                    raw[field.name], field, hints[field.name], here
+                )
+            elif _required(field):
+                self.problems.append(Problem(here, "required key is missing"))
+        if len(self.problems) > before:
+            return None
+        return self._checked(target, values, path)
+
+    def _field(
+        self, raw: Any, field: dataclasses.Field[Any], hint: Any, path: str
+    ) -> Any:
+        before = len(self.problems)
+        value = self.build(raw, hint, path)
+        check = field.metadata.get(CHECK)
+        message = check(value) if check and len(self.problems) == before else ""
+        if message:
+            self.problems.append(Problem(path, message))
+        return value
+
+    def _checked(self, target: Any, values: dict[str, Any], path: str) -> Any:
+        try:
+            value = target(**values)
+        except ValueError as error:
+            key, colon, message = str(error).partition(": ")
+            if colon and key in values:
+                self.problems.append(Problem(_join(path, key), message))
+            else:
+                self.problems.append(Problem(path, str(error)))
+            return None
+        checks = getattr(value, "problems", tuple)
+        self.problems += (
+            Problem(_join(path, key), message) for key, message in checks()
+        )
+        return value
+
+
+def _unknown_keys(
+    raw: dict[Any, Any], hints: dict[str, Any], path: str
+) -> typing.Iterator[Problem]:
+    for key in raw:
+        if key not in hints:
             close = difflib.get_close_matches(str(key), hints, n=1)
             hint = f", did you mean {close[0]!r}?" if close else ""
-            yield Problem(here, f"unknown key{hint}")
-        return
-    element = _element_type(target)
-    if element is not None and isinstance(raw, list):
-        for index, value in enumerate(raw):
-            yield from _unknown_keys(value, element, f"{path}[{index}]")
+            yield Problem(_join(path, str(key)), f"unknown key{hint}")
+
 
+def _required(field: dataclasses.Field[Any]) -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
 
-def _data_classes(target: Any) -> list[Any]:
+
+def _data_class(target: Any) -> Any:
     if dataclasses.is_dataclass(target):
-        return [target]
+        return target
     if isinstance(target, types.UnionType):
-        return [a for a in typing.get_args(target) if _data_classes(a)]
-    return []
+        return next(filter(_data_class, typing.get_args(target)), None)
+    return None
+
+
+def _optional(target: Any) -> bool:
+    return types.NoneType in typing.get_args(target)
 
 
 def _element_type(target: Any) -> Any:
@@ -98,13 +218,14 @@
     return None
 
 
-def _problem_from(text: str) -> Problem:
-    """Turns ``Expected `int` - at `$.port``` into key and message."""
-    message, _, path = text.partition(" - at `$")
-    key = path.rstrip("`").lstrip(".")
-    missing = "Object missing required field `"
-    if message.startswith(missing):
-        name = message.removeprefix(missing).rstrip("`")
-        key = f"{key}.{name}" if key else name
-        return Problem(key, "required key is missing")
-    return Problem(key, message[:1].lower() + message[1:])
+def _join(path: str, key: str) -> str:
+    return f"{path}.{key}" if path else key
+
+
+def _problem_from(path: str, text: str) -> Problem:
+    """Turns ``Expected `int` - at `$[0]``` into key and message."""
+    message, _, below = text.partition(" - at `$")
+    below = below.rstrip("`")
+    if below and not below.startswith(("[", ".")):
+        below = ""
+    return Problem(path + below, message[:1].lower() + message[1:])
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -24,6 +24,7 @@
 from yuccatally.instance import watch
 from yuccatally.operators import application as operators_application
 from yuccatally.store import http as http_store
+from yuccatally.store import once
 from yuccatally.telemetry import metrics
 from yuccatally.telemetry import traces
 
@@ -84,7 +85,9 @@
     async def run(self) -> None:
         """Serves until a drain has ended."""
         connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as self.session:
+        async with aiohttp.ClientSession(
+            connector=connector, middlewares=(once.send_once,)
+        ) as self.session:
             listeners = [
                 servers.Listener(
                     callers_application.application(self),
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import ipaddress
+import pathlib
 import re
-import tomllib
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,9 +14,92 @@
 from yuccatally.core import strict
 
 if TYPE_CHECKING:
-    import pathlib
+    from collections.abc import Callable
+    from collections.abc import Iterator
 
 ADDRESS_PATTERN = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}")
+SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
+NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+MIN_SECRET_LENGTH = 16
+SETTINGS_BYTES = 65_536
+
+Finding = tuple[str, str]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits ``IP:PORT``.
+
+    Raises:
+        ValueError: The address has another form.
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    if not ADDRESS_PATTERN.fullmatch(address):
+        raise ValueError(f"expected IP:PORT, found {address!r}")
+    host, _, port = address.rpartition(":")
+    if not 0 < int(port) < 65_536:
+        raise ValueError(f"port of {address!r} is out of range")
+    host = host.strip("[]")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"{host!r} is not an IP address") from None
+    return host, int(port)
+
+
+def _address(value: str) -> str:
+    try:
+        host, _ = split_address(value)
+    except ValueError as error:
+        return str(error)
+    if ipaddress.ip_address(host).is_unspecified:
+        return f"{host} cannot be announced; name one address of this host"
+    return ""
+
+
+def _name(value: str) -> str:
+    if NAME_PATTERN.fullmatch(value):
+        return ""
+    return "expected 1 to 63 lower-case letters, digits and hyphens"
+
+
+def _log_level(value: str) -> str:
+    known = ", ".join(LOG_LEVELS)
+    return "" if value in LOG_LEVELS else f"expected one of {known}"
+
+
+def _digest(value: str) -> str:
+    if not value or SHA256_PATTERN.fullmatch(value):
+        return ""
+    return "expected 64 lower-case hexadecimal digits"
+
+
+def _secret(value: str) -> str:
+    if not value or len(value) >= MIN_SECRET_LENGTH:
+        return ""
+    return f"expected at least {MIN_SECRET_LENGTH} characters"
+
+
+def _file(value: str) -> str:
+    try:
+        if value:
+            with pathlib.Path(value).open("rb"):
+                pass
+    except (OSError, ValueError) as error:
+        return f"cannot be read: {error}"
+    return ""
+
+
+def _range(low: float, high: float) -> Callable[[float], str]:
+    def check(value: float) -> str:
+        # Written so that NaN, which compares false to everything, is refused.
+        if low <= value <= high:
+            return ""
+        return f"must be from {low} to {high}, found {value}"
+
+    return check
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,41 +110,62 @@
         name: Unique name.
         data_centre: Data centre it runs in.
         region: Region of the data centre.
+        log_level: Lowest level that is logged.
     """
 
-    name: str
-    data_centre: str
-    region: str = "default"
+    name: str = strict.checked(_name)
+    data_centre: str = strict.checked(_name)
+    region: str = strict.checked(_name, "default")
+    log_level: str = strict.checked(_log_level, "info")
 
 
 @dataclasses.dataclass(frozen=True)
 class ListenerSettings:
-    """A listener.
+    """An HTTP listener.
 
     Attributes:
         address: ``IP:PORT`` to listen on and to announce.
+        certificate_file: PEM certificate chain; empty for plain HTTP.
+        key_file: PEM private key of the certificate.
     """
 
-    address: str
+    address: str = strict.checked(_address)
+    certificate_file: str = strict.checked(_file, "")
+    key_file: str = strict.checked(_file, "")
 
-    def __post_init__(self) -> None:
-        split_address(self.address)
+    def problems(self) -> Iterator[Finding]:
+        """Yields what is wrong with the combination of values."""
+        if self.certificate_file and not self.key_file:
+            yield "key_file", "is required because certificate_file is set"
+        if self.key_file and not self.certificate_file:
+            yield "certificate_file", "is required because key_file is set"
 
 
 @dataclasses.dataclass(frozen=True)
-class OperatorsSettings:
+class OperatorsSettings(ListenerSettings):
     """The operators' listener.
 
     Attributes:
-        address: ``IP:PORT`` to listen on.
         key_sha256: SHA-256 of the operators' key; empty disables the check.
+        authority_file: PEM certificates that other instances' operators'
+            listeners are verified against; empty for those of the system.
     """
 
-    address: str
-    key_sha256: str = ""
+    key_sha256: str = strict.checked(_digest, "")
+    authority_file: str = strict.checked(_file, "")
 
-    def __post_init__(self) -> None:
-        split_address(self.address)
+
+@dataclasses.dataclass(frozen=True)
+class PeersSettings:
+    """The listener for other instances.
+
+    Attributes:
+        address: ``IP:PORT`` to listen on and to announce.
+        key: Secret that all instances of a site share; empty for none.
+    """
+
+    address: str = strict.checked(_address)
+    key: str = strict.checked(_secret, "", secret=True)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,13 +177,8 @@
         watch_wait_s: Longest wait of one watch call, in seconds.
     """
 
-    address: str
-    watch_wait_s: float = 10.0
-
-    def __post_init__(self) -> None:
-        split_address(self.address)
-        if not 0.1 <= self.watch_wait_s <= 300:
-            raise ValueError("watch_wait_s: must be from 0.1 to 300")
+    address: str = strict.checked(_address)
+    watch_wait_s: float = strict.checked(_range(0.1, 300), 10.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,11 +187,21 @@
 
     Attributes:
         body_bytes: Longest request body, in bytes.
+        header_bytes: Longest request line and headers together, in bytes.
+        header_timeout_s: Longest time from the first byte of a request, or
+            from the connection, to the end of its headers, in seconds.
+        body_timeout_s: Longest time from the end of the headers to the end
+            of the body, in seconds.
         request_timeout_s: Deadline of a request that states none, in seconds.
+        connections: Most open connections of one listener.
     """
 
-    body_bytes: int = 1_048_576
-    request_timeout_s: float = 60.0
+    body_bytes: int = strict.checked(_range(1_024, 67_108_864), 1_048_576)
+    header_bytes: int = strict.checked(_range(1_024, 1_048_576), 32_768)
+    header_timeout_s: float = strict.checked(_range(0.1, 600), 10.0)
+    body_timeout_s: float = strict.checked(_range(0.1, 3_600), 60.0)
+    request_timeout_s: float = strict.checked(_range(0.1, 3_600), 60.0)
+    connections: int = strict.checked(_range(16, 1_000_000), 8_192)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,7 +235,7 @@
     instance: InstanceSettings
     callers: ListenerSettings
     operators: OperatorsSettings
-    peers: ListenerSettings
+    peers: PeersSettings
     platform: PlatformSettings
     limits: LimitsSettings = LimitsSettings()
     routing: RoutingSettings = RoutingSettings()
@@ -140,50 +250,54 @@
             The settings, or every problem found.
         """
         converted = strict.convert(table, cls)
-        if converted.is_error():
+        clashes = tuple(_clashes(table))
+        if not clashes:
             return converted
-        clashes = tuple(_clashes(converted.ok))
-        return expression.Error(clashes) if clashes else converted
+        others = converted.error if converted.is_error() else ()
+        return expression.Error((*others, *clashes))
 
     @classmethod
     def from_file(
         cls, path: pathlib.Path
     ) -> expression.Result[Settings, tuple[strict.Problem, ...]]:
         """Reads and checks a TOML file."""
-        try:
-            table = tomllib.loads(path.read_text())
-        except (OSError, UnicodeDecodeError) as error:
-            return expression.Error((strict.Problem("", str(error)),))
-        except tomllib.TOMLDecodeError as error:
-            problem = strict.Problem("", f"not valid TOML: {error}")
-            return expression.Error((problem,))
-        return cls.from_config(table)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Splits ``IP:PORT``.
-
-    Raises:
-        ValueError: The address has another form.
-
-    >>> split_address("127.0.0.1:80")
-    ('127.0.0.1', 80)
+        loaded = read_toml(path, SETTINGS_BYTES)
+        if loaded.is_error():
+            return expression.Error((loaded.error,))
+        return cls.from_config(loaded.ok)
+
+
+def read_toml(
+    path: pathlib.Path, limit_bytes: int
+) -> expression.Result[dict[str, Any], strict.Problem]:
+    """Reads a TOML file of bounded length."""
+    try:
+        with path.open("rb") as opened:
+            content = opened.read(limit_bytes + 1)
+    except OSError as error:
+        message = f"cannot be read: {error.strerror or error}"
+        return expression.Error(strict.Problem("", message))
+    if len(content) > limit_bytes:
+        message = f"is longer than {limit_bytes} bytes"
+        return expression.Error(strict.Problem("", message))
+    return strict.decode_toml(content)
+
+
+def _clashes(table: Any) -> Iterator[strict.Problem]:
+    """Yields addresses that are used twice.
+
+    Works on the decoded table, so that clashes are reported together with
+    problems that keep the settings from being built.
     """
-    if not ADDRESS_PATTERN.fullmatch(address):
-        raise ValueError(f"address: expected IP:PORT, found {address!r}")
-    host, _, port = address.rpartition(":")
-    if not 0 < int(port) < 65_536:
-        raise ValueError(f"address: port of {address!r} is out of range")
-    return host.strip("[]"), int(port)
-
-
-def _clashes(settings: Settings) -> list[strict.Problem]:
     seen: dict[str, str] = {}
-    problems = []
+    if not isinstance(table, dict):
+        return
     for key in ("callers", "operators", "peers", "platform"):
-        address = getattr(settings, key).address
+        section = table.get(key)
+        address = section.get("address") if isinstance(section, dict) else None
+        if not isinstance(address, str):
+            continue
         if address in seen:
             message = f"{address} is also used by {seen[address]}.address"
-            problems.append(strict.Problem(f"{key}.address", message))
+            yield strict.Problem(f"{key}.address", message)
         seen.setdefault(address, key)
-    return problems
--- a/src/yuccatally/store/client.py
+++ b/src/yuccatally/store/client.py
@@ -50,6 +50,11 @@
     deleted: bool = False
 
 
+def raw(stored: Stored) -> dict[str, Any]:
+    """Returns a stored object in the form that ``kinds.decode`` takes."""
+    return {k: v for k, v in vars(stored).items() if k != "deleted"}
+
+
 @dataclasses.dataclass(frozen=True)
 class Listing:
     """Objects or changes, with the revision they lead to."""
--- a/src/yuccatally/store/http.py
+++ b/src/yuccatally/store/http.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from yuccatally.store import client
+from yuccatally.store import once
 
 CALL_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 2.0
@@ -81,7 +82,7 @@
     ) -> dict[str, Any]:
         self.calls += 1
         if self.session is None:
-            self.session = aiohttp.ClientSession()
+            self.session = aiohttp.ClientSession(middlewares=(once.send_once,))
         try:
             async with self.session.request(
                 method,
--- a/src/yuccatally/telemetry/logs.py
+++ b/src/yuccatally/telemetry/logs.py
@@ -4,12 +4,37 @@
 
 import logging
 import sys
+from typing import TYPE_CHECKING
+from typing import Any
 
 import structlog
 
-_LIBRARY_FORMAT = (
-    "timestamp=%(asctime)s level=%(levelname)s event=library "
-    "logger=%(name)s message=%(message)r"
+if TYPE_CHECKING:
+    from collections.abc import MutableMapping
+
+REDACTED = "[redacted]"
+MAX_VALUE_LENGTH = 2_000
+
+# Names under which secrets or the texts of callers would be logged. A log
+# line that needs such a value states its length or digest instead.
+SECRET_NAMES = frozenset(
+    {
+        "authorization",
+        "body",
+        "content",
+        "headers",
+        "key",
+        "messages",
+        "prompt",
+        "text",
+        "token",
+        "tokens_so_far",
+        "values",
+    }
+)
+
+_RENDERER = structlog.processors.LogfmtRenderer(
+    key_order=["timestamp", "level", "instance", "event"]
 )
 
 
@@ -20,11 +45,9 @@
         instance: Name that each line carries.
         level: Lowest level that is written.
     """
-    logging.basicConfig(
-        stream=sys.stderr,
-        level=logging.WARNING,
-        format=_LIBRARY_FORMAT,
-    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(LibraryFormatter(instance))
+    logging.basicConfig(handlers=[handler], level=logging.WARNING, force=True)
     threshold = logging.getLevelNamesMapping()[level.upper()]
     structlog.configure(
         processors=[
@@ -32,11 +55,55 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(
-                key_order=["timestamp", "level", "instance", "event"]
-            ),
+            redact,
+            render,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(threshold),
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
     )
     structlog.contextvars.bind_contextvars(instance=instance)
+
+
+def redact(
+    logger: Any, method: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Removes values that must not be logged and shortens long ones."""
+    for name, value in event.items():
+        if name.lower() in SECRET_NAMES or isinstance(value, bytes):
+            event[name] = REDACTED
+        elif isinstance(value, str) and len(value) > MAX_VALUE_LENGTH:
+            event[name] = value[:MAX_VALUE_LENGTH] + "..."
+    return event
+
+
+def render(logger: Any, method: str, event: MutableMapping[str, Any]) -> str:
+    """Returns one line, whatever characters the values hold."""
+    line = _RENDERER(logger, method, event)
+    if line.isprintable():
+        return line
+    return "".join(
+        c if c.isprintable() else c.encode("unicode_escape").decode()
+        for c in line
+    )
+
+
+class LibraryFormatter(logging.Formatter):
+    """Formats log records of libraries as one line of key=value pairs."""
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self.instance = instance
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the record as one line."""
+        event: dict[str, Any] = {
+            "timestamp": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "level": record.levelname.lower(),
+            "instance": self.instance,
+            "event": "library",
+            "logger": record.name,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            event["exception"] = self.formatException(record.exc_info)
+        return render(None, "", redact(None, "", event))
--- a/src/yuccatally/telemetry/metrics.py
+++ b/src/yuccatally/telemetry/metrics.py
@@ -3,17 +3,47 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from typing import TYPE_CHECKING
 
 from hdrh import histogram
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from yuccatally.core.requests import ledger
 
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (0.5, 0.95, 0.99)
+PREFIX = "yuccatally"
+
+# Bounds the memory and the length of the text when a label comes from
+# outside, for example from a path.
+LABELS_PER_COUNTER = 256
+OTHER_LABEL = "other"
+
+HELP = {
+    "requests": "Requests by state; accepted is the sum of all others.",
+    "refusals": "Requests that were not answered, by reason.",
+    "step_frames": "Frames sent to engines.",
+    "step_items": "Step items sent to engines.",
+    "results_dropped": "Results of engines that matched no outstanding item.",
+    "attempts_abandoned": "Attempts that went on over another route.",
+    "request": "Time from the acceptance of a request to its outcome.",
+    "first_token": "Time from the acceptance to the first token of a stream.",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Latency:
+    """Quantiles of one histogram, in seconds."""
+
+    count: int
+    p50_s: float
+    p95_s: float
+    p99_s: float
 
 
 class Metrics:
@@ -21,9 +51,11 @@
 
     def __init__(self) -> None:
         self.histograms: dict[str, histogram.HdrHistogram] = {}
+        self.sums_s: collections.Counter[str] = collections.Counter()
         self.counters: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self.label_counts: collections.Counter[str] = collections.Counter()
 
     def observe(self, name: str, seconds: float) -> None:
         """Records a duration in seconds."""
@@ -33,31 +65,91 @@
                 LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
             )
             self.histograms[name] = found
-        found.record_value(max(LOWEST_US, int(seconds * 1e6)))
+        # Longer durations are recorded as the highest that is tracked.
+        micros = min(max(LOWEST_US, int(seconds * 1e6)), HIGHEST_US)
+        found.record_value(micros)
+        self.sums_s[name] += seconds
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
-        """Adds to a counter."""
-        self.counters[(name, label)] += amount
+        """Adds to a counter; labels beyond a bound share one counter."""
+        key = (name, label)
+        if key not in self.counters:
+            if self.label_counts[name] >= LABELS_PER_COUNTER:
+                key = (name, OTHER_LABEL)
+            else:
+                self.label_counts[name] += 1
+        self.counters[key] += amount
+
+    def by_label(self, name: str) -> dict[str, int]:
+        """Returns the counters of one name by label."""
+        return {
+            label: value
+            for (found, label), value in sorted(self.counters.items())
+            if found == name
+        }
+
+    def latencies(self) -> dict[str, Latency]:
+        """Returns quantiles of every histogram by name."""
+        return {
+            name: Latency(
+                found.get_total_count(),
+                *(_quantile_s(found, q) for q in QUANTILES),
+            )
+            for name, found in sorted(self.histograms.items())
+        }
 
     def text(self, totals: ledger.Totals) -> str:
-        """Returns everything in the Prometheus text format."""
+        """Returns everything in the Prometheus text format 0.0.4."""
         lines = [
-            f'yuccatally_requests{{state="{state}"}} {value}'
-            for state, value in (
-                ("accepted", totals.accepted),
-                ("answered", totals.answered),
-                ("not-run", totals.not_run),
-                ("unknown", totals.unknown),
-                ("in-flight", totals.in_flight),
-            )
+            *_requests(totals),
+            *self._counter_lines(),
+            *self._summary_lines(),
         ]
+        return "\n".join(lines) + "\n"
+
+    def _counter_lines(self) -> Iterator[str]:
+        previous = ""
         for (name, label), value in sorted(self.counters.items()):
-            labels = f'{{label="{label}"}}' if label else ""
-            lines.append(f"yuccatally_{name}_total{labels} {value}")
+            metric = f"{PREFIX}_{name}_total"
+            if name != previous:
+                yield from _head(metric, name, "counter")
+                previous = name
+            labels = f'{{label="{escape(label)}"}}' if label else ""
+            yield f"{metric}{labels} {value}"
+
+    def _summary_lines(self) -> Iterator[str]:
         for name, found in sorted(self.histograms.items()):
-            metric = f"yuccatally_{name}_seconds"
+            metric = f"{PREFIX}_{name}_seconds"
+            yield from _head(metric, name, "summary")
             for quantile in QUANTILES:
-                value = found.get_value_at_percentile(quantile * 100) / 1e6
-                lines.append(f'{metric}{{quantile="{quantile}"}} {value}')
-            lines.append(f"{metric}_count {found.get_total_count()}")
-        return "\n".join(lines) + "\n"
+                value = _quantile_s(found, quantile)
+                yield f'{metric}{{quantile="{quantile}"}} {value}'
+            yield f"{metric}_sum {self.sums_s[name]:.6f}"
+            yield f"{metric}_count {found.get_total_count()}"
+
+
+def escape(label: str) -> str:
+    r"""Returns a label value as the text format wants it.
+
+    >>> print(escape('a"b'))
+    a\"b
+    """
+    return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def _requests(totals: ledger.Totals) -> Iterator[str]:
+    metric = f"{PREFIX}_requests"
+    yield from _head(metric, "requests", "gauge")
+    for field in dataclasses.fields(totals):
+        state = field.name.replace("_", "-")
+        yield f'{metric}{{state="{state}"}} {getattr(totals, field.name)}'
+
+
+def _head(metric: str, name: str, kind: str) -> Iterator[str]:
+    text = HELP.get(name, f"{name.replace('_', ' ').capitalize()}.")
+    yield f"# HELP {metric} {text}"
+    yield f"# TYPE {metric} {kind}"
+
+
+def _quantile_s(found: histogram.HdrHistogram, quantile: float) -> float:
+    return found.get_value_at_percentile(quantile * 100) / 1e6
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 
 import hypothesis
 import pytest
+import structlog
 
 from yuccatally_standins import site
 
@@ -81,3 +82,11 @@
         yield started
     finally:
         started.stop()
+
+
+@pytest.fixture(autouse=True)
+def quiet_logs() -> Iterator[None]:
+    """Keeps log lines of instances in this process out of the output."""
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+    yield
+    structlog.reset_defaults()
