Refuse deeply nested bodies and frames and large token ids

Cause: Tests of every decoder found that a deeply nested body ended as an internal error with outcome unknown, that a token id above 64 bits could not be encoded for an engine, and that a deeply nested frame ended the task that answers other instances; sixteen such frames would have ended all of them.

Change: The decoders of callers' bodies and of peers' frames treat the recursion limit as a malformed message; token ids and max_tokens are bounded.

Conclusion: no input of the tables or of hypothesis raises an undeclared error.

--- a/src/yuccatally/callers/completions.py
+++ b/src/yuccatally/callers/completions.py
@@ -26,6 +26,7 @@
     from yuccatally.instance import instance
 
 DEFAULT_MAX_TOKENS = 64
+MAX_TOKEN_ID = 2**31 - 1  # larger numbers do not fit into frames to engines
 
 
 @dataclasses.dataclass(frozen=True)
@@ -296,8 +297,11 @@
     if not prompt:
         raise MalformedError("the prompt is empty")
     limit = DEFAULT_MAX_TOKENS if max_tokens is None else max_tokens
-    if limit < 1:
-        raise MalformedError("max_tokens: must be at least 1")
+    if not 1 <= limit <= MAX_TOKEN_ID:
+        raise MalformedError(f"max_tokens: must be from 1 to {MAX_TOKEN_ID}")
+    if not all(0 <= token <= MAX_TOKEN_ID for token in prompt):
+        message = f"prompt: token ids must be from 0 to {MAX_TOKEN_ID}"
+        raise MalformedError(message)
     options = raw.stream_options or messages.StreamOptions()
     return Asked(
         raw.model, prompt, limit, raw.stream, options.include_usage, chat
@@ -309,6 +313,8 @@
         return msgspec.json.decode(body, type=target)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise MalformedError(str(error)) from error
+    except RecursionError as error:
+        raise MalformedError("the body is nested too deeply") from error
 
 
 def _require_plain(n: int | None, stop: Any) -> None:
--- a/src/yuccatally/peers/transport.py
+++ b/src/yuccatally/peers/transport.py
@@ -273,7 +273,7 @@
                 return _refusal(frame.kind, "unknown message type")
             message_type, handler = self.handlers[frame.kind]
             message = msgspec.msgpack.decode(frame.body, type=message_type)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return _refusal("", f"not a valid message: {error}")
         try:
             reply = handler(message)
@@ -307,5 +307,5 @@
         if frame.error:
             raise PeerError(f"{kind}: {frame.error}")
         return msgspec.msgpack.decode(frame.body, type=reply_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise PeerError(f"{kind}: reply not understood: {error}") from error
--- /dev/null
+++ b/tests/core/test_decoders.py
@@ -0,0 +1,200 @@
+"""No input makes a decoder raise anything but its declared error."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from yuccatally.callers import completions
+from yuccatally.core import selectors
+from yuccatally.core import strict
+from yuccatally.core.claims import book
+from yuccatally.core.objects import documents
+from yuccatally.core.objects import kinds
+from yuccatally.peers import transport
+from yuccatally.settings import settings
+from yuccatally.upstreams import engines
+
+DEPTH = 100_000
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+NASTY_JSON = (
+    b"",
+    b"\xff",
+    b"[" * DEPTH,
+    b'{"a":' * DEPTH,
+    b'{"model":"m","messages":[{"role":"u","content":[{"a":'
+    + b"[" * DEPTH
+    + b"]" * DEPTH
+    + b"}]}]}",
+    b'{"model":"m","prompt":"\\ud800"}',
+    b'{"model":"m","prompt":[1' + b"0" * 50 + b"]}",
+    b'{"model":"m","prompt":[-1]}',
+    b'{"model":"m","prompt":"x","max_tokens":1' + b"0" * 30 + b"}",
+)
+NASTY_MSGPACK = (
+    b"",
+    b"\xc1",
+    b"\x91" * DEPTH,
+    b"\xdd\xff\xff\xff\xff",
+    b"\x92\xa1\xff\x90",
+    msgspec.msgpack.encode(["probe", b"x"])[:-3],
+)
+VALID = {
+    "engine": {"address": "127.0.0.1:1", "data_centre": "north"},
+    "service": {"addresses": ["127.0.0.1:1"], "data_centre": "north"},
+    "model": {"layers": 4, "version": "v1"},
+    "pipeline": {
+        "model": "m",
+        "version": "v1",
+        "stages": [{"first_layer": 0, "last_layer": 4, "selector": "a=b"}],
+    },
+    "placement": {"model": "m", "version": "v1", "selector": "a=b"},
+    "routing_rule": {"service": "s", "methods": ["GET"]},
+    "client_account": {"key_sha256": "0" * 64, "weight": 2},
+}
+SETTINGS = {
+    "instance": {"name": "i1", "data_centre": "north"},
+    "callers": {"address": "127.0.0.1:1"},
+    "operators": {"address": "127.0.0.1:2"},
+    "peers": {"address": "127.0.0.1:3"},
+    "platform": {"address": "127.0.0.1:4"},
+}
+
+
+def leaves(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    found = [path] if path else []
+    keys: Any = ()
+    if isinstance(value, dict):
+        keys = value
+    elif isinstance(value, list):
+        keys = range(len(value))
+    for key in keys:
+        found += leaves(value[key], (*path, key))
+    return found
+
+
+def altered(data: st.DataObject, valid: Any) -> Any:
+    """Returns a copy with one value replaced by any other."""
+    changed = copy.deepcopy(valid)
+    *parents, last = data.draw(st.sampled_from(leaves(valid)))
+    target = changed
+    for key in parents:
+        target = target[key]
+    target[last] = data.draw(VALUES)
+    return changed
+
+
+@given(st.data())
+@hypothesis_settings(deadline=None)
+def test_objects_and_settings_never_raise(data: st.DataObject) -> None:
+    """Guards against an object or file that stops an instance or command."""
+    kind = data.draw(st.sampled_from(sorted(VALID)))
+    valid = {"kind": kind, "name": "n", "labels": {"a": "b"}, "version": 1}
+    raw = altered(data, {**valid, "spec": VALID[kind]})
+    assert sorted(VALID) == sorted(kinds.SPEC_TYPES)
+    decoded = kinds.decode(raw)
+    if decoded.is_ok():
+        kinds.check([decoded.ok])
+        encoded = msgspec.json.decode(msgspec.json.encode(decoded.ok))
+        assert kinds.decode(encoded).ok == decoded.ok
+    else:
+        assert all(str(p) for p in decoded.error.problems)
+    documents.decode_all([raw])
+    assert settings.Settings.from_config(SETTINGS).is_ok()
+    settings.Settings.from_config(altered(data, SETTINGS))
+    kinds.decode(data.draw(VALUES))
+    settings.Settings.from_config(data.draw(VALUES))
+
+
+@given(st.binary(max_size=200), st.text(max_size=60))
+def test_text_formats_never_raise(content: bytes, text: str) -> None:
+    """Guards against bytes that end in a traceback."""
+    documents.parse(content, toml=True)
+    documents.parse(content, toml=False)
+    documents.parse(text.encode("utf-8", "surrogatepass"), toml=True)
+    documents.key_of(text)
+    parsed = selectors.parse(text)
+    if parsed.is_error():
+        assert 0 <= parsed.error.offset <= len(text)
+
+
+def check_completions(content: bytes) -> None:
+    for parse in (completions.parse_completion, completions.parse_chat):
+        try:
+            asked = parse(content)
+        except completions.MalformedError:
+            continue
+        # What is accepted can be encoded for an engine.
+        msgspec.msgpack.encode((list(asked.prompt), asked.max_tokens))
+        assert all(0 <= token < 2**32 for token in asked.prompt)
+
+
+@pytest.mark.parametrize("content", NASTY_JSON, ids=range(len(NASTY_JSON)))
+def test_nasty_json_is_refused(content: bytes) -> None:
+    """Guards against depth, encodings and numbers that break an instance."""
+    check_completions(content)
+    assert strict.decode_json(b"[" * DEPTH).is_error()
+    documents.parse(content, toml=False)
+
+
+@given(st.data())
+@hypothesis_settings(deadline=None)
+def test_callers_bodies_are_refused_as_malformed(data: st.DataObject) -> None:
+    """Guards against a body that ends as an internal error."""
+    completion = {"model": "m", "prompt": "x", "max_tokens": 3, "n": 1}
+    chat = {
+        "model": "m",
+        "messages": [{"role": "u", "content": [{"type": "text", "text": "x"}]}],
+    }
+    for valid in (completion, chat):
+        check_completions(msgspec.json.encode(altered(data, valid)))
+
+
+class Note(msgspec.Struct, array_like=True, frozen=True):
+    """A message between instances."""
+
+    text: str
+    numbers: list[int]
+
+
+def check_frames(content: bytes) -> None:
+    peers = transport.PeerTransport("127.0.0.1:1")
+    peers.register(Note, lambda note: note)
+    framed = msgspec.msgpack.encode(["Note", msgspec.Raw(content), ""])
+    for raw in (content, framed):
+        reply = asyncio.run(peers._handle(raw))
+        msgspec.msgpack.decode(reply)
+        with contextlib.suppress(transport.PeerError):
+            transport._decode_reply("Note", Note, raw)
+        # The reading task closes the link on any error of the decoder.
+        with contextlib.suppress(msgspec.DecodeError, RecursionError):
+            engines._decoder.decode(raw)
+    with contextlib.suppress(msgspec.DecodeError):
+        msgspec.json.decode(content[:1000], type=book.Bucket)
+
+
+@pytest.mark.parametrize(
+    "content", NASTY_MSGPACK, ids=range(len(NASTY_MSGPACK))
+)
+def test_nasty_frames_are_refused(content: bytes) -> None:
+    """Guards against a frame that ends the task that answers peers."""
+    check_frames(content)
+
+
+@given(st.binary(max_size=100))
+@hypothesis_settings(deadline=None, max_examples=60)
+def test_frames_never_raise(content: bytes) -> None:
+    """Guards against a frame that ends the task that answers peers."""
+    check_frames(content)
