Make engines hold what placements declare

Cause: placements were declared but nothing carried them out. Change: a control loop on every instance; each placement has a lease of its own in the platform, its holder reads what engines hold, and gives orders under the lease's fencing number or writes pipeline and model objects. Background tasks that end with an error are logged. Tests: a roll to a new version with the lease's holder killed or paused past its term, with engines that check fencing numbers and engines that ignore them, under load on the other instances; the store of weights away during a roll. Red with the wait for whole pipelines removed: an answer became not-run. Conclusion: no request was cut and the old version served until the switch. Roles and adapters are not built.

--- /dev/null
+++ b/src/yuccatally/core/control/targets.py
@@ -0,0 +1,138 @@
+"""Translation between placements, plans, pipeline objects and control."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import xxhash
+
+from yuccatally.core.control import states
+from yuccatally.core.placement import objects
+from yuccatally.core.placement import planner
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccatally.core.config import configuration
+    from yuccatally.core.objects import kinds
+    from yuccatally.core.placement import rates
+
+PLACEMENT_LABEL = "placement"
+NUMBER_LABEL = "number"
+_BY_NAME = "name="
+
+
+def desired(
+    placement: kinds.Object,
+    config: configuration.Configuration,
+    links: rates.Links,
+    declared: Iterable[states.Pipeline],
+) -> tuple[states.Desired, planner.Plan] | None:
+    """Returns what a placement asks for.
+
+    Args:
+        placement: Object of kind ``placement``.
+        config: Objects in force.
+        links: Links between data centres.
+        declared: Pipelines of the placement that are declared now.
+
+    Returns:
+        The targets and the plan with its reasons, None if the model is not
+        declared.
+    """
+    previous = _previous(declared)
+    plan = objects.plan_for(placement, config, links, previous=previous)
+    if plan is None:
+        return None
+    spec = placement.spec
+    pipelines = tuple(
+        states.Pipeline(
+            pipeline_name(placement.name, p.number, spec.version),
+            spec.model,
+            spec.version,
+            tuple(
+                states.Stage(
+                    s.engine,
+                    states.Range(
+                        spec.model, spec.version, s.first_layer, s.last_layer
+                    ),
+                )
+                for s in p.stages
+            ),
+        )
+        for p in plan.pipelines
+    )
+    target = states.Desired(placement.name, spec.model, spec.version, pipelines)
+    return target, plan
+
+
+def pipeline_name(placement: str, number: int, version: str) -> str:
+    """Returns the name of a pipeline object.
+
+    A version is free text, so a digest stands for it.
+    """
+    digest = xxhash.xxh32_hexdigest(version.encode())
+    return f"{placement[:48]}-{number}-{digest}"
+
+
+def declared_pipelines(
+    placement: str, found: Iterable[kinds.Object]
+) -> tuple[states.Pipeline, ...]:
+    """Returns the pipelines that control declared for a placement."""
+    return tuple(
+        states.Pipeline(
+            o.name,
+            o.spec.model,
+            o.spec.version,
+            tuple(
+                states.Stage(
+                    s.selector.removeprefix(_BY_NAME),
+                    states.Range(
+                        o.spec.model,
+                        o.spec.version,
+                        s.first_layer,
+                        s.last_layer,
+                    ),
+                )
+                for s in o.spec.stages
+            ),
+        )
+        for o in found
+        if o.kind == "pipeline" and o.labels.get(PLACEMENT_LABEL) == placement
+    )
+
+
+def pipeline_spec(pipeline: states.Pipeline) -> dict[str, Any]:
+    """Returns the specification of a pipeline object."""
+    return {
+        "model": pipeline.model,
+        "version": pipeline.version,
+        "stages": [
+            {
+                "selector": f"{_BY_NAME}{s.engine}",
+                "first_layer": s.range.first_layer,
+                "last_layer": s.range.last_layer,
+            }
+            for s in pipeline.stages
+        ],
+    }
+
+
+def _previous(declared: Iterable[states.Pipeline]) -> planner.Plan | None:
+    """Returns the plan that the declared pipelines stand for.
+
+    During a roll the newest version of each number counts.
+    """
+    pipelines = {}
+    for pipeline in declared:
+        number = int(pipeline.name.rsplit("-", 2)[1])
+        stages = tuple(
+            planner.Stage(s.engine, s.range.first_layer, s.range.last_layer)
+            for s in pipeline.stages
+        )
+        pipelines[number] = planner.Pipeline(number, stages, 0.0, ())
+    if not pipelines:
+        return None
+    ordered = tuple(pipelines[n] for n in sorted(pipelines))
+    return planner.Plan(ordered, (), "declared")
--- /dev/null
+++ b/src/yuccatally/instance/control.py
@@ -0,0 +1,311 @@
+"""Carries out control: leases, reports of engines, orders, object writes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import os
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import structlog
+
+from yuccatally.core import rendezvous
+from yuccatally.core.config import documents
+from yuccatally.core.control import lease
+from yuccatally.core.control import reconciler
+from yuccatally.core.control import states
+from yuccatally.core.control import targets
+from yuccatally.core.placement import rates
+from yuccatally.instance import watch
+from yuccatally.store import client
+from yuccatally.upstreams import orders
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    import aiohttp
+
+    from yuccatally.core.config import configuration
+    from yuccatally.core.objects import kinds
+
+TICK_S = 0.5
+CANDIDATES = 2
+REPORTS_AT_ONCE = 32
+UNAVAILABLE_DELAY_S = 1.0
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """Where the control of one placement stands, as this instance sees it.
+
+    Attributes:
+        held: Whether this instance holds the lease.
+        fence: Fencing number of the lease.
+        plan: Why the plan is as it is.
+        blocked: What cannot be done yet, and why.
+    """
+
+    held: bool
+    fence: int
+    plan: str
+    blocked: tuple[states.Blocked, ...]
+
+
+class Control:
+    """Control of all placements for which this instance is a candidate.
+
+    Each placement has a lease of its own, so that the work is spread over the
+    instances and the loss of one holds up few placements.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: client.StoreClient,
+        config: configuration.Configuration,
+        live: Callable[[], Sequence[str]],
+    ) -> None:
+        self.name = name
+        # A restarted instance must not take its earlier lease for its own.
+        self.holder = f"{name}-{os.urandom(4).hex()}"
+        self.store = store
+        self.config = config
+        self.live = live
+        self.leases: dict[str, lease.Lease] = {}
+        self.progress: dict[str, Progress] = {}
+        self.session: aiohttp.ClientSession
+
+    async def run(self, session: aiohttp.ClientSession) -> None:
+        """Runs until cancelled."""
+        self.session = session
+        while True:
+            for placement in self.config.of_kind("placement"):
+                try:
+                    await self._advance(placement)
+                except client.StoreError as error:
+                    _log.warning(
+                        "control_delayed",
+                        placement=placement.name,
+                        error=str(error),
+                    )
+                except Exception:
+                    # A fault in one placement must not end control of others.
+                    _log.exception("control_failed", placement=placement.name)
+            await asyncio.sleep(TICK_S)
+
+    async def give_up(self) -> None:
+        """Gives held leases up, so that others need not wait for a term."""
+        for name, held in self.leases.items():
+            step = held.step(now_s(), candidate=False)
+            if isinstance(step, lease.Write):
+                await self._write_lease(name, held, step)
+
+    async def _advance(self, placement: kinds.Object) -> None:
+        name = placement.name
+        wanted = self._is_candidate(name)
+        if not wanted and name not in self.leases:
+            return
+        held = self.leases.setdefault(name, lease.Lease(self.holder))
+        await self._step_lease(name, held, wanted)
+        if held.valid(now_s()):
+            await self._reconcile(placement, held)
+        else:
+            self.progress[name] = Progress(False, held.fence, "", ())
+
+    async def _step_lease(
+        self, name: str, held: lease.Lease, wanted: bool
+    ) -> None:
+        match held.step(now_s(), wanted):
+            case lease.Read():
+                await self._read_lease(name, held)
+            case lease.Write() as write:
+                await self._write_lease(name, held, write)
+            case None:
+                pass
+
+    async def _read_lease(self, name: str, held: lease.Lease) -> None:
+        try:
+            stored = await self.store.get("lease", name)
+        except client.NotFoundError:
+            held.on_read(None, 0, now_s())
+        except client.StoreError:
+            held.on_unavailable(now_s(), UNAVAILABLE_DELAY_S)
+            raise
+        else:
+            record = msgspec.convert(stored.spec, lease.Record)
+            held.on_read(record, stored.version, now_s())
+
+    async def _write_lease(
+        self, name: str, held: lease.Lease, write: lease.Write
+    ) -> None:
+        started_at = now_s()
+        spec = dataclasses.asdict(write.record)
+        try:
+            stored = await self.store.put(
+                "lease", name, spec, {}, write.version
+            )
+        except client.ConflictError:
+            held.on_conflict()
+        except client.UncertainError:
+            held.on_uncertain(write.record, started_at)
+            raise
+        except client.StoreError:
+            held.on_unavailable(now_s(), UNAVAILABLE_DELAY_S)
+            raise
+        else:
+            held.on_written(write.record, stored.version, started_at)
+
+    async def _reconcile(
+        self, placement: kinds.Object, held: lease.Lease
+    ) -> None:
+        # Read from the platform: the copy in force here may be behind what
+        # the last holder wrote.
+        listing = await self.store.list_objects("pipeline")
+        events = [
+            documents.event_from(watch.document_of(stored))
+            for stored in listing.items
+        ]
+        found = [e.declared for e in events if e.declared is not None]
+        declared = targets.declared_pipelines(placement.name, found)
+        target = targets.desired(placement, self.config, _links(), declared)
+        if target is None:
+            return
+        desired, plan = target
+        model = await self.store.get("model", desired.model)
+        engines = await self._reports(desired, declared)
+        observed = states.Observed(
+            str(model.spec["version"]), declared, engines
+        )
+        steps = reconciler.reconcile(desired, observed)
+        blocked = tuple(s for s in steps if isinstance(s, states.Blocked))
+        self.progress[placement.name] = Progress(
+            True, held.fence, plan.reason, blocked
+        )
+        versions = {o.name: o.version for o in found}
+        for step in steps:
+            if not held.valid(now_s()):
+                return
+            await self._perform(step, placement, held, versions, model)
+
+    async def _reports(
+        self, desired: states.Desired, declared: tuple[states.Pipeline, ...]
+    ) -> dict[str, states.EngineState]:
+        names = {
+            s.engine for p in (*desired.pipelines, *declared) for s in p.stages
+        }
+        gate = asyncio.Semaphore(REPORTS_AT_ONCE)
+
+        async def ask(name: str) -> states.EngineState | None:
+            engine = self.config.get("engine", name)
+            if engine is None:
+                return None
+            async with gate:
+                return await orders.describe(
+                    self.session, name, engine.spec.address
+                )
+
+        reports = await asyncio.gather(*(ask(n) for n in sorted(names)))
+        return {r.name: r for r in reports if r is not None}
+
+    async def _perform(
+        self,
+        step: states.Step,
+        placement: kinds.Object,
+        held: lease.Lease,
+        versions: dict[str, int],
+        model: client.Stored,
+    ) -> None:
+        match step:
+            case states.Blocked():
+                return
+            case states.Load(engine=engine) | states.Unload(engine=engine):
+                await self._order(engine, step, held)
+            case states.DeclarePipeline(pipeline=pipeline):
+                labels = {targets.PLACEMENT_LABEL: placement.name}
+                await self._put(
+                    "pipeline",
+                    pipeline.name,
+                    targets.pipeline_spec(pipeline),
+                    labels,
+                    versions.get(pipeline.name, 0),
+                )
+            case states.RemovePipeline(name=name):
+                await self._delete("pipeline", name, versions.get(name, 0))
+            case states.SwitchVersion(version=version):
+                await self._put(
+                    "model",
+                    model.name,
+                    {**model.spec, "version": version},
+                    model.labels,
+                    model.version,
+                )
+        _log.info(
+            "control_step",
+            placement=placement.name,
+            fence=held.fence,
+            step=type(step).__name__,
+            detail=str(step),
+        )
+
+    async def _order(
+        self,
+        engine: str,
+        order: states.Load | states.Unload,
+        held: lease.Lease,
+    ) -> None:
+        declared = self.config.get("engine", engine)
+        if declared is None:
+            return
+        try:
+            await orders.send(
+                self.session, declared.spec.address, order, held.fence
+            )
+        except orders.OrderError as error:
+            _log.warning("order_failed", engine=engine, error=str(error))
+            if error.stale_fence:
+                # Another instance has given orders under a newer number.
+                held.on_conflict()
+
+    async def _put(
+        self,
+        kind: str,
+        name: str,
+        spec: dict[str, Any],
+        labels: dict[str, str],
+        version: int,
+    ) -> None:
+        try:
+            await self.store.put(kind, name, spec, labels, version)
+        except (client.ConflictError, client.UncertainError) as error:
+            # The next pass starts from what the platform then holds.
+            _log.info("control_write_unsettled", error=str(error))
+
+    async def _delete(self, kind: str, name: str, version: int) -> None:
+        try:
+            await self.store.delete(kind, name, version)
+        except (
+            client.ConflictError,
+            client.NotFoundError,
+            client.UncertainError,
+        ) as error:
+            _log.info("control_write_unsettled", error=str(error))
+
+    def _is_candidate(self, placement: str) -> bool:
+        """Returns whether the instance is among the first by hash."""
+        names = {*self.live(), self.name}
+        return self.name in rendezvous.ranked(placement, names, CANDIDATES)
+
+
+def now_s() -> float:
+    """Returns seconds of a clock that also runs while the host sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _links() -> rates.Links:
+    return rates.Links()
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -19,6 +19,7 @@
 from yuccatally.core.requests import ledger
 from yuccatally.core.requests import outcomes
 from yuccatally.instance import claims
+from yuccatally.instance import control
 from yuccatally.instance import generations
 from yuccatally.instance import servers
 from yuccatally.instance import watch
@@ -68,6 +69,9 @@
             settings.platform.watch_wait_s,
             self._on_config_change,
         )
+        self.control = control.Control(
+            settings.instance.name, store, self.config, self._live_names
+        )
         self.members: tuple[client.Member, ...] = ()
         self.leaving = False
         self.drained = asyncio.Event()
@@ -100,6 +104,7 @@
             ]
             self._spawn(self.watch.run())
             self._spawn(self._refresh_members())
+            self._spawn(self.control.run(self.session))
             served = [asyncio.create_task(x.serve()) for x in listeners]
             _log.info("started", callers=self.settings.callers.address)
             await self.drained.wait()
@@ -192,6 +197,10 @@
             "requests": dataclasses.asdict(totals),
             "balanced": totals.balanced,
             "engines": engines,
+            "control": {
+                name: dataclasses.asdict(progress)
+                for name, progress in self.control.progress.items()
+            },
         }
 
     def start_drain(self) -> None:
@@ -208,6 +217,9 @@
             await asyncio.sleep(0.02)
         self.drained.set()
 
+    def _live_names(self) -> list[str]:
+        return [m.name for m in self.members if not m.leaving]
+
     def _settling(self) -> bool:
         return bool(self.claims.workers)
 
@@ -230,7 +242,12 @@
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.create_task(work)
         self.background.add(task)
-        task.add_done_callback(self.background.discard)
+        task.add_done_callback(self._on_background_end)
+
+    def _on_background_end(self, task: asyncio.Task[Any]) -> None:
+        self.background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("task_failed", exc_info=task.exception())
 
     async def _close(self) -> None:
         for connection in self.generations.connections.values():
@@ -238,4 +255,5 @@
         for task in list(self.background):
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
+        await self.control.give_up()
         await self.store.close()
--- /dev/null
+++ b/src/yuccatally/upstreams/orders.py
@@ -0,0 +1,105 @@
+"""Reports of engines about what they hold, and orders to them."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from yuccatally.core.control import states
+
+CALL_TIMEOUT_S = 1.0
+
+
+class OrderError(Exception):
+    """An order was refused or its fate is not known.
+
+    Attributes:
+        stale_fence: Whether the engine has seen a newer fencing number.
+    """
+
+    def __init__(self, message: str, stale_fence: bool = False) -> None:
+        super().__init__(message)
+        self.stale_fence = stale_fence
+
+
+@dataclasses.dataclass(frozen=True)
+class _Holding:
+    model: str
+    version: str
+    first_layer: int
+    last_layer: int
+    ready: bool
+    sequences: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Description:
+    capacity_layers: int
+    holdings: tuple[_Holding, ...]
+
+
+async def describe(
+    session: aiohttp.ClientSession, name: str, address: str
+) -> states.EngineState | None:
+    """Returns what an engine reports, None if it does not answer."""
+    try:
+        async with session.get(
+            f"http://{address}/v1/engine",
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+        ) as response:
+            if response.status != 200:
+                return None
+            body = await response.read()
+        description = msgspec.json.decode(body, type=_Description)
+    except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError):
+        return None
+    holdings = tuple(
+        states.Holding(
+            states.Range(h.model, h.version, h.first_layer, h.last_layer),
+            h.ready,
+            h.sequences,
+        )
+        for h in description.holdings
+    )
+    return states.EngineState(name, description.capacity_layers, holdings)
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    address: str,
+    order: states.Load | states.Unload,
+    fence: int,
+) -> None:
+    """Gives an order under a fencing number.
+
+    Orders are idempotent: one whose fate is not known is derived again from
+    the engine's next report.
+
+    Raises:
+        OrderError: It was refused, or no answer came.
+    """
+    action = "load" if isinstance(order, states.Load) else "unload"
+    body: dict[str, Any] = {
+        "fence": fence,
+        "action": action,
+        "model": order.range.model,
+        "version": order.range.version,
+        "first_layer": order.range.first_layer,
+        "last_layer": order.range.last_layer,
+    }
+    try:
+        async with session.post(
+            f"http://{address}/v1/orders",
+            data=msgspec.json.encode(body),
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+        ) as response:
+            if response.status >= 300:
+                text = await response.text()
+                message = f"{action} on {order.engine}: {text}"
+                raise OrderError(message, stale_fence=response.status == 409)
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        message = f"{action} on {order.engine}: {type(error).__name__}"
+        raise OrderError(message) from error
