--- a/src/yuccatally/callers/application.py
+++ b/src/yuccatally/callers/application.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from starlette import applications
+from starlette import requests
 from starlette import routing
 import structlog
 
@@ -17,8 +19,8 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from starlette import requests
     from starlette import responses as http
+    from starlette import types
 
     from yuccatally.core.objects import kinds
     from yuccatally.instance import instance
@@ -92,7 +94,12 @@
         account = access.account_of(request, self.node.config)
         if account is None:
             return self._unauthenticated(identity)
-        body = await self._body(request)
+        try:
+            body = await self._body(request)
+        except requests.ClientDisconnect:
+            message = "the caller closed the connection"
+            reason = outcomes.Reason.CALLER_GONE
+            return self._refuse(identity, reason, message)
         if body is None:
             limit = self.node.settings.limits.body_bytes
             return self._refuse(
@@ -101,18 +108,21 @@
                 f"the body is longer than {limit} bytes",
             )
         try:
-            return await handler(identity, account, request, body)
+            answer = await handler(identity, account, request, body)
+            return _Ending(self.node, identity, answer)
         except completions.MalformedError as error:
             return self._refuse(identity, outcomes.Reason.MALFORMED, str(error))
         except Exception:
-            # The request may have been handed over before the fault.
             _log.exception("request_failed", request=identity)
             refusal = outcomes.Refusal(
-                outcomes.Outcome.UNKNOWN,
+                self.node.ledger.life_of(identity).unfinished_outcome(),
                 outcomes.Reason.INTERNAL,
                 "an internal error occurred; the instance logged it",
             )
             return self.node.refuse(identity, refusal)
+        except asyncio.CancelledError:
+            self.node.end_unfinished(identity)
+            raise
 
     async def _completion(
         self,
@@ -122,6 +132,7 @@
         body: bytes,
     ) -> http.Response:
         asked = completions.parse_completion(body)
+        self.node.ledger.life_of(identity).delegate()
         return await completions.serve(self.node, identity, account, asked)
 
     async def _chat(
@@ -132,6 +143,7 @@
         body: bytes,
     ) -> http.Response:
         asked = completions.parse_chat(body)
+        self.node.ledger.life_of(identity).delegate()
         return await completions.serve(self.node, identity, account, asked)
 
     async def _service(
@@ -174,3 +186,29 @@
             outcomes.Reason.UNAUTHENTICATED,
             "send 'Authorization: Bearer KEY' with a key of an account",
         )
+
+
+class _Ending:
+    """A response after which the request has ended, however it went.
+
+    A caller that disconnects before the first event of a stream leaves a
+    generator that never runs, so its own clean-up would never happen.
+    """
+
+    def __init__(
+        self, node: instance.Instance, request: str, response: http.Response
+    ) -> None:
+        self.node = node
+        self.request = request
+        self.response = response
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        try:
+            await self.response(scope, receive, send)
+        finally:
+            events = getattr(self.response, "body_iterator", None)
+            if events is not None:
+                await events.aclose()
+            self.node.end_unfinished(self.request)
--- a/src/yuccatally/callers/responses.py
+++ b/src/yuccatally/callers/responses.py
@@ -23,6 +23,7 @@
     outcomes.Reason.OVERLOADED: 503,
     outcomes.Reason.DEADLINE: 504,
     outcomes.Reason.UPSTREAM_FAILED: 502,
+    outcomes.Reason.ANSWER_NOT_KEPT: 502,
     outcomes.Reason.INTERNAL: 500,
 }
 _DEFAULT_STATUS = 503
--- a/src/yuccatally/callers/services.py
+++ b/src/yuccatally/callers/services.py
@@ -2,61 +2,60 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import dataclasses
+import time
 from typing import TYPE_CHECKING
+import urllib.parse
 
 from starlette import responses as starlette_responses
 
 from yuccatally.callers import responses
-from yuccatally.core.claims import book
+from yuccatally.core.claims import bucket
+from yuccatally.core.claims import layout
 from yuccatally.core.requests import outcomes
+from yuccatally.core.services import rules
 from yuccatally.instance import claims
+from yuccatally.instance import services as service_calls
 from yuccatally.upstreams import services
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from starlette import requests
     from starlette import responses as http
 
     from yuccatally.core.objects import kinds
-    from yuccatally.core.objects import specs
     from yuccatally.instance import instance
 
 KEY_HEADER = "idempotency-key"
 MAX_KEY_LENGTH = 255
-IDEMPOTENT_ATTEMPTS = 3
-DEFAULT_TIMEOUT_S = 10.0
+_NOT_FORWARDED = frozenset({"authorization", "yuccatally-request"})
+_NOT_RETURNED = frozenset({"date", "yuccatally-outcome"})
 
 
 @dataclasses.dataclass(frozen=True)
-class Target:
-    """Where a call goes and how it is treated."""
+class Asked:
+    """An accepted call of a service.
+
+    Attributes:
+        request: Request id.
+        account: Name of the client account.
+        service: The service.
+        call: What to pass on.
+        treatment: How the call is treated.
+        http_request: The caller's request.
+        deadline: Monotonic time in seconds after which it is not sent.
+    """
 
+    request: str
+    account: str
     service: kinds.Object
-    idempotent: bool
-    timeout_s: float
-
-
-def target_of(
-    node: instance.Instance, name: str, method: str, path: str
-) -> Target | None:
-    """Returns the service and the routing rule with the longest prefix.
-
-    A call that no rule covers is not assumed to be idempotent.
-    """
-    service = node.config.get("service", name)
-    if service is None:
-        return None
-    rules: list[specs.RoutingRuleSpec] = [
-        rule.spec
-        for rule in node.config.of_kind("routing_rule")
-        if rule.spec.service == name
-        and method in rule.spec.methods
-        and path.startswith(rule.spec.path_prefix)
-    ]
-    if not rules:
-        return Target(service, False, DEFAULT_TIMEOUT_S)
-    best = max(rules, key=lambda r: len(r.path_prefix))
-    return Target(service, best.idempotent, best.timeout_s)
+    call: services.Call
+    treatment: rules.Treatment
+    http_request: requests.Request
+    deadline: float
 
 
 async def serve(
@@ -72,14 +71,32 @@
         The service's answer or a refusal; the ledger is settled.
     """
     name = http_request.path_params["name"]
-    path = "/" + http_request.path_params["path"]
-    target = target_of(node, name, http_request.method, path)
-    if target is None:
+    service = node.config.get("service", name)
+    if service is None:
         message = f"service {name!r} is not declared"
         return _refuse(node, request, outcomes.Reason.NOT_FOUND, message)
-    call = _call(request, http_request, path, body, target.timeout_s)
-    if target.idempotent:
-        return await _serve_idempotent(node, request, target, call)
+    path = _raw_path(http_request)
+    if rules.is_ambiguous(path):
+        message = "the path has empty, '.' or '..' segments: send it resolved"
+        return _refuse(node, request, outcomes.Reason.MALFORMED, message)
+    declared = [
+        r.spec
+        for r in node.config.of_kind("routing_rule")
+        if r.spec.service == name
+    ]
+    decoded = urllib.parse.unquote(path)
+    treatment = rules.treatment(declared, http_request.method, decoded)
+    asked = Asked(
+        request=request,
+        account=account.name,
+        service=service,
+        call=_call(node, request, http_request, path, body),
+        treatment=treatment,
+        http_request=http_request,
+        deadline=time.monotonic() + treatment.timeout_s,
+    )
+    if treatment.idempotent:
+        return await _serve_idempotent(node, asked)
     key = http_request.headers.get(KEY_HEADER, "")
     if not 0 < len(key) <= MAX_KEY_LENGTH:
         message = (
@@ -87,135 +104,210 @@
             f"{MAX_KEY_LENGTH} characters"
         )
         return _refuse(node, request, outcomes.Reason.KEY_MISSING, message)
-    scoped = f"{account.name}:{key}"
-    return await _serve_once(node, request, target, call, scoped)
+    return await _serve_once(node, asked, key)
 
 
 async def _serve_idempotent(
-    node: instance.Instance, request: str, target: Target, call: services.Call
+    node: instance.Instance, asked: Asked
 ) -> http.Response:
-    sent = False
-    for attempt in range(IDEMPOTENT_ATTEMPTS):
-        address = node.service_address(target.service, attempt)
-        try:
-            with node.span("call", request, service=target.service.name):
-                answer = await services.call(node.session, address, call)
-            return _answered(node, request, answer)
-        except services.NotSentError:
-            continue
-        except services.UncertainError:
-            sent = True
-    refusal = outcomes.Refusal(
-        outcomes.Outcome.UNKNOWN if sent else outcomes.Outcome.NOT_RUN,
-        outcomes.Reason.UPSTREAM_FAILED,
-        f"service {target.service.name!r} did not answer",
-        retry_after_s=1.0,
+    life = node.ledger.life_of(asked.request)
+    life.hand_over()
+    work = node.services.run(
+        asked.request,
+        asked.service,
+        asked.call,
+        asked.treatment.timeout_s,
+        idempotent=True,
     )
-    return node.refuse(request, refusal)
+    result = await _unless_gone(asked.http_request, work)
+    if result is None:
+        return _gone(node, asked)
+    return await _end(node, asked, result)
 
 
 async def _serve_once(
-    node: instance.Instance,
-    request: str,
-    target: Target,
-    call: services.Call,
-    key: str,
+    node: instance.Instance, asked: Asked, key: str
 ) -> http.Response:
-    service = target.service.name
-    digest = book.digest_of(call.method, call.path, call.body)
-    try:
-        with node.span("claim", request, service=service):
-            verdict = await node.claims.apply(
-                service, book.Take(key, request, digest)
-            )
-    except claims.ClaimError:
-        node.settle_later(service, book.Release(key, request))
-        message = "the platform is unavailable, so the call was not made"
-        reason = outcomes.Reason.PLATFORM_UNAVAILABLE
-        return _refuse(node, request, reason, message, retry_after_s=2.0)
+    call = asked.call
+    place = layout.place(asked.service.name, asked.account, key, time.time())
+    if isinstance(place, layout.KeyRefused):
+        reason = outcomes.Reason.KEY_EXPIRED
+        return _refuse(node, asked.request, reason, place.message)
+    digest = layout.digest_of(call.method, call.target, call.body)
+    claim = claims.Key(place, asked.request, digest)
+    with node.span("claim", asked.request, bucket=place.bucket) as span:
+        verdict = await node.claims.take(claim)
+        span.set_attribute("verdict", type(verdict).__name__)
     match verdict:
-        case book.Won():
-            return await _send_once(node, request, target, call, key)
-        case book.Replay(claim=claim):
-            return _replayed(node, request, claim)
-        case book.Mismatch():
-            message = "the Idempotency-Key was used for a different call"
-            return _refuse(node, request, outcomes.Reason.KEY_IN_USE, message)
+        case bucket.Won():
+            return await _send_once(node, asked, claim)
+        case bucket.Replay(claim=first):
+            return await _replayed(node, asked, first)
         case _:
-            message = "a call with this key was started and may have run"
-            refusal = outcomes.Refusal(
-                outcomes.Outcome.UNKNOWN,
-                outcomes.Reason.KEY_IN_USE,
-                message,
-                retry_after_s=1.0,
+            return node.refuse(asked.request, _not_won(verdict))
+
+
+def _not_won(verdict: bucket.Verdict) -> outcomes.Refusal:
+    not_run, unknown = outcomes.Outcome.NOT_RUN, outcomes.Outcome.UNKNOWN
+    match verdict:
+        case bucket.GaveUp():
+            message = "the platform is unavailable, so the call was not made"
+            reason = outcomes.Reason.PLATFORM_UNAVAILABLE
+            return outcomes.Refusal(not_run, reason, message, 2.0)
+        case bucket.Full():
+            message = "there is no room for another claim at present"
+            reason = outcomes.Reason.OVERLOADED
+            return outcomes.Refusal(not_run, reason, message, 2.0)
+        case bucket.Mismatch(claim=claim):
+            message = (
+                "the Idempotency-Key was used for a different call, by "
+                f"request {claim.request}"
+            )
+            return outcomes.Refusal(
+                not_run, outcomes.Reason.KEY_IN_USE, message
+            )
+        case bucket.Held(claim=claim):
+            message = (
+                f"request {claim.request} with this key was started and may "
+                "have run; ask again with the same key"
             )
-            return node.refuse(request, refusal)
+            return outcomes.Refusal(
+                unknown, outcomes.Reason.KEY_IN_USE, message, 1.0
+            )
+    raise AssertionError(f"unexpected verdict {verdict}")
 
 
 async def _send_once(
-    node: instance.Instance,
-    request: str,
-    target: Target,
-    call: services.Call,
-    key: str,
+    node: instance.Instance, asked: Asked, claim: claims.Key
 ) -> http.Response:
-    service = target.service.name
-    address = node.service_address(target.service, 0)
-    try:
-        with node.span("call", request, service=service):
-            answer = await services.call(node.session, address, call)
-    except services.NotSentError:
-        node.settle_later(service, book.Release(key, request))
-        message = f"service {service!r} could not be reached"
-        reason = outcomes.Reason.UPSTREAM_FAILED
-        return _refuse(node, request, reason, message, retry_after_s=1.0)
-    except services.UncertainError:
-        refusal = outcomes.Refusal(
-            outcomes.Outcome.UNKNOWN,
-            outcomes.Reason.UPSTREAM_FAILED,
-            f"service {service!r} was called but no answer came; the call may "
-            "have run, do not send it again under a new key",
-        )
-        return node.refuse(request, refusal)
-    node.settle_later(
-        service,
-        book.Settle(
-            key, request, answer.status, answer.content_type, answer.body
-        ),
+    # An instance that was paused must not book for a caller who gave up.
+    if time.monotonic() >= asked.deadline:
+        node.claims.release(claim)
+        message = "the deadline passed before the call was sent"
+        reason = outcomes.Reason.DEADLINE
+        return _refuse(node, asked.request, reason, message, 1.0)
+    if await asked.http_request.is_disconnected():
+        node.claims.release(claim)
+        return _gone(node, asked)
+    life = node.ledger.life_of(asked.request)
+    life.hand_over()
+    # The call goes on and is settled even if this handler is cancelled.
+    work = node.spawn(_call_and_settle(node, asked, claim))
+    return await _end(node, asked, await asyncio.shield(work))
+
+
+async def _call_and_settle(
+    node: instance.Instance, asked: Asked, claim: claims.Key
+) -> service_calls.Result:
+    left_s = asked.deadline - time.monotonic()
+    result = await node.services.run(
+        asked.request, asked.service, asked.call, left_s, idempotent=False
     )
-    return _answered(node, request, answer)
-
-
-def _answered(
-    node: instance.Instance, request: str, answer: services.Answer
+    match result:
+        case service_calls.Answered(answer=answer):
+            kept = bucket.Reply(answer.status, answer.headers, answer.body)
+            node.claims.settle(claim, kept)
+        case service_calls.TooLong(status=status):
+            node.claims.settle(claim, bucket.Reply(status))
+        case service_calls.NotSent():
+            node.claims.release(claim)
+    return result
+
+
+async def _end(
+    node: instance.Instance, asked: Asked, result: service_calls.Result
 ) -> http.Response:
-    node.finish(request, outcomes.Outcome.ANSWERED)
-    return _response(request, answer)
+    request, name = asked.request, asked.service.name
+    match result:
+        case service_calls.Answered(answer=answer):
+            if await asked.http_request.is_disconnected():
+                return _gone(node, asked)
+            node.finish(request, outcomes.Outcome.ANSWERED)
+            return _response(request, answer)
+        case service_calls.NotSent(message=message):
+            node.ledger.life_of(request).take_back()
+            text = f"service {name!r} could not be reached: {message}"
+            reason = outcomes.Reason.UPSTREAM_FAILED
+            return _refuse(node, request, reason, text, 1.0)
+        case service_calls.TooLong(status=status, message=message):
+            text = f"the call ran with status {status}, but {message}"
+            reason = outcomes.Reason.ANSWER_NOT_KEPT
+        case service_calls.Uncertain(message=message):
+            text = (
+                f"service {name!r} was called but did not answer: {message}; "
+                "the call may have run, do not send it under a new key"
+            )
+            reason = outcomes.Reason.UPSTREAM_FAILED
+    refusal = outcomes.Refusal(outcomes.Outcome.UNKNOWN, reason, text)
+    return node.refuse(request, refusal)
 
 
-def _replayed(
-    node: instance.Instance, request: str, claim: book.Claim
+async def _replayed(
+    node: instance.Instance, asked: Asked, first: bucket.Claim
 ) -> http.Response:
-    node.finish(request, outcomes.Outcome.ANSWERED)
-    body = claim.body if claim.body is not None else b""
-    answer = services.Answer(claim.status, claim.content_type, body)
-    response = _response(request, answer)
+    reply = first.reply
+    if reply is None or reply.body is None:
+        status = reply.status if reply is not None else 0
+        refusal = outcomes.Refusal(
+            outcomes.Outcome.UNKNOWN,
+            outcomes.Reason.ANSWER_NOT_KEPT,
+            f"request {first.request} ran this call with status {status}; its "
+            "answer is not kept, look the result up at the service",
+        )
+        return node.refuse(asked.request, refusal)
+    answer = services.Answer(reply.status, reply.headers, reply.body)
+    node.finish(asked.request, outcomes.Outcome.ANSWERED)
+    response = _response(asked.request, answer)
     response.headers["Idempotent-Replayed"] = "true"
-    response.headers["Yuccatally-First-Request"] = claim.request
+    response.headers["Yuccatally-First-Request"] = first.request
     return response
 
 
+async def _unless_gone(
+    http_request: requests.Request, work: Awaitable[service_calls.Result]
+) -> service_calls.Result | None:
+    """Returns the result of a call, None once the caller has disconnected."""
+    call = asyncio.ensure_future(work)
+    # The body was read, so the next message is the end of the connection.
+    gone = asyncio.ensure_future(http_request.receive())
+    try:
+        await asyncio.wait({call, gone}, return_when=asyncio.FIRST_COMPLETED)
+        return await call if call.done() else None
+    finally:
+        for task in (call, gone):
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError, Exception):
+                await task
+
+
+def _gone(node: instance.Instance, asked: Asked) -> http.Response:
+    life = node.ledger.life_of(asked.request)
+    refusal = outcomes.Refusal(
+        life.unfinished_outcome(),
+        outcomes.Reason.CALLER_GONE,
+        "the caller closed the connection",
+    )
+    return node.refuse(asked.request, refusal)
+
+
 def _response(request: str, answer: services.Answer) -> http.Response:
-    headers = {
-        responses.OUTCOME_HEADER: responses.outcome_header(
-            request, outcomes.Outcome.ANSWERED
-        )
-    }
-    if answer.content_type:
-        headers["Content-Type"] = answer.content_type
-    return starlette_responses.Response(
-        answer.body, status_code=answer.status, headers=headers
+    response = starlette_responses.Response(
+        answer.body, status_code=answer.status
+    )
+    kept = [
+        (n.lower().encode("latin-1"), v.encode("latin-1"))
+        for n, v in answer.headers
+        if n.lower() not in _NOT_RETURNED
+    ]
+    if answer.length:
+        kept.append((b"content-length", answer.length.encode("latin-1")))
+    elif answer.status >= 200 and answer.status not in (204, 304):
+        kept.append((b"content-length", str(len(answer.body)).encode()))
+    response.raw_headers = kept
+    response.headers[responses.OUTCOME_HEADER] = responses.outcome_header(
+        request, outcomes.Outcome.ANSWERED
     )
+    return response
 
 
 def _refuse(
@@ -231,20 +323,29 @@
     return node.refuse(request, refusal)
 
 
+def _raw_path(http_request: requests.Request) -> str:
+    """Returns the path below the service as the caller encoded it."""
+    raw = http_request.scope["raw_path"].decode("latin-1").partition("?")[0]
+    return "/" + raw.split("/", 3)[3]
+
+
 def _call(
+    node: instance.Instance,
     request: str,
     http_request: requests.Request,
     path: str,
     body: bytes,
-    timeout_s: float,
 ) -> services.Call:
-    excluded = services.HOP_BY_HOP | {"authorization"}
-    headers = {
-        name: value
-        for name, value in http_request.headers.items()
-        if name.lower() not in excluded
-    }
-    headers["Yuccatally-Request"] = request
+    headers = tuple(
+        (name, value)
+        for name, value in services.end_to_end(http_request.headers.raw)
+        if name.lower() not in _NOT_FORWARDED
+    )
     query = http_request.url.query
-    target = f"{path}?{query}" if query else path
-    return services.Call(http_request.method, target, headers, body, timeout_s)
+    return services.Call(
+        http_request.method,
+        f"{path}?{query}" if query else path,
+        (*headers, ("Yuccatally-Request", request)),
+        body,
+        node.settings.limits.response_bytes,
+    )
--- a/src/yuccatally/core/claims/book.py
+++ b/src/yuccatally/core/claims/book.py
@@ -1,4 +1,4 @@
-"""Claims that make calls with an idempotency key run at most once.
+"""Claims of one bucket that make calls with a key run at most once.
 
 A claim is never taken over by another request. An instance that is paused
 between claim and call is therefore still the only one that may send, and no
@@ -9,203 +9,264 @@
 
 import dataclasses
 import enum
+import math
+from typing import TYPE_CHECKING
 
-import msgspec
-import xxhash
+from yuccatally.core.claims import bucket
 
-BUCKETS = 64
-RETENTION_S = 7 * 86_400.0
-MAX_BODY_BYTES = 2048
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-
-class ClaimState(enum.StrEnum):
-    """How far the call of a claim has come."""
-
-    CLAIMED = "claimed"
-    DONE = "done"
-    RELEASED = "released"
-
-
-class Claim(msgspec.Struct, frozen=True):
-    """The right of one request to make the call with a key.
-
-    Attributes:
-        request: Id of the request that holds the claim.
-        digest: Digest of method, path and body, to detect reuse of a key.
-        state: How far the call has come.
-        at: Unix time of the last change, in seconds.
-        status: HTTP status of the answer once done.
-        content_type: Media type of the answer.
-        body: Answer, kept if at most ``MAX_BODY_BYTES`` long.
-    """
-
-    request: str
-    digest: str
-    state: ClaimState
-    at: float
-    status: int = 0
-    content_type: str = ""
-    body: bytes | None = None
-
-
-class Bucket(msgspec.Struct, frozen=True):
-    """All claims whose keys share a hash bucket."""
-
-    claims: dict[str, Claim] = {}
-
-
-@dataclasses.dataclass(frozen=True)
-class Take:
-    """Ask for a claim."""
-
-    key: str
-    request: str
-    digest: str
+POLL_FIRST_S = 0.1
+POLL_LAST_S = 0.5
+BACKOFF_FIRST_S = 0.05
+BACKOFF_LAST_S = 2.0
+CONFLICT_FIRST_S = 0.002
+CONFLICT_LAST_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
-class Settle:
-    """Record the answer of the call."""
-
-    key: str
-    request: str
-    status: int
-    content_type: str
-    body: bytes
+class Read:
+    """Read the bucket."""
 
 
 @dataclasses.dataclass(frozen=True)
-class Release:
-    """Give a claim back because the call was certainly not made."""
+class Write:
+    """Write the bucket if it still has the given version.
 
-    key: str
-    request: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Won:
-    """The request holds the claim."""
+    Attributes:
+        content: New content.
+        version: Expected version; 0 if the object must not exist.
+    """
 
-    request: str
+    content: bucket.Bucket
+    version: int
 
 
 @dataclasses.dataclass(frozen=True)
-class Held:
-    """Another request holds the claim; its call may have run."""
-
-    claim: Claim
+class Rest:
+    """Make no call until a change arrives or a time is reached.
 
+    Attributes:
+        until: Monotonic time in seconds; infinite if nothing is pending.
+    """
 
-@dataclasses.dataclass(frozen=True)
-class Replay:
-    """The call was made before; this is its answer."""
-
-    claim: Claim
+    until: float
 
 
 @dataclasses.dataclass(frozen=True)
-class Mismatch:
-    """The key was used for a different call."""
+class Answer:
+    """The verdict on a change."""
 
-    claim: Claim
+    ticket: int
+    verdict: bucket.Verdict
 
 
-@dataclasses.dataclass(frozen=True)
-class Recorded:
-    """A settlement or release is part of the bucket."""
-
+Call = Read | Write | Rest
 
-Change = Take | Settle | Release
-Verdict = Won | Held | Replay | Mismatch | Recorded
 
+class _Phase(enum.Enum):
+    IDLE = enum.auto()
+    READING = enum.auto()
+    WRITING = enum.auto()
 
-def bucket_of(service: str, key: str) -> str:
-    """Returns the name of the object that keeps the claim of a key."""
-    number = xxhash.xxh64_intdigest(f"{service}\0{key}".encode()) % BUCKETS
-    return f"bucket-{number:02d}"
 
+@dataclasses.dataclass
+class _Entry:
+    ticket: int
+    change: bucket.Change
+    due_at: float
+    fresh_from: float
+    give_up_at: float
+    patience_until: float
+    poll_s: float = POLL_FIRST_S
+    held: bucket.Held | None = None
+    # A write of the claim was issued and is not known to have taken effect.
+    exposed: bool = False
 
-def digest_of(method: str, path: str, body: bytes) -> str:
-    """Returns a digest by which reuse of a key for another call is found."""
-    return xxhash.xxh128_hexdigest(
-        b"\0".join((f"{method} {path}".encode(), body))
-    )
 
+class ClaimBook:
+    """Changes that wait for one bucket, and what is known of its content.
 
-def merge(
-    bucket: Bucket, changes: list[Change], unix_now: float
-) -> tuple[Bucket, list[Verdict]]:
-    """Applies changes to the state that the platform holds.
+    Call ``next_call``, carry the call out and report its result; collect
+    verdicts with ``answers``. One call is outstanding at a time.
 
-    Applying the same changes again gives the same verdicts, so that a write
-    whose reply was lost can be repeated on what is read back.
+    Attributes:
+        entries: Changes that are not decided, by ticket.
+        content: Last content read or written; None if it has to be read.
+        version: Version of ``content``.
+    """
 
-    Args:
-        bucket: Content of the bucket as read from the platform.
-        changes: Changes in order of arrival.
-        unix_now: Unix time in seconds.
+    def __init__(self, jitter: Callable[[], float]) -> None:
+        """Creates a book without knowledge of the bucket.
+
+        Args:
+            jitter: Returns a number from 0 to 1 for each backoff.
+        """
+        self.jitter = jitter
+        self.entries: dict[int, _Entry] = {}
+        self.content: bucket.Bucket | None = None
+        self.version = 0
+        self.read_at = -math.inf
+        self.retry_at = -math.inf
+        self.failures = 0
+        self.conflicts = 0
+        self.phase = _Phase.IDLE
+        self.sent: tuple[bucket.Bucket, dict[int, bucket.Verdict]] | None = None
+        self.decided: list[Answer] = []
+
+    def request(
+        self,
+        ticket: int,
+        change: bucket.Change,
+        now: float,
+        due_at: float = -math.inf,
+        give_up_at: float = math.inf,
+        patience_until: float = -math.inf,
+    ) -> None:
+        """Adds a change.
+
+        Args:
+            ticket: Number by which the verdict is found.
+            change: What to do; a settlement or release is never given up.
+            now: Monotonic time in seconds.
+            due_at: Monotonic time until which the change may wait to share a
+                write with others.
+            give_up_at: Time after which a claim is not waited for.
+            patience_until: Time until which a claim that another request
+                holds is read again.
+        """
+        if not isinstance(change, bucket.Take):
+            give_up_at = math.inf
+        self.entries[ticket] = _Entry(
+            ticket, change, due_at, now, give_up_at, patience_until
+        )
 
-    Returns:
-        The new content, equal to the old one if nothing has to be written,
-        and a verdict for each change.
-    """
-    claims = {
-        key: claim
-        for key, claim in bucket.claims.items()
-        if unix_now - claim.at < RETENTION_S
-    }
-    verdicts = [_apply(claims, change, unix_now) for change in changes]
-    return Bucket(claims), verdicts
-
-
-def _apply(
-    claims: dict[str, Claim], change: Change, unix_now: float
-) -> Verdict:
-    current = claims.get(change.key)
-    match change:
-        case Take():
-            return _take(claims, change, current, unix_now)
-        case Settle():
-            if current is not None and current.request == change.request:
-                claims[change.key] = _settled(current, change, unix_now)
-            return Recorded()
-        case Release():
-            if current is not None and current.request == change.request:
-                claims[change.key] = msgspec.structs.replace(
-                    current, state=ClaimState.RELEASED
-                )
-            return Recorded()
-
-
-def _take(
-    claims: dict[str, Claim],
-    change: Take,
-    current: Claim | None,
-    unix_now: float,
-) -> Verdict:
-    if current is None or current.state is ClaimState.RELEASED:
-        claims[change.key] = Claim(
-            change.request, change.digest, ClaimState.CLAIMED, unix_now
+    def next_call(self, now: float, unix_now: float) -> Call:
+        """Returns the call to make now."""
+        if self.phase is not _Phase.IDLE:
+            raise RuntimeError("report the result of the last call first")
+        self._expire(now)
+        if not self.entries:
+            return Rest(math.inf)
+        due_at = min(e.due_at for e in self.entries.values())
+        wake_at = max(due_at, self.retry_at)
+        if wake_at > now:
+            give_up_at = min(e.give_up_at for e in self.entries.values())
+            return Rest(min(wake_at, give_up_at))
+        if self.content is None:
+            return self._read(now)
+        return self._decide(self.content, now, unix_now)
+
+    def on_read(self, content: bucket.Bucket, version: int) -> None:
+        """Takes note of the bucket; version 0 stands for no object."""
+        self.phase = _Phase.IDLE
+        self.failures = 0
+        self.content, self.version = content, version
+
+    def on_written(self, version: int, now: float) -> None:
+        """Takes note that the last write took effect."""
+        assert self.sent is not None
+        content, verdicts = self.sent
+        self.phase, self.sent = _Phase.IDLE, None
+        self.failures = self.conflicts = 0
+        self.content, self.version = content, version
+        for ticket, verdict in verdicts.items():
+            self._conclude(ticket, verdict, now)
+
+    def on_conflict(self, now: float) -> None:
+        """Takes note that the bucket has changed since it was read.
+
+        This proves nothing about the effect of the write: a transport that
+        sends it twice sees the first take effect and the second refused.
+        """
+        self.phase, self.sent, self.content = _Phase.IDLE, None, None
+        # The first conflict usually means a cache that is out of date; only
+        # repeated ones mean that other instances are writing right now.
+        if self.conflicts:
+            backoff = CONFLICT_FIRST_S * 2 ** min(self.conflicts, 10)
+            delay_s = min(CONFLICT_LAST_S, backoff)
+            self.retry_at = now + delay_s * self.jitter()
+        self.conflicts += 1
+
+    def on_lost(self, now: float) -> None:
+        """Takes note that a write may or may not have taken effect."""
+        self._back_off(now)
+
+    def on_failed(self, now: float) -> None:
+        """Takes note that a call had no effect."""
+        self._back_off(now)
+
+    def answers(self) -> list[Answer]:
+        """Returns the verdicts since the last time."""
+        decided, self.decided = self.decided, []
+        return decided
+
+    def _read(self, now: float) -> Read:
+        self.phase = _Phase.READING
+        self.read_at = now
+        return Read()
+
+    def _decide(
+        self, content: bucket.Bucket, now: float, unix_now: float
+    ) -> Call:
+        entries = list(self.entries.values())
+        merged = bucket.merge(
+            content, tuple(e.change for e in entries), unix_now
         )
-        return Won(change.request)
-    if current.request == change.request:
-        return Won(change.request)
-    if current.digest != change.digest:
-        return Mismatch(current)
-    if current.state is ClaimState.DONE:
-        return Replay(current)
-    return Held(current)
-
-
-def _settled(current: Claim, change: Settle, unix_now: float) -> Claim:
-    if current.state is ClaimState.DONE:
-        return current
-    kept = len(change.body) <= MAX_BODY_BYTES
-    return msgspec.structs.replace(
-        current,
-        state=ClaimState.DONE,
-        at=unix_now,
-        status=change.status,
-        content_type=change.content_type,
-        body=change.body if kept else None,
-    )
+        verdicts = {
+            e.ticket: v for e, v in zip(entries, merged.verdicts, strict=True)
+        }
+        if merged.dirty:
+            for entry in entries:
+                if isinstance(verdicts[entry.ticket], bucket.Won):
+                    entry.exposed = True
+            self.phase = _Phase.WRITING
+            self.read_at = now
+            self.sent = (merged.bucket, verdicts)
+            return Write(merged.bucket, self.version)
+        # Every verdict but Held and Full is final, so it may come from a cache.
+        for entry in entries:
+            verdict = verdicts[entry.ticket]
+            passing = isinstance(verdict, bucket.Held | bucket.Full)
+            if passing and self.read_at < entry.fresh_from <= now:
+                return self._read(now)
+        for ticket, verdict in verdicts.items():
+            self._conclude(ticket, verdict, now)
+        return self.next_call(now, unix_now)
+
+    def _conclude(
+        self, ticket: int, verdict: bucket.Verdict, now: float
+    ) -> None:
+        entry = self.entries[ticket]
+        if isinstance(verdict, bucket.Held) and now < entry.patience_until:
+            entry.held = verdict
+            if entry.due_at <= now:
+                entry.due_at = min(now + entry.poll_s, entry.patience_until)
+                entry.fresh_from = entry.due_at
+                entry.poll_s = min(entry.poll_s * 2, POLL_LAST_S)
+            return
+        self._finish(entry, verdict, now)
+
+    def _expire(self, now: float) -> None:
+        for entry in list(self.entries.values()):
+            if entry.give_up_at <= now:
+                self._finish(entry, entry.held or bucket.GaveUp(), now)
+
+    def _finish(
+        self, entry: _Entry, verdict: bucket.Verdict, now: float
+    ) -> None:
+        del self.entries[entry.ticket]
+        self.decided.append(Answer(entry.ticket, verdict))
+        if entry.exposed and not isinstance(verdict, bucket.Won):
+            change = entry.change
+            release = bucket.Release(change.key, change.request, fence=True)
+            # A negative ticket belongs to no waiting caller.
+            self.request(-1 - entry.ticket, release, now)
+
+    def _back_off(self, now: float) -> None:
+        self.phase, self.sent, self.content = _Phase.IDLE, None, None
+        backoff = BACKOFF_FIRST_S * 2 ** min(self.failures, 10)
+        delay_s = min(BACKOFF_LAST_S, backoff)
+        self.retry_at = now + delay_s * (0.5 + self.jitter() / 2)
+        self.failures += 1
--- /dev/null
+++ b/src/yuccatally/core/claims/layout.py
@@ -0,0 +1,115 @@
+"""Which bucket object keeps the claim of a key, and for how long."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import uuid
+
+RETENTION_S = 7 * 86_400.0
+# Clocks of callers and instances may differ by this much.
+CLOCK_MARGIN_S = 3_600.0
+KEY_AHEAD_S = 600.0
+WINDOW_S = 3_600.0
+# Names of windows are used again once everything in them has expired, which
+# bounds the number of objects without a deletion ever being needed.
+WINDOWS = 176
+DEFAULT_SHARDS = 64
+OPAQUE_SHARDS = 1024
+DIGEST_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where a claim is kept.
+
+    Attributes:
+        bucket: Name of the bucket object.
+        key: Digest of service, account and key; the name within the bucket.
+        key_unix: Unix time in seconds that the key carries; 0 if it has none.
+    """
+
+    bucket: str
+    key: str
+    key_unix: float
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyRefused:
+    """A key that cannot be claimed; the call was not made."""
+
+    message: str
+
+
+def place(
+    service: str,
+    account: str,
+    key: str,
+    unix_now: float,
+    shards: int = DEFAULT_SHARDS,
+) -> Place | KeyRefused:
+    """Returns where the claim of a key is kept.
+
+    A key that carries its own time (UUID version 7) is kept in a window of
+    that time, so a bucket stays small however many claims are retained. The
+    claim of an older key may have expired, therefore the key is refused.
+
+    Args:
+        service: Name of the service.
+        account: Name of the client account.
+        key: Idempotency key as the caller sent it.
+        unix_now: Unix time in seconds.
+        shards: Buckets of one window; equal on all instances.
+
+    Returns:
+        The place, or why the key is refused.
+    """
+    name = hashlib.blake2b(
+        "\0".join((service, account, key)).encode(),
+        digest_size=DIGEST_BYTES,
+    )
+    number = int.from_bytes(name.digest()[:4])
+    key_unix = key_time(key)
+    if key_unix is None:
+        bucket = f"opaque-{number % OPAQUE_SHARDS:04d}"
+        return Place(bucket, name.hexdigest(), 0.0)
+    if key_unix < unix_now - RETENTION_S:
+        days = RETENTION_S / 86_400
+        return KeyRefused(
+            f"the Idempotency-Key is older than {days:.0f} days, so its claim "
+            "may have expired; check with the service whether the call ran"
+        )
+    if key_unix > unix_now + KEY_AHEAD_S:
+        return KeyRefused(
+            "the time in the Idempotency-Key is ahead of the clock; correct "
+            "the caller's clock and use a new key"
+        )
+    window = int(key_unix // WINDOW_S) % WINDOWS
+    bucket = f"window-{window:03d}-{number % shards:02d}"
+    return Place(bucket, name.hexdigest(), key_unix)
+
+
+def key_time(key: str) -> float | None:
+    """Returns the Unix time in a UUID version 7, None for any other key.
+
+    >>> key_time("01890a5d-ac96-774b-bcce-b302099a8057")
+    1688145472.662
+    >>> key_time("order-17") is None
+    True
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    # Other spellings of one UUID would be different keys with the same time.
+    if parsed.version != 7 or str(parsed) != key.lower():
+        return None
+    return (parsed.int >> 80) / 1e3
+
+
+def digest_of(method: str, target: str, body: bytes) -> str:
+    """Returns a digest by which reuse of a key for another call is found."""
+    found = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    found.update(f"{method} {target}\0".encode())
+    found.update(body)
+    return found.hexdigest()
--- a/src/yuccatally/core/requests/ledger.py
+++ b/src/yuccatally/core/requests/ledger.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from yuccatally.core.requests import life
 from yuccatally.core.requests import outcomes
 
 
@@ -32,6 +33,9 @@
     """Keeps the identity of accepted and ended requests.
 
     Every accepted request ends in exactly one outcome.
+
+    Attributes:
+        in_flight: Requests that have not ended, by id.
     """
 
     def __init__(self) -> None:
@@ -44,7 +48,7 @@
             ),
             0,
         )
-        self.in_flight: dict[str, float] = {}
+        self.in_flight: dict[str, life.Life] = {}
 
     def accept(self, request: str, now: float) -> None:
         """Records that a request was accepted at a time in seconds.
@@ -55,17 +59,31 @@
         if request in self.in_flight:
             raise LedgerError(f"request {request} was accepted twice")
         self.accepted += 1
-        self.in_flight[request] = now
+        self.in_flight[request] = life.Life(request, now)
 
-    def finish(self, request: str, outcome: outcomes.Outcome) -> None:
-        """Records the outcome of a request.
+    def life_of(self, request: str) -> life.Life:
+        """Returns the state of a request in flight.
 
         Raises:
             LedgerError: The request is not in flight.
         """
-        if self.in_flight.pop(request, None) is None:
+        found = self.in_flight.get(request)
+        if found is None:
             raise LedgerError(f"request {request} is not in flight")
+        return found
+
+    def finish(self, request: str, outcome: outcomes.Outcome) -> life.Life:
+        """Records the outcome of a request and returns its final state.
+
+        Raises:
+            LedgerError: The request is not in flight.
+            life.LifeError: The outcome would not be true.
+        """
+        found = self.life_of(request)
+        found.end(outcome)
+        del self.in_flight[request]
         self.ended[outcome] += 1
+        return found
 
     def totals(self) -> Totals:
         """Returns the current counts."""
--- a/src/yuccatally/core/requests/outcomes.py
+++ b/src/yuccatally/core/requests/outcomes.py
@@ -35,6 +35,7 @@
     KEY_IN_USE = "key-in-use"
     KEY_EXPIRED = "key-expired"
     UPSTREAM_FAILED = "upstream-failed"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     CALLER_GONE = "caller-gone"
     INTERNAL = "internal"
 
--- /dev/null
+++ b/src/yuccatally/core/services/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of rule and address for calls of plain services."""
--- a/src/yuccatally/instance/claims.py
+++ b/src/yuccatally/instance/claims.py
@@ -3,96 +3,259 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
+import random
 import time
 
 import msgspec
+import structlog
 
 from yuccatally.core.claims import book
+from yuccatally.core.claims import bucket
+from yuccatally.core.claims import layout
 from yuccatally.store import client
 
 KIND = "claims"
-RETRY_S = 0.05
 GIVE_UP_S = 3.0
+# A settlement waits so long for claims it can share a write with. A duplicate
+# that arrives meanwhile waits longer than this for the stored answer.
+SETTLE_DELAY_S = 0.05
+DUPLICATE_WAIT_S = 2.0
+MAX_WAITING = 4096
+BOOKS_KEPT = 256
 
-
-class ClaimError(Exception):
-    """The platform could not be reached; the change may still be written."""
+_log = structlog.get_logger()
 
 
 @dataclasses.dataclass(frozen=True)
-class _Waiting:
-    change: book.Change
-    verdict: asyncio.Future[book.Verdict]
-    give_up_at: float
+class Key:
+    """An idempotency key with its scope, for one call.
+
+    Attributes:
+        place: Where the claim is kept.
+        request: Id of the request.
+        digest: Digest of the call.
+    """
+
+    place: layout.Place
+    request: str
+    digest: str
+
+
+@dataclasses.dataclass
+class _Worker:
+    book: book.ClaimBook
+    wake: asyncio.Event
+    task: asyncio.Task[None] | None = None
 
 
 class ClaimWriter:
     """Applies changes to bucket objects by conditional updates.
 
-    All changes that wait for a bucket share one write.
+    All changes that wait for a bucket share one write. The content of the
+    buckets in use is kept, so that a claim usually costs one write.
+
+    Attributes:
+        calls: Calls made to the platform, by method and result.
+        written_bytes: Encoded length of everything written.
     """
 
-    def __init__(self, store: client.StoreClient) -> None:
+    def __init__(
+        self,
+        store: client.StoreClient,
+        settle_delay_s: float = SETTLE_DELAY_S,
+    ) -> None:
         self.store = store
-        self.waiting: dict[str, list[_Waiting]] = {}
-        self.workers: dict[str, asyncio.Task[None]] = {}
+        self.settle_delay_s = settle_delay_s
+        self.workers: collections.OrderedDict[str, _Worker] = (
+            collections.OrderedDict()
+        )
+        self.waiting: dict[int, asyncio.Future[bucket.Verdict]] = {}
+        self.next_ticket = 0
+        self.random = random.Random()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.written_bytes = 0
+
+    @property
+    def pending(self) -> int:
+        """Changes that are not part of the platform's state yet."""
+        return sum(len(w.book.entries) for w in self.workers.values())
 
-    async def apply(self, service: str, change: book.Change) -> book.Verdict:
-        """Applies one change and returns its verdict.
+    async def take(
+        self, key: Key, give_up_s: float = GIVE_UP_S
+    ) -> bucket.Verdict:
+        """Asks for a claim.
 
-        Raises:
-            ClaimError: The platform was unreachable for ``GIVE_UP_S`` seconds.
+        Args:
+            key: What to claim.
+            give_up_s: Seconds after which an unavailable platform is not
+                waited for any longer.
+
+        Returns:
+            The verdict. A claim that may have been written nevertheless is
+            released in the background.
         """
-        bucket = book.bucket_of(service, change.key)
-        verdict: asyncio.Future[book.Verdict] = (
-            asyncio.get_running_loop().create_future()
+        if len(self.waiting) >= MAX_WAITING:
+            return bucket.Full()
+        now = time.monotonic()
+        place = key.place
+        change = bucket.Take(place.key, key.request, key.digest, place.key_unix)
+        ticket = self._ticket()
+        verdict = asyncio.get_running_loop().create_future()
+        self.waiting[ticket] = verdict
+        worker = self._worker(place.bucket)
+        worker.book.request(
+            ticket,
+            change,
+            now,
+            give_up_at=now + give_up_s,
+            patience_until=now + DUPLICATE_WAIT_S,
         )
-        entry = _Waiting(change, verdict, time.monotonic() + GIVE_UP_S)
-        self.waiting.setdefault(bucket, []).append(entry)
-        if bucket not in self.workers:
-            task = asyncio.create_task(self._work(bucket))
-            self.workers[bucket] = task
-        return await verdict
-
-    async def _work(self, bucket: str) -> None:
+        self._wake(place.bucket, worker)
+        try:
+            return await verdict
+        except asyncio.CancelledError:
+            # Nobody will send the call, so the claim must not stay.
+            self.release(key, fence=True)
+            raise
+        finally:
+            self.waiting.pop(ticket, None)
+
+    def settle(self, key: Key, reply: bucket.Reply) -> None:
+        """Records the answer of a call in the background."""
+        place = key.place
+        change = bucket.Settle(place.key, key.request, key.digest, reply)
+        due_at = time.monotonic() + self.settle_delay_s
+        self._submit(place.bucket, change, due_at)
+
+    def release(self, key: Key, fence: bool = False) -> None:
+        """Gives a claim back in the background; the call was not made."""
+        change = bucket.Release(key.place.key, key.request, fence)
+        self._submit(key.place.bucket, change, time.monotonic())
+
+    async def finish(self, timeout_s: float) -> int:
+        """Waits until every change is stored.
+
+        Returns:
+            The number of changes that were not stored in time.
+        """
+        deadline = time.monotonic() + timeout_s
+        while self.pending and time.monotonic() < deadline:  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        return self.pending
+
+    async def close(self) -> None:
+        """Stops writing."""
+        tasks = [w.task for w in self.workers.values() if w.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _submit(self, name: str, change: bucket.Change, due_at: float) -> None:
+        worker = self._worker(name)
+        now = time.monotonic()
+        worker.book.request(self._ticket(), change, now, due_at)
+        self._wake(name, worker)
+
+    def _ticket(self) -> int:
+        self.next_ticket += 1
+        return self.next_ticket
+
+    def _worker(self, name: str) -> _Worker:
+        worker = self.workers.get(name)
+        if worker is None:
+            machine = book.ClaimBook(self.random.random)
+            worker = _Worker(machine, asyncio.Event())
+            self.workers[name] = worker
+            self._forget_idle()
+        self.workers.move_to_end(name)
+        return worker
+
+    def _forget_idle(self) -> None:
+        excess = len(self.workers) - BOOKS_KEPT
+        for name, worker in list(self.workers.items()):
+            if excess <= 0:
+                return
+            if worker.task is None and not worker.book.entries:
+                del self.workers[name]
+                excess -= 1
+
+    def _wake(self, name: str, worker: _Worker) -> None:
+        worker.wake.set()
+        if worker.task is None:
+            worker.task = asyncio.create_task(self._work(name, worker))
+
+    async def _work(self, name: str, worker: _Worker) -> None:
         try:
-            while self.waiting.get(bucket):
-                try:
-                    await self._write(bucket)
-                except client.StoreError as error:
-                    self._expire(bucket, error)
-                    await asyncio.sleep(RETRY_S)
+            while await self._step(name, worker):
+                pass
         finally:
-            del self.workers[bucket]
-
-    async def _write(self, bucket: str) -> None:
-        current, version = await self._read(bucket)
-        batch = list(self.waiting[bucket])
-        changes = [w.change for w in batch]
-        merged, verdicts = book.merge(current, changes, time.time())
-        if merged != current:
-            spec = msgspec.to_builtins(merged)
-            await self.store.put(KIND, bucket, spec, {}, version)
-        remaining = self.waiting[bucket][len(batch) :]
-        self.waiting[bucket] = remaining
-        for entry, verdict in zip(batch, verdicts, strict=True):
-            if not entry.verdict.done():
-                entry.verdict.set_result(verdict)
-
-    async def _read(self, bucket: str) -> tuple[book.Bucket, int]:
+            worker.task = None
+
+    async def _step(self, name: str, worker: _Worker) -> bool:
+        worker.wake.clear()
+        call = worker.book.next_call(time.monotonic(), time.time())
+        self._deliver(worker)
+        match call:
+            case book.Read():
+                await self._read(name, worker.book)
+            case book.Write():
+                await self._write(name, worker.book, call)
+            case book.Rest(until=until):
+                if not worker.book.entries:
+                    return False
+                await _pause(worker.wake, until - time.monotonic())
+        self._deliver(worker)
+        return True
+
+    async def _read(self, name: str, machine: book.ClaimBook) -> None:
+        self.calls["read"] += 1
         try:
-            stored = await self.store.get(KIND, bucket)
+            stored = await self.store.get(KIND, name)
+            content = msgspec.convert(stored.spec, bucket.Bucket)
         except client.NotFoundError:
-            return book.Bucket(), 0
-        return msgspec.convert(stored.spec, book.Bucket), stored.version
+            machine.on_read(bucket.Bucket(), 0)
+        except (client.StoreError, msgspec.ValidationError) as error:
+            self._failed(name, error)
+            machine.on_failed(time.monotonic())
+        else:
+            machine.on_read(content, stored.version)
 
-    def _expire(self, bucket: str, error: client.StoreError) -> None:
-        now = time.monotonic()
-        kept = []
-        for entry in self.waiting[bucket]:
-            if entry.give_up_at > now:
-                kept.append(entry)
-            elif not entry.verdict.done():
-                entry.verdict.set_exception(ClaimError(str(error)))
-        self.waiting[bucket] = kept
+    async def _write(
+        self, name: str, machine: book.ClaimBook, call: book.Write
+    ) -> None:
+        self.calls["write"] += 1
+        spec = msgspec.to_builtins(call.content)
+        self.written_bytes += len(msgspec.json.encode(spec))
+        try:
+            stored = await self.store.put(KIND, name, spec, {}, call.version)
+        except client.ConflictError:
+            self.calls["conflict"] += 1
+            machine.on_conflict(time.monotonic())
+        except client.UncertainError as error:
+            self._failed(name, error)
+            machine.on_lost(time.monotonic())
+        except client.StoreError as error:
+            self._failed(name, error)
+            machine.on_failed(time.monotonic())
+        else:
+            machine.on_written(stored.version, time.monotonic())
+
+    def _failed(self, name: str, error: Exception) -> None:
+        self.calls["failed"] += 1
+        _log.warning("claims_call_failed", bucket=name, error=str(error))
+
+    def _deliver(self, worker: _Worker) -> None:
+        for answer in worker.book.answers():
+            future = self.waiting.get(answer.ticket)
+            if future is not None and not future.done():
+                future.set_result(answer.verdict)
+
+
+async def _pause(wake: asyncio.Event, seconds: float) -> None:
+    try:
+        async with asyncio.timeout(max(0.0, seconds)):
+            await wake.wait()
+    except TimeoutError:
+        pass
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -21,6 +21,7 @@
 from yuccatally.instance import claims
 from yuccatally.instance import generations
 from yuccatally.instance import servers
+from yuccatally.instance import services
 from yuccatally.instance import watch
 from yuccatally.operators import application as operators_application
 from yuccatally.store import http as http_store
@@ -31,15 +32,17 @@
     from collections.abc import Coroutine
     from collections.abc import Iterator
 
+    from opentelemetry import trace
     from starlette import responses as http
 
-    from yuccatally.core.claims import book
-    from yuccatally.core.objects import kinds
     from yuccatally.settings import settings as settings_module
     from yuccatally.store import client
 
 ADDRESS_KEEP_S = 2.0
 MEMBERS_REFRESH_S = 1.0
+# Longest extension of a drain while the platform is unavailable. Duplicates of
+# calls whose settlement is lost get "unknown" instead of the stored answer.
+SETTLE_LIMIT_S = 60.0
 
 _log = structlog.get_logger()
 
@@ -58,6 +61,7 @@
         self.traces = traces.TraceBuffer()
         self.tracer = traces.tracer(self.traces, settings.instance.name)
         self.claims = claims.ClaimWriter(store)
+        self.services = services.ServiceCalls(self.tracer, self.metrics)
         self.generations = generations.Generations(
             self.config, self.tracer, self.metrics
         )
@@ -95,8 +99,8 @@
                     self.settings.operators.address,
                 ),
             ]
-            self._spawn(self.watch.run())
-            self._spawn(self._refresh_members())
+            self.spawn(self.watch.run())
+            self.spawn(self._refresh_members())
             served = [asyncio.create_task(x.serve()) for x in listeners]
             _log.info("started", callers=self.settings.callers.address)
             await self.drained.wait()
@@ -116,9 +120,8 @@
 
     def finish(self, request: str, outcome: outcomes.Outcome) -> None:
         """Records the outcome of a request."""
-        started = self.ledger.in_flight[request]
-        self.ledger.finish(request, outcome)
-        elapsed_s = time.monotonic() - started
+        ended = self.ledger.finish(request, outcome)
+        elapsed_s = time.monotonic() - ended.accepted_at
         self.metrics.observe("request", elapsed_s)
         with self.span("outcome", request, outcome=str(outcome)):
             _log.info(
@@ -135,27 +138,27 @@
 
     def refuse(self, request: str, refusal: outcomes.Refusal) -> http.Response:
         """Ends a request with a refusal."""
-        self.metrics.count("refusals", str(refusal.reason))
         self.finish(request, refusal.outcome)
+        self.metrics.count("refusals", str(refusal.reason))
         return responses.refused(request, refusal)
 
     @contextlib.contextmanager
     def span(
         self, name: str, request: str, **attributes: str
-    ) -> Iterator[None]:
+    ) -> Iterator[trace.Span]:
         """Records a span of a request."""
         merged = {"request": request, **attributes}
-        with self.tracer.start_as_current_span(name, attributes=merged):
-            yield
-
-    def settle_later(self, service: str, change: book.Change) -> None:
-        """Writes a settlement or release without delaying the answer."""
-        self._spawn(self._settle(service, change))
-
-    def service_address(self, service: kinds.Object, attempt: int) -> str:
-        """Returns the address to use for an attempt."""
-        addresses = service.spec.addresses
-        return addresses[(self.next_request + attempt) % len(addresses)]
+        with self.tracer.start_as_current_span(
+            name, attributes=merged
+        ) as started:
+            yield started
+
+    def end_unfinished(self, request: str) -> None:
+        """Ends a request that a fault or a disconnect left without outcome."""
+        found = self.ledger.in_flight.get(request)
+        if found is not None:
+            self.metrics.count("unfinished_requests")
+            self.finish(request, found.unfinished_outcome())
 
     def instances_for_callers(self) -> dict[str, Any]:
         """Returns the addresses a caller should use, best first."""
@@ -195,25 +198,19 @@
         """Starts a graceful shutdown; repeated calls change nothing."""
         if not self.leaving:
             self.leaving = True
-            self._spawn(self._drain())
+            self.spawn(self._drain())
 
     async def _drain(self) -> None:
         _log.info("draining", in_flight=len(self.ledger.in_flight))
         await asyncio.sleep(ADDRESS_KEEP_S)
         # A poll keeps the ledger free of I/O.
-        while self.ledger.in_flight or self._settling():  # noqa: ASYNC110
+        while self.ledger.in_flight:  # noqa: ASYNC110
             await asyncio.sleep(0.02)
+        unsettled = await self.claims.finish(SETTLE_LIMIT_S)
+        if unsettled:
+            _log.error("claims_not_settled", count=unsettled)
         self.drained.set()
 
-    def _settling(self) -> bool:
-        return bool(self.claims.workers)
-
-    async def _settle(self, service: str, change: book.Change) -> None:
-        try:
-            await self.claims.apply(service, change)
-        except claims.ClaimError as error:
-            _log.warning("claim_not_settled", error=str(error))
-
     async def _refresh_members(self) -> None:
         while True:
             with contextlib.suppress(Exception):
@@ -223,12 +220,14 @@
     def _on_config_change(self) -> None:
         for name in self.generations.reconcile(self.session):
             connection = self.generations.connections.pop(name)
-            self._spawn(connection.close())
+            self.spawn(connection.close())
 
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Runs work that outlives the request it belongs to."""
         task = asyncio.create_task(work)
         self.background.add(task)
         task.add_done_callback(self.background.discard)
+        return task
 
     async def _close(self) -> None:
         for connection in self.generations.connections.values():
@@ -236,4 +235,6 @@
         for task in list(self.background):
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
+        await self.claims.close()
+        await self.services.close()
         await self.store.close()
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -87,10 +87,12 @@
 
     Attributes:
         body_bytes: Longest request body, in bytes.
+        response_bytes: Longest answer of a service, in bytes.
         request_timeout_s: Deadline of a request that states none, in seconds.
     """
 
     body_bytes: int = 1_048_576
+    response_bytes: int = 8_388_608
     request_timeout_s: float = 60.0
 
 
--- a/src/yuccatally/upstreams/services.py
+++ b/src/yuccatally/upstreams/services.py
@@ -5,22 +5,29 @@
 import dataclasses
 
 import aiohttp
+import yarl
 
 CONNECT_TIMEOUT_S = 1.0
 HOP_BY_HOP = frozenset(
     {
         "connection",
         "content-length",
+        "expect",
         "host",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
+        "proxy-connection",
         "te",
         "trailer",
         "transfer-encoding",
         "upgrade",
     }
 )
+# Headers that the client library adds unless the caller sent them.
+_AUTOMATIC = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+
+Headers = tuple[tuple[str, str], ...]
 
 
 class NotSentError(Exception):
@@ -31,66 +38,168 @@
     """The call may have run although no answer came."""
 
 
+class TooLongError(Exception):
+    """The call ran, but its answer exceeds the limit.
+
+    Attributes:
+        status: HTTP status of the answer.
+    """
+
+    def __init__(self, status: int, limit: int) -> None:
+        super().__init__(f"the answer is longer than {limit} bytes")
+        self.status = status
+
+
 @dataclasses.dataclass(frozen=True)
 class Call:
     """A call to pass on.
 
     Attributes:
         method: HTTP method.
-        path: Path and query below the service.
-        headers: End-to-end headers.
+        target: Path and query below the service, encoded as received.
+        headers: End-to-end headers in order.
         body: Request body.
-        timeout_s: Longest wait for the answer, in seconds.
+        limit_bytes: Longest answer that is accepted.
     """
 
     method: str
-    path: str
-    headers: dict[str, str]
+    target: str
+    headers: Headers
     body: bytes
-    timeout_s: float
+    limit_bytes: int
 
 
 @dataclasses.dataclass(frozen=True)
 class Answer:
-    """What the service answered."""
+    """What the service answered.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers in order.
+        body: Body as received, without decoding.
+        length: Length announced for a body that is not sent, as in an answer
+            to HEAD; empty if none was announced.
+    """
 
     status: int
-    content_type: str
+    headers: Headers
     body: bytes
+    length: str = ""
+
+
+class SecondConnectionError(Exception):
+    """The client library tried to send a call again on its own."""
+
+
+@dataclasses.dataclass
+class _Progress:
+    connections: int = 0
+    connected: bool = False
+
+
+def session() -> aiohttp.ClientSession:
+    """Returns a session for calls of services.
+
+    Every call has a connection of its own, so a reply that arrives late cannot
+    be read as the answer to another call. Nothing is decoded or remembered
+    between calls.
+    """
+    progress = aiohttp.TraceConfig()
+    progress.on_connection_create_start.append(_on_connecting)
+    progress.on_connection_create_end.append(_on_connected)
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=_AUTOMATIC,
+        trace_configs=[progress],
+    )
 
 
 async def call(
-    session: aiohttp.ClientSession, address: str, request: Call
+    client: aiohttp.ClientSession, address: str, request: Call, timeout_s: float
 ) -> Answer:
-    """Makes one call on a connection of its own.
+    """Makes one call.
 
-    A new connection for each call keeps a reply that arrives late from being
-    read as the answer to another call, and makes a refused connection proof
-    that nothing was sent.
+    Args:
+        client: Session made by ``session``.
+        address: ``IP:PORT``.
+        request: What to call.
+        timeout_s: Longest wait for the whole answer, in seconds.
 
     Raises:
         NotSentError: The connection could not be made.
         UncertainError: The connection failed or timed out afterwards.
+        TooLongError: The answer exceeds the limit.
     """
-    timeout = aiohttp.ClientTimeout(
-        total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
-    )
+    progress = _Progress()
     try:
-        async with session.request(
+        async with client.request(
             request.method,
-            f"http://{address}{request.path}",
-            headers={**request.headers, "Connection": "close"},
-            data=request.body,
-            timeout=timeout,
+            yarl.URL(f"http://{address}{request.target}", encoded=True),
+            headers=request.headers,
+            data=request.body or None,
+            timeout=aiohttp.ClientTimeout(
+                total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
+            ),
             allow_redirects=False,
+            trace_request_ctx=progress,
         ) as response:
-            body = await response.read()
-            content_type = response.headers.get("Content-Type", "")
-            return Answer(response.status, content_type, body)
+            return await _answer(response, request)
     except (
-        aiohttp.ClientConnectorError,
-        aiohttp.ConnectionTimeoutError,
+        TimeoutError,
+        aiohttp.ClientError,
+        OSError,
+        SecondConnectionError,
     ) as error:
-        raise NotSentError(f"{address}: {type(error).__name__}") from error
-    except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        raise UncertainError(f"{address}: {type(error).__name__}") from error
+        message = f"{address}: {type(error).__name__}"
+        if progress.connected:
+            raise UncertainError(message) from error
+        raise NotSentError(message) from error
+
+
+def end_to_end(headers: list[tuple[bytes, bytes]]) -> Headers:
+    """Returns the headers that are meant for the other end."""
+    decoded = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in headers]
+    named = {
+        token.strip().lower()
+        for name, value in decoded
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    excluded = HOP_BY_HOP | named
+    return tuple((n, v) for n, v in decoded if n.lower() not in excluded)
+
+
+async def _answer(response: aiohttp.ClientResponse, request: Call) -> Answer:
+    parts: list[bytes] = []
+    length = 0
+    async for part in response.content.iter_any():
+        length += len(part)
+        if length > request.limit_bytes:
+            raise TooLongError(response.status, request.limit_bytes)
+        parts.append(part)
+    bodiless = request.method == "HEAD" or response.status == 304
+    return Answer(
+        response.status,
+        end_to_end(list(response.raw_headers)),
+        b"".join(parts),
+        response.headers.get("Content-Length", "") if bodiless else "",
+    )
+
+
+async def _on_connecting(
+    client: aiohttp.ClientSession, context: object, parameters: object
+) -> None:
+    # aiohttp sends a call with an idempotent method again when the connection
+    # drops, but PUT and DELETE of a service may have to run at most once.
+    progress = context.trace_request_ctx
+    progress.connections += 1
+    if progress.connections > 1:
+        raise SecondConnectionError
+
+
+async def _on_connected(
+    client: aiohttp.ClientSession, context: object, parameters: object
+) -> None:
+    context.trace_request_ctx.connected = True
--- a/src/yuccatally_standins/platform.py
+++ b/src/yuccatally_standins/platform.py
@@ -21,12 +21,16 @@
         down: Every call is refused with status 503.
         delay_s: Delay of each call, in seconds.
         lose_replies: Number of writes to carry out without a reply.
+        drop_writes: Number of writes to lose before they take effect.
+        claim_delay_s: Delay of calls for claims, in seconds.
         silent_watch: Watches do not return.
     """
 
     down: bool = False
     delay_s: float = 0.0
     lose_replies: int = 0
+    drop_writes: int = 0
+    claim_delay_s: float = 0.0
     silent_watch: bool = False
 
 
@@ -70,6 +74,13 @@
         if self.faults.down:
             raise web.HTTPServiceUnavailable()
         await asyncio.sleep(self.faults.delay_s)
+        if request.path.startswith("/objects/claims/"):
+            await asyncio.sleep(self.faults.claim_delay_s)
+        if request.method == "PUT" and self.faults.drop_writes:
+            self.faults.drop_writes -= 1
+            if request.transport is not None:
+                request.transport.abort()
+            raise web.HTTPServiceUnavailable()
         response = await handler(request)
         if request.method in ("PUT", "DELETE") and self.faults.lose_replies:
             self.faults.lose_replies -= 1
--- a/src/yuccatally_standins/service.py
+++ b/src/yuccatally_standins/service.py
@@ -15,11 +15,17 @@
 
     Attributes:
         delay_s: Delay before a call is carried out, in seconds.
+        delay_after_s: Delay between a call and its answer, in seconds.
         drop_after: Number of calls to carry out without an answer.
+        drop_before: Number of calls to drop without carrying them out.
+        silent: Number of calls to carry out whose connection stays silent.
     """
 
     delay_s: float = 0.0
+    delay_after_s: float = 0.0
     drop_after: int = 0
+    drop_before: int = 0
+    silent: int = 0
 
 
 class Service:
@@ -29,31 +35,33 @@
         self.faults = Faults()
         self.reservations: list[dict[str, Any]] = []
         self.reads = 0
+        self.received = 0
 
     def application(self) -> web.Application:
         """Returns the HTTP application."""
         app = web.Application()
         app.router.add_post("/reservations", self._reserve)
+        app.router.add_put("/reservations", self._reserve)
         app.router.add_get("/reservations", self._list)
+        app.router.add_get("/received", self._received)
+        app.router.add_route("*", "/mirror/{status}", self._mirror)
         app.router.add_get("/stock/{lot}", self._stock)
         app.router.add_post("/faults", self._set_faults)
         return app
 
     async def _reserve(self, request: web.Request) -> web.Response:
         body = await request.json()
-        await asyncio.sleep(self.faults.delay_s)
+        await self._before(request)
         number = len(self.reservations) + 1
         self.reservations.append(
             {
                 "number": number,
                 "lot": body.get("lot"),
                 "request": request.headers.get("Yuccatally-Request"),
+                "key": request.headers.get("Idempotency-Key"),
             }
         )
-        if self.faults.drop_after:
-            self.faults.drop_after -= 1
-            if request.transport is not None:
-                request.transport.abort()
+        await self._after(request)
         return web.json_response({"number": number, "lot": body.get("lot")})
 
     async def _list(self, request: web.Request) -> web.Response:
@@ -61,16 +69,60 @@
 
     async def _stock(self, request: web.Request) -> web.Response:
         self.reads += 1
-        await asyncio.sleep(self.faults.delay_s)
-        if self.faults.drop_after:
-            self.faults.drop_after -= 1
-            if request.transport is not None:
-                request.transport.abort()
+        await self._before(request)
+        await self._after(request)
         lot = request.match_info["lot"]
         sold = any(r["lot"] == lot for r in self.reservations)
         return web.json_response({"lot": lot, "available": not sold})
 
+    async def _received(self, request: web.Request) -> web.Response:
+        return web.json_response({"received": self.received})
+
+    async def _mirror(self, request: web.Request) -> web.Response:
+        """Answers with the status, length and bytes that were asked for."""
+        body = await request.read()
+        length = int(request.query.get("length", "0"))
+        headers = {
+            "X-Target": request.raw_path,
+            "X-Method": request.method,
+            "X-Request": request.headers.get("Yuccatally-Request", ""),
+            "X-Cookie": request.headers.get("Cookie", ""),
+            "Set-Cookie": "visit=1",
+            "ETag": '"v1"',
+            "Location": "/elsewhere",
+        }
+        content = body or bytes(i % 256 for i in range(length))
+        status = int(request.match_info["status"])
+        return web.Response(
+            status=status,
+            headers=headers,
+            body=b"" if status in (204, 304) else content,
+            content_type="application/octet-stream",
+        )
+
+    async def _before(self, request: web.Request) -> None:
+        self.received += 1
+        await asyncio.sleep(self.faults.delay_s)
+        if self.faults.drop_before:
+            self.faults.drop_before -= 1
+            _abort(request)
+            raise web.HTTPServiceUnavailable()
+
+    async def _after(self, request: web.Request) -> None:
+        await asyncio.sleep(self.faults.delay_after_s)
+        if self.faults.silent:
+            self.faults.silent -= 1
+            await asyncio.sleep(3600)
+        if self.faults.drop_after:
+            self.faults.drop_after -= 1
+            _abort(request)
+
     async def _set_faults(self, request: web.Request) -> web.Response:
         for name, value in (await request.json()).items():
             setattr(self.faults, name, value)
         return web.json_response(dataclasses.asdict(self.faults))
+
+
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
