--- a/src/yuccatally/core/claims/book.py
+++ b/src/yuccatally/core/claims/book.py
@@ -260,7 +260,7 @@
         self.decided.append(Answer(entry.ticket, verdict))
         if entry.exposed and not isinstance(verdict, bucket.Won):
             change = entry.change
-            release = bucket.Release(change.key, change.request, fence=True)
+            release = bucket.Release(change.key, change.request)
             # A negative ticket belongs to no waiting caller.
             self.request(-1 - entry.ticket, release, now)
 
--- a/src/yuccatally/core/claims/bucket.py
+++ b/src/yuccatally/core/claims/bucket.py
@@ -106,14 +106,10 @@
     Attributes:
         key: Digest of the key.
         request: Request that holds the claim or tried to take it.
-        fence: Write even if the claim is absent. A write of the claim whose
-            reply was lost may still be on its way; the new version of the
-            bucket makes it fail.
     """
 
     key: str
     request: str
-    fence: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -237,10 +233,11 @@
     def _settle(
         self, change: Settle, current: Claim | None, unix_now: float
     ) -> None:
-        if current is not None and (
-            current.request != change.request
-            or current.state is ClaimState.DONE
-        ):
+        if current is not None and current.request != change.request:
+            # Writing the same content shows whether the read was stale.
+            self.dirty = True
+            return
+        if current is not None and current.state is ClaimState.DONE:
             return
         # An absent claim means a stale read, which the write will reveal, or
         # a lost object; the call ran, so it must be recorded in either case.
@@ -256,16 +253,16 @@
     def _release(
         self, change: Release, current: Claim | None, unix_now: float
     ) -> None:
-        if (
-            current is not None
-            and current.request == change.request
-            and current.state is ClaimState.CLAIMED
-        ):
+        own = current is not None and current.request == change.request
+        if own and current.state is ClaimState.CLAIMED:
             released = msgspec.structs.replace(
                 current, state=ClaimState.RELEASED, at=unix_now
             )
             self._store(change.key, released)
-        elif change.fence:
+        elif not own:
+            # The read may be stale, or a write of the claim whose reply was
+            # lost may be on its way. The write fails in the first case; its
+            # new version makes the late write fail in the second.
             self.dirty = True
 
     def _store(self, key: str, claim: Claim) -> None:
--- a/src/yuccatally/core/claims/layout.py
+++ b/src/yuccatally/core/claims/layout.py
@@ -93,7 +93,7 @@
     """Returns the Unix time in a UUID version 7, None for any other key.
 
     >>> key_time("01890a5d-ac96-774b-bcce-b302099a8057")
-    1688145472.662
+    1688096058.518
     >>> key_time("order-17") is None
     True
     """
--- a/src/yuccatally/instance/claims.py
+++ b/src/yuccatally/instance/claims.py
@@ -117,7 +117,7 @@
             return await verdict
         except asyncio.CancelledError:
             # Nobody will send the call, so the claim must not stay.
-            self.release(key, fence=True)
+            self.release(key)
             raise
         finally:
             self.waiting.pop(ticket, None)
@@ -129,9 +129,9 @@
         due_at = time.monotonic() + self.settle_delay_s
         self._submit(place.bucket, change, due_at)
 
-    def release(self, key: Key, fence: bool = False) -> None:
+    def release(self, key: Key) -> None:
         """Gives a claim back in the background; the call was not made."""
-        change = bucket.Release(key.place.key, key.request, fence)
+        change = bucket.Release(key.place.key, key.request)
         self._submit(key.place.bucket, change, time.monotonic())
 
     async def finish(self, timeout_s: float) -> int:
--- a/src/yuccatally_standins/platform.py
+++ b/src/yuccatally_standins/platform.py
@@ -73,6 +73,8 @@
         self.calls[f"{request.method} {request.path.split('/')[1]}"] += 1
         if self.faults.down:
             raise web.HTTPServiceUnavailable()
+        # A write takes effect even if its sender is gone by then.
+        await request.read()
         await asyncio.sleep(self.faults.delay_s)
         if request.path.startswith("/objects/claims/"):
             await asyncio.sleep(self.faults.claim_delay_s)
--- a/tests/core/claims/test_book.py
+++ b/tests/core/claims/test_book.py
@@ -265,6 +265,60 @@
     assert len(result.bucket.claims) == most
 
 
+CLAIMED, DONE = bucket.ClaimState.CLAIMED, bucket.ClaimState.DONE
+RELEASED = bucket.ClaimState.RELEASED
+OK = bucket.Reply(200)
+
+
+@pytest.mark.parametrize(
+    ("change", "found", "state_after"),
+    [
+        (bucket.Release("k", "r1"), None, None),
+        (bucket.Release("k", "r1"), ("r1", CLAIMED), RELEASED),
+        (bucket.Release("k", "r1"), ("r2", CLAIMED), CLAIMED),
+        (bucket.Settle("k", "r1", "d", OK), None, DONE),
+        (bucket.Settle("k", "r1", "d", OK), ("r1", CLAIMED), DONE),
+        (bucket.Settle("k", "r1", "d", OK), ("r2", CLAIMED), CLAIMED),
+    ],
+)
+def test_settlement_and_release_are_confirmed_by_a_write(
+    change: bucket.Change,
+    found: tuple[str, bucket.ClaimState] | None,
+    state_after: bucket.ClaimState | None,
+) -> None:
+    """Guards against a stale read that hides the own claim.
+
+    Without the write, a claim that was released stays claimed, and so does
+    one whose write arrives after the release.
+    """
+    claims = {}
+    if found is not None:
+        claims["k"] = bucket.Claim(found[0], "d", found[1], UNIX)
+    result = merged(claims, change)
+    assert result.dirty
+    after = result.bucket.claims.get("k")
+    assert (after.state if after else None) == state_after
+    if state_after in (DONE, RELEASED):
+        assert not merged(dict(result.bucket.claims), change).dirty
+
+
+def test_lost_write_is_read_back_and_released_when_given_up() -> None:
+    """Guards against a claim that stays because its write arrived late."""
+    machine = book.ClaimBook(lambda: 0.5)
+    machine.on_read(bucket.Bucket(), 3)
+    machine.request(1, bucket.Take("k", "r1", "d"), 0.0, give_up_at=1.0)
+    assert isinstance(machine.next_call(0.0, UNIX), book.Write)
+    machine.on_lost(0.1)
+    assert isinstance(machine.next_call(0.2, UNIX), book.Read)
+    machine.on_failed(0.99)
+    assert isinstance(machine.next_call(1.0, UNIX), book.Rest)
+    assert [a.verdict for a in machine.answers()] == [bucket.GaveUp()]
+    assert isinstance(machine.next_call(5.0, UNIX), book.Read)
+    machine.on_read(bucket.Bucket(), 3)
+    fence = machine.next_call(5.1, UNIX)
+    assert fence == book.Write(bucket.Bucket(), 3)
+
+
 @pytest.mark.parametrize(
     ("age_s", "kept"),
     [
