--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -187,6 +187,7 @@
 
     Attributes:
         body_bytes: Longest request body, in bytes.
+        response_bytes: Longest answer of a service, in bytes.
         header_bytes: Longest request line and headers together, in bytes.
         header_timeout_s: Longest time from the first byte of a request, or
             from the connection, to the end of its headers, in seconds.
@@ -197,6 +198,7 @@
     """
 
     body_bytes: int = strict.checked(_range(1_024, 67_108_864), 1_048_576)
+    response_bytes: int = strict.checked(_range(1_024, 67_108_864), 8_388_608)
     header_bytes: int = strict.checked(_range(1_024, 1_048_576), 32_768)
     header_timeout_s: float = strict.checked(_range(0.1, 600), 10.0)
     body_timeout_s: float = strict.checked(_range(0.1, 3_600), 60.0)
--- a/tests/core/test_decoders.py
+++ b/tests/core/test_decoders.py
@@ -16,7 +16,7 @@
 from yuccatally.callers import completions
 from yuccatally.core import selectors
 from yuccatally.core import strict
-from yuccatally.core.claims import book
+from yuccatally.core.claims import bucket
 from yuccatally.core.objects import documents
 from yuccatally.core.objects import kinds
 from yuccatally.peers import transport
@@ -182,7 +182,7 @@
         with contextlib.suppress(msgspec.DecodeError, RecursionError):
             engines._decoder.decode(raw)
     with contextlib.suppress(msgspec.DecodeError):
-        msgspec.json.decode(content[:1000], type=book.Bucket)
+        msgspec.json.decode(content[:1000], type=bucket.Bucket)
 
 
 @pytest.mark.parametrize(
