Join instances into a fleet and drain in phases

Cause: every instance listed the members each second and watched by itself; a drain refused nothing and told callers nothing. Change: adapter between agent and transport, watch only while holding the role, gate that marks answers of a leaving instance and refuses new work as not-run, seeds in the settings, faults of the platform stand-in (stale lists, gaps, restore, watches that fall silent while they wait).

--- a/src/yuccatally/callers/application.py
+++ b/src/yuccatally/callers/application.py
@@ -83,7 +83,9 @@
 
     async def instances(self, request: requests.Request) -> http.Response:
         """Serves ``GET /v1/instances``."""
-        return self._plain(request, self.node.instances_for_callers())
+        account = access.account_of(request, self.node.config)
+        name = account.name if account is not None else ""
+        return self._plain(request, self.node.fleet.directory(name))
 
     async def _admit(
         self, request: requests.Request, handler: Handler
--- /dev/null
+++ b/src/yuccatally/callers/gate.py
@@ -0,0 +1,81 @@
+"""What every caller is told while an instance starts or leaves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccatally.core.requests import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import MutableMapping
+    from typing import Any
+
+    from yuccatally.instance import instance
+
+    Scope = MutableMapping[str, Any]
+    Message = MutableMapping[str, Any]
+    Receive = Callable[[], Awaitable[Message]]
+    Send = Callable[[Message], Awaitable[None]]
+    Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+INSTANCES_HEADER = b"yuccatally-instances"
+INSTANCES_PATH = "/v1/instances"
+RETRY_AFTER_S = 1.0
+
+
+class Gate:
+    """Marks answers of a leaving instance and refuses work it cannot take.
+
+    Addresses of other instances stay available to the end.
+    """
+
+    def __init__(self, app: Application, node: instance.Instance) -> None:
+        self.app = app
+        self.node = node
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serves one request."""
+
+        async def mark(message: Message) -> None:
+            if message["type"] == "http.response.start" and self.node.leaving:
+                message["headers"] = [*message["headers"], *self._headers()]
+            await send(message)
+
+        refusal = self._refusal(scope)
+        if refusal is None:
+            await self.app(scope, receive, mark)
+            return
+        response = self.node.refuse(self.node.accept(), refusal)
+        await response(scope, receive, mark)
+
+    def _refusal(self, scope: Scope) -> outcomes.Refusal | None:
+        if scope["type"] != "http":
+            return None
+        if not self.node.watch.ready.is_set():
+            return outcomes.Refusal(
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.PLATFORM_UNAVAILABLE,
+                "this instance has no configuration yet; use another one",
+                RETRY_AFTER_S,
+            )
+        if self.node.drain.refusing and scope["path"] != INSTANCES_PATH:
+            return outcomes.Refusal(
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.LEAVING,
+                "this instance is shutting down; use an address of the "
+                "Yuccatally-Instances header",
+                RETRY_AFTER_S,
+            )
+        return None
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        others = self.node.fleet.directory("").instances
+        addresses = ",".join(e.address for e in others)
+        return [
+            (b"connection", b"close"),
+            (INSTANCES_HEADER, addresses.encode()),
+        ]
--- a/src/yuccatally/core/membership/agent.py
+++ b/src/yuccatally/core/membership/agent.py
@@ -15,6 +15,7 @@
 from yuccatally.core.membership import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     import random
 
@@ -61,6 +62,8 @@
         membership: View of all members.
         spread: Decisions on passing on the configuration.
         config: Configuration of the instance.
+        watch_state: Returns whether this instance watches the platform, and
+            how it finds it, see ``spread.InForce``.
     """
 
     def __init__(
@@ -80,8 +83,7 @@
         self.spread = spread.Spread(config, rng)
         self.indirect: dict[str, _Indirect] = {}
         self.received = bytearray()
-        self.watching = False
-        self.platform = ""
+        self.watch_state: Callable[[], tuple[bool, str]] = lambda: (False, "")
 
     def is_watcher(self) -> bool:
         """Returns whether this instance should watch the platform."""
@@ -194,7 +196,7 @@
     def in_force(self) -> spread.InForce:
         """Returns what is in force here."""
         return spread.in_force(
-            self.member.name, self.config, self.watching, self.platform
+            self.member.name, self.config, *self.watch_state()
         )
 
     def directory(self, account: str, now: float) -> directory.Directory:
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -14,11 +14,14 @@
 import structlog
 
 from yuccatally.callers import application as callers_application
+from yuccatally.callers import gate
 from yuccatally.callers import responses
 from yuccatally.core.config import configuration
 from yuccatally.core.requests import ledger
 from yuccatally.core.requests import outcomes
 from yuccatally.instance import claims
+from yuccatally.instance import drain
+from yuccatally.instance import fleet
 from yuccatally.instance import generations
 from yuccatally.instance import servers
 from yuccatally.instance import watch
@@ -39,9 +42,6 @@
     from yuccatally.settings import settings as settings_module
     from yuccatally.store import client
 
-ADDRESS_KEEP_S = 2.0
-MEMBERS_REFRESH_S = 1.0
-
 _log = structlog.get_logger()
 
 
@@ -66,11 +66,18 @@
             store,
             self.config,
             settings.platform.watch_wait_s,
-            self._on_config_change,
+            self._on_platform_change,
+            has_role=lambda: self.fleet.agent.is_watcher(),
+            first_wait_s=watch.PEERS_FIRST_S,
         )
-        self.members: tuple[client.Member, ...] = ()
-        self.leaving = False
-        self.drained = asyncio.Event()
+        self.fleet = fleet.Fleet(
+            settings,
+            store,
+            self.config,
+            self.watch,
+            lambda: len(self.ledger.in_flight),
+        )
+        self.drain = drain.Drain(self.fleet.leave, self._busy)
         self.background: set[asyncio.Task[Any]] = set()
         self.next_request = 0
         self.boot = os.urandom(4).hex()
@@ -90,7 +97,7 @@
         ) as self.session:
             listeners = [
                 servers.Listener(
-                    callers_application.application(self),
+                    gate.Gate(callers_application.application(self), self),
                     self.settings.callers.address,
                 ),
                 servers.Listener(
@@ -99,10 +106,11 @@
                 ),
             ]
             self._spawn(self.watch.run())
-            self._spawn(self._refresh_members())
+            self.fleet.start()
+            self.drain.listeners = listeners[:1]
             served = [asyncio.create_task(x.serve()) for x in listeners]
             _log.info("started", callers=self.settings.callers.address)
-            await self.drained.wait()
+            await self.drain.done.wait()
             for listener in listeners:
                 listener.stop()
             await asyncio.gather(*served)
@@ -160,22 +168,15 @@
         addresses = service.spec.addresses
         return addresses[(self.next_request + attempt) % len(addresses)]
 
-    def instances_for_callers(self) -> dict[str, Any]:
-        """Returns the addresses a caller should use, best first."""
-        here = self.settings.instance.data_centre
-        usable = [m for m in self.members if not m.leaving]
-        usable.sort(key=lambda m: (m.data_centre != here, m.name))
-        return {
-            "instances": [
-                {
-                    "name": m.name,
-                    "address": m.callers_address,
-                    "data_centre": m.data_centre,
-                }
-                for m in usable
-            ],
-            "keep_s": ADDRESS_KEEP_S,
-        }
+    @property
+    def leaving(self) -> bool:
+        """Whether the shutdown has been announced."""
+        return self.drain.leaving
+
+    @property
+    def members(self) -> tuple[client.Member, ...]:
+        """All instances that are not dead, with this one."""
+        return self.fleet.members()
 
     def status(self) -> dict[str, Any]:
         """Returns the state of this instance for operators."""
@@ -192,24 +193,16 @@
             "requests": dataclasses.asdict(totals),
             "balanced": totals.balanced,
             "engines": engines,
+            "fleet": self.fleet.status(),
         }
 
     def start_drain(self) -> None:
         """Starts a graceful shutdown; repeated calls change nothing."""
         if not self.leaving:
-            self.leaving = True
-            self._spawn(self._drain())
+            self._spawn(self.drain.run())
 
-    async def _drain(self) -> None:
-        _log.info("draining", in_flight=len(self.ledger.in_flight))
-        await asyncio.sleep(ADDRESS_KEEP_S)
-        # A poll keeps the ledger free of I/O.
-        while self.ledger.in_flight or self._settling():  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
-        self.drained.set()
-
-    def _settling(self) -> bool:
-        return bool(self.claims.workers)
+    def _busy(self) -> int:
+        return len(self.ledger.in_flight) + len(self.claims.workers)
 
     async def _settle(self, service: str, change: book.Change) -> None:
         try:
@@ -217,13 +210,9 @@
         except claims.ClaimError as error:
             _log.warning("claim_not_settled", error=str(error))
 
-    async def _refresh_members(self) -> None:
-        while True:
-            with contextlib.suppress(Exception):
-                self.members = await self.store.members()
-            await asyncio.sleep(MEMBERS_REFRESH_S)
-
-    def _on_config_change(self) -> None:
+    def _on_platform_change(self, from_peer: bool) -> None:
+        if not from_peer:
+            self.fleet.config_changed()
         for connection in self.generations.reconcile(self.session):
             self._spawn(connection.close())
 
@@ -238,4 +227,5 @@
         for task in list(self.background):
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
+        await self.fleet.close()
         await self.store.close()
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -11,9 +11,9 @@
 from yuccatally.settings import settings as settings_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
-
-    from starlette import applications
+    from typing import Any
 
 KEEP_ALIVE_S = 75
 BACKLOG = 2048
@@ -30,7 +30,7 @@
 class Listener:
     """One HTTP listener."""
 
-    def __init__(self, app: applications.Starlette, address: str) -> None:
+    def __init__(self, app: Callable[..., Any], address: str) -> None:
         host, port = settings_module.split_address(address)
         self.socket = socket.socket(
             socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -59,6 +59,11 @@
         """Serves until ``stop`` is called and requests have ended."""
         await self.server.serve(sockets=[self.socket])
 
+    def close_idle(self) -> None:
+        """Closes connections without a request; others end after theirs."""
+        for connection in list(self.server.server_state.connections):
+            connection.shutdown()
+
     def stop(self) -> None:
         """Stops accepting connections."""
         self.server.should_exit = True
--- a/src/yuccatally/instance/watch.py
+++ b/src/yuccatally/instance/watch.py
@@ -47,7 +47,7 @@
         store: client.StoreClient,
         config: configuration.Configuration,
         wait_s: float,
-        on_change: Callable[[], None],
+        on_change: Callable[[bool], None],
         has_role: Callable[[], bool] = lambda: True,
         first_wait_s: float = 0.0,
     ) -> None:
@@ -118,7 +118,7 @@
         interval_s = max(RELIST_LEAST_S, size / RELIST_BYTES_S)
         self.relist_at = time.monotonic() + self._jittered(interval_s)
         if before != (self.config.content, True):
-            self.changed()
+            self._changed()
         return True
 
     async def _watch_once(self) -> bool:
@@ -141,7 +141,7 @@
             self.config.apply_delta(
                 configuration.Delta(since, revision, events)
             )
-            self.changed()
+            self._changed()
         return True
 
     def _note_behind(self, revision: int) -> None:
@@ -153,11 +153,18 @@
             )
         self.platform = "behind"
 
-    def changed(self) -> None:
-        """Makes a change known, whether the platform or a peer sent it."""
+    def changed_by_peer(self) -> None:
+        """Makes a change known that a peer has sent."""
+        self._changed(from_peer=True)
+
+    def _changed(self, from_peer: bool = False) -> None:
         self.ready.set()
-        _log.info("configuration_applied", revision=self.config.revision)
-        self.on_change()
+        _log.info(
+            "configuration_applied",
+            revision=self.config.revision,
+            source="peer" if from_peer else "platform",
+        )
+        self.on_change(from_peer)
 
     def _jittered(self, seconds: float) -> float:
         return seconds * self.rng.uniform(0.5, 1.0)
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -59,6 +59,11 @@
     return ""
 
 
+def _addresses(values: tuple[str, ...]) -> str:
+    problems = [p for p in map(_address, values) if p]
+    return problems[0] if problems else ""
+
+
 def _name(value: str) -> str:
     if NAME_PATTERN.fullmatch(value):
         return ""
@@ -162,10 +167,13 @@
     Attributes:
         address: ``IP:PORT`` to listen on and to announce.
         key: Secret that all instances of a site share; empty for none.
+        seeds: ``IP:PORT`` of other instances, for starts while the platform
+            is unavailable.
     """
 
     address: str = strict.checked(_address)
     key: str = strict.checked(_secret, "", secret=True)
+    seeds: tuple[str, ...] = strict.checked(_addresses, ())
 
 
 @dataclasses.dataclass(frozen=True)
@@ -174,11 +182,12 @@
 
     Attributes:
         address: ``IP:PORT``.
-        watch_wait_s: Longest wait of one watch call, in seconds.
+        watch_wait_s: Longest wait of one watch call, in seconds. A watch that
+            falls silent is noticed after this time.
     """
 
     address: str = strict.checked(_address)
-    watch_wait_s: float = strict.checked(_range(0.1, 300), 10.0)
+    watch_wait_s: float = strict.checked(_range(0.1, 300), 5.0)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/yuccatally/store/client.py
+++ b/src/yuccatally/store/client.py
@@ -79,8 +79,13 @@
     """What yuccatally needs of the platform's object API.
 
     Every method raises ``StoreError`` if the platform cannot be reached.
+
+    Attributes:
+        calls: Calls made, counted as the platform counts them.
     """
 
+    calls: int
+
     async def list_objects(self, kind: str = "") -> Listing:
         """Returns all objects of one kind, or of every watched kind."""
 
--- a/src/yuccatally/store/http.py
+++ b/src/yuccatally/store/http.py
@@ -11,7 +11,7 @@
 from yuccatally.store import once
 
 CALL_TIMEOUT_S = 2.0
-WATCH_MARGIN_S = 2.0
+WATCH_MARGIN_S = 1.0
 
 
 class HttpStore:
--- a/src/yuccatally_standins/platform.py
+++ b/src/yuccatally_standins/platform.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 LOG_LENGTH = 1000
+HISTORY_LENGTH = 50
 UNWATCHED = frozenset({"claims", "lease"})
 
 
@@ -21,13 +22,17 @@
         down: Every call is refused with status 503.
         delay_s: Delay of each call, in seconds.
         lose_replies: Number of writes to carry out without a reply.
-        silent_watch: Watches do not return.
+        silent_watch: Watches do not return, nor do those that wait already.
+        stale_list: Listings are this many writes old.
+        watch_gaps: Number of changes that no watch will report.
     """
 
     down: bool = False
     delay_s: float = 0.0
     lose_replies: int = 0
     silent_watch: bool = False
+    stale_list: int = 0
+    watch_gaps: int = 0
 
 
 class Platform:
@@ -40,6 +45,9 @@
         self.log: collections.deque[dict[str, Any]] = collections.deque(
             maxlen=LOG_LENGTH
         )
+        self.history: collections.deque[
+            tuple[int, dict[tuple[str, str], dict[str, Any]]]
+        ] = collections.deque([(0, {})], maxlen=HISTORY_LENGTH)
         self.changed = asyncio.Condition()
         self.members: list[dict[str, Any]] = []
         self.calls: collections.Counter[str] = collections.Counter()
@@ -56,6 +64,7 @@
         app.router.add_get("/watch", self._watch)
         app.router.add_get("/instances", self._instances)
         app.router.add_put("/admin/instances", self._set_instances)
+        app.router.add_post("/admin/restore/{writes}", self._restore)
         app.router.add_post("/faults", self._set_faults)
         app.router.add_get("/calls", self._calls)
         return app
@@ -64,7 +73,9 @@
     async def _faulty(
         self, request: web.Request, handler: Any
     ) -> web.StreamResponse:
-        if request.path in ("/faults", "/calls", "/admin/instances"):
+        if request.path in ("/faults", "/calls") or request.path.startswith(
+            "/admin/"
+        ):
             return await handler(request)
         self.calls[f"{request.method} {request.path.split('/')[1]}"] += 1
         if self.faults.down:
@@ -79,12 +90,30 @@
 
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.query.get("kind", "")
+        revision, objects = self._as_of(self.faults.stale_list)
         items = [
             o
-            for (k, _), o in self.objects.items()
+            for (k, _), o in objects.items()
             if (k == kind if kind else k not in UNWATCHED)
         ]
-        return web.json_response({"revision": self.revision, "items": items})
+        return web.json_response({"revision": revision, "items": items})
+
+    def _as_of(
+        self, writes: int
+    ) -> tuple[int, dict[tuple[str, str], dict[str, Any]]]:
+        """Returns the state before some writes, as far as it is kept."""
+        if writes == 0:
+            return self.revision, self.objects
+        return self.history[max(0, len(self.history) - 1 - writes)]
+
+    async def _restore(self, request: web.Request) -> web.Response:
+        """Goes back to an older state, as after a restored copy."""
+        writes = int(request.match_info["writes"])
+        self.revision, objects = self._as_of(writes)
+        self.objects = dict(objects)
+        kept = [o for o in self.log if o["revision"] <= self.revision]
+        self.log = collections.deque(kept, maxlen=LOG_LENGTH)
+        return web.json_response({"revision": self.revision})
 
     async def _get(self, request: web.Request) -> web.Response:
         found = self.objects.get(_key(request))
@@ -131,6 +160,10 @@
         return int(current)
 
     async def _publish(self, stored: dict[str, Any]) -> None:
+        self.history.append((self.revision, dict(self.objects)))
+        if stored["kind"] not in UNWATCHED and self.faults.watch_gaps > 0:
+            self.faults.watch_gaps -= 1
+            return
         if stored["kind"] in UNWATCHED:
             return
         async with self.changed:
@@ -149,6 +182,8 @@
                 await self.changed.wait_for(lambda: self._after(since))
         except TimeoutError:
             pass
+        if self.faults.silent_watch:
+            await asyncio.sleep(3600)
         items = self._after(since)
         return web.json_response({"revision": self.revision, "items": items})
 
--- a/src/yuccatally_standins/site.py
+++ b/src/yuccatally_standins/site.py
@@ -17,6 +17,7 @@
 import urllib.request
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     import pathlib
 
 MODEL = "litter-7b"
@@ -197,6 +198,7 @@
                 DATA_CENTRES[index % len(DATA_CENTRES)],
                 addresses,
                 self.processes["platform"].address,
+                [p.extra["peers"] for p in self.of_role("instance")[:3]],
             )
             + self.plan.settings
         )
@@ -364,7 +366,11 @@
 
 
 def settings_text(
-    name: str, data_centre: str, addresses: dict[str, str], platform: str
+    name: str,
+    data_centre: str,
+    addresses: dict[str, str],
+    platform: str,
+    seeds: Sequence[str] = (),
 ) -> str:
     """Returns the settings file of an instance."""
     digest = hashlib.sha256(OPERATORS_KEY.encode()).hexdigest()
@@ -382,6 +388,7 @@
 
 [peers]
 address = "{addresses["peers"]}"
+seeds = {json.dumps(list(seeds))}
 
 [platform]
 address = "{platform}"
