Keep the configuration current through platform faults and drains whole

Cause: a watch that fell silent was continued from its old place; closing idle connections reset connections whose first request was on the way. Change: a silent watch leads to a listing; only connections with a finished request count as idle; listeners wait for first requests before they end.

--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -111,8 +111,7 @@
             served = [asyncio.create_task(x.serve()) for x in listeners]
             _log.info("started", callers=self.settings.callers.address)
             await self.drain.done.wait()
-            for listener in listeners:
-                listener.stop()
+            await asyncio.gather(*(x.stop() for x in listeners))
             await asyncio.gather(*served)
             await self._close()
         _log.info("stopped")
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from typing import TYPE_CHECKING
@@ -18,6 +19,8 @@
 KEEP_ALIVE_S = 75
 BACKLOG = 2048
 SEND_BUFFER_BYTES = 32 * 1024
+# Time for the first request of a connection that was just accepted.
+LAST_REQUEST_S = 0.2
 
 
 class _Server(uvicorn.Server):
@@ -60,10 +63,19 @@
         await self.server.serve(sockets=[self.socket])
 
     def close_idle(self) -> None:
-        """Closes connections without a request; others end after theirs."""
+        """Closes connections that wait for another request.
+
+        A connection without any request stays: its first one may be on the
+        way, and its sender could not tell whether it was run.
+        """
         for connection in list(self.server.server_state.connections):
-            connection.shutdown()
+            cycle = getattr(connection, "cycle", None)
+            if cycle is not None and cycle.response_complete:
+                connection.shutdown()
 
-    def stop(self) -> None:
-        """Stops accepting connections."""
+    async def stop(self) -> None:
+        """Stops accepting; requests on the way still get their answer."""
+        for server in self.server.servers:
+            server.close()
+        await asyncio.sleep(LAST_REQUEST_S)
         self.server.should_exit = True
--- a/src/yuccatally/instance/watch.py
+++ b/src/yuccatally/instance/watch.py
@@ -86,6 +86,8 @@
             except client.CompactedError:
                 listed = False
             except client.StoreError as error:
+                # Changes may have been lost with a watch that fell silent.
+                listed = listed and not isinstance(error, client.SilentError)
                 if self.platform != "down":
                     _log.warning("platform_unavailable", error=str(error))
                 self.platform = "down"
--- a/src/yuccatally/store/client.py
+++ b/src/yuccatally/store/client.py
@@ -23,6 +23,10 @@
     """The revision to watch from is not kept any more."""
 
 
+class SilentError(StoreError):
+    """No answer to a read came in time, although a connection was up."""
+
+
 class UncertainError(StoreError):
     """A write may have taken effect although its reply was lost."""
 
--- a/src/yuccatally/store/http.py
+++ b/src/yuccatally/store/http.py
@@ -104,6 +104,8 @@
 
 def _lost(method: str, path: str, error: Exception) -> client.StoreError:
     message = f"{method} {path}: no answer ({type(error).__name__})"
+    if method == "GET" and isinstance(error, TimeoutError):
+        return client.SilentError(message)
     if method == "GET":
         return client.StoreError(message)
     return client.UncertainError(message)
--- a/src/yuccatally_standins/site.py
+++ b/src/yuccatally_standins/site.py
@@ -186,7 +186,10 @@
 
     def start_instance(self, name: str) -> Process:
         """Starts an entry instance."""
-        index = len(self.of_role("instance"))
+        others = [p for p in self.of_role("instance") if p.name != name]
+        # A restarted instance stays in its data centre.
+        names = [p.name for p in self.of_role("instance")]
+        index = names.index(name) if name in names else len(names)
         addresses = {
             role: f"127.0.0.1:{free_port()}"
             for role in ("callers", "operators", "peers")
@@ -198,7 +201,7 @@
                 DATA_CENTRES[index % len(DATA_CENTRES)],
                 addresses,
                 self.processes["platform"].address,
-                [p.extra["peers"] for p in self.of_role("instance")[:3]],
+                [p.extra["peers"] for p in others[:3]],
             )
             + self.plan.settings
         )
