Authenticate frames between instances with the key of the settings

The check of the example settings also covers keys whose default is an empty list; before, it could not read them, and a missing one was reported as absent. Conclusion: a transport with another key is refused before any handler runs.

--- a/src/yuccatally/core/membership/agent.py
+++ b/src/yuccatally/core/membership/agent.py
@@ -259,7 +259,7 @@
             changes = msgspec.msgpack.decode(
                 self.received, type=tuple[documents.Document, ...]
             )
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
             # The next comparison of revisions pulls again.
             return []
         since, revision, _ = part.tag
--- a/src/yuccatally/instance/fleet.py
+++ b/src/yuccatally/instance/fleet.py
@@ -64,7 +64,9 @@
         self.store = store
         self.watch = config_watch
         self.load = load
-        self.transport = transport.PeerTransport(settings.peers.address)
+        self.transport = transport.PeerTransport(
+            settings.peers.address, settings.peers.key
+        )
         self.rng = random.Random()
         member = messages.Member(
             own.name,
--- a/src/yuccatally/peers/transport.py
+++ b/src/yuccatally/peers/transport.py
@@ -6,6 +6,8 @@
 import collections
 import contextlib
 import dataclasses
+import hashlib
+import hmac
 import inspect
 import math
 from typing import TYPE_CHECKING
@@ -27,6 +29,9 @@
 RETRY_LISTEN_S = 0.05
 CLOSE_S = 1.0
 NO_RESEND = -1
+CODE_BYTES = 16
+# msgspec raises the latter for deeply nested arrays.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
 
 # The defaults start one thread per core and role, 31 on a machine with 10
 # cores; frames of a few kilobytes a second need no parallel work.
@@ -60,12 +65,14 @@
 class _Frame(msgspec.Struct, array_like=True, frozen=True):
     """Name of the message type and the encoded message.
 
-    ``error`` is set in a reply when the message was not handled.
+    ``error`` is set in a reply when the message was not handled. ``code``
+    authenticates the frame with the key that the instances share.
     """
 
     kind: str
     body: msgspec.Raw
     error: str = ""
+    code: bytes = b""
 
 
 @dataclasses.dataclass
@@ -129,8 +136,15 @@
         traffic: Counts since the transport was opened.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, key: str = "") -> None:
+        """Creates a transport that is not open.
+
+        Args:
+            address: ``IP:PORT`` to listen on.
+            key: Secret that all instances share; empty for none.
+        """
         self.address = address
+        self.frames = _Frames(key)
         self.traffic = Traffic()
         self.handlers: dict[str, tuple[type, Handler]] = {}
         self.outgoing: collections.OrderedDict[str, _Outgoing] = (
@@ -184,7 +198,7 @@
             PeerError: No reply came in time, or the message was not handled.
         """
         kind = type(message).__name__
-        frame = _encode(kind, message)
+        frame = self.frames.encode(kind, message)
         self.traffic.exchanges += 1
         outgoing = self._socket(address)
         outgoing.users += 1
@@ -201,7 +215,7 @@
             outgoing.users -= 1
             if outgoing.retired:
                 outgoing.retire()
-        return _decode_reply(kind, type(message).reply, reply)
+        return _decode_reply(kind, type(message).reply, reply, self.frames)
 
     async def close(self) -> None:
         """Closes all sockets."""
@@ -278,44 +292,83 @@
 
     async def _handle(self, received: bytes) -> bytes:
         try:
-            frame = msgspec.msgpack.decode(received, type=_Frame)
+            frame = self.frames.decode(received)
             if frame.kind not in self.handlers:
-                return _refusal(frame.kind, "unknown message type")
+                return self.frames.refusal(frame.kind, "unknown message type")
             message_type, handler = self.handlers[frame.kind]
             message = msgspec.msgpack.decode(frame.body, type=message_type)
-        except (msgspec.MsgspecError, RecursionError) as error:
-            return _refusal("", f"not a valid message: {error}")
+        except (PeerError, *DECODE_ERRORS) as error:
+            return self.frames.refusal("", f"not a valid message: {error}")
         try:
             reply = handler(message)
             if inspect.isawaitable(reply):
                 reply = await reply
-            return _encode(frame.kind, reply)
+            return self.frames.encode(frame.kind, reply)
         except Exception as error:
             _log.exception("peer_message_failed", kind=frame.kind)
-            return _refusal(frame.kind, f"not handled: {type(error).__name__}")
+            text = f"not handled: {type(error).__name__}"
+            return self.frames.refusal(frame.kind, text)
 
 
-def _encode(kind: str, message: Any) -> bytes:
-    body = msgspec.Raw(msgspec.msgpack.encode(message))
-    frame = msgspec.msgpack.encode(_Frame(kind, body))
-    if len(frame) > FRAME_LIMIT_BYTES:
-        raise FrameTooLongError(
-            f"{kind}: {len(frame)} bytes, the limit is {FRAME_LIMIT_BYTES}; "
-            "send it in parts"
-        )
-    return frame
+class _Frames:
+    """Encodes and checks frames."""
 
+    def __init__(self, key: str) -> None:
+        self.key = hashlib.sha256(key.encode()).digest() if key else b""
 
-def _refusal(kind: str, error: str) -> bytes:
-    empty = msgspec.Raw(msgspec.msgpack.encode(None))
-    return msgspec.msgpack.encode(_Frame(kind, empty, error))
+    def encode(self, kind: str, message: Any) -> bytes:
+        """Returns a frame.
 
+        Raises:
+            FrameTooLongError: It is longer than the limit.
+        """
+        body = msgspec.Raw(msgspec.msgpack.encode(message))
+        frame = msgspec.msgpack.encode(self._signed(kind, body, ""))
+        if len(frame) > FRAME_LIMIT_BYTES:
+            raise FrameTooLongError(
+                f"{kind}: {len(frame)} bytes, the limit is "
+                f"{FRAME_LIMIT_BYTES}; send it in parts"
+            )
+        return frame
+
+    def refusal(self, kind: str, error: str) -> bytes:
+        """Returns a reply that reports an error."""
+        empty = msgspec.Raw(msgspec.msgpack.encode(None))
+        return msgspec.msgpack.encode(self._signed(kind, empty, error))
+
+    def decode(self, received: bytes) -> _Frame:
+        """Returns a frame after its check.
 
-def _decode_reply(kind: str, reply_type: type, reply: bytes) -> Any:
+        Raises:
+            PeerError: It is not a frame, or was made with another key.
+        """
+        try:
+            frame = msgspec.msgpack.decode(received, type=_Frame)
+        except DECODE_ERRORS as error:
+            raise PeerError(f"not a valid frame: {error}") from error
+        expected = self._signed(frame.kind, frame.body, frame.error)
+        if not hmac.compare_digest(expected.code, frame.code):
+            raise PeerError(
+                "the frame was made with another key; set the same peers.key"
+            )
+        return frame
+
+    def _signed(self, kind: str, body: msgspec.Raw, error: str) -> _Frame:
+        if not self.key:
+            return _Frame(kind, body, error)
+        code = hashlib.blake2b(key=self.key, digest_size=CODE_BYTES)
+        for part in (kind.encode(), error.encode(), bytes(body)):
+            code.update(len(part).to_bytes(4, "big") + part)
+        return _Frame(kind, body, error, code.digest())
+
+
+def _decode_reply(
+    kind: str, reply_type: type, reply: bytes, frames: _Frames | None = None
+) -> Any:
+    frame = (frames or _Frames("")).decode(reply)
+    if frame.error:
+        raise PeerError(f"{kind}: {frame.error}")
     try:
-        frame = msgspec.msgpack.decode(reply, type=_Frame)
-        if frame.error:
-            raise PeerError(f"{kind}: {frame.error}")
         return msgspec.msgpack.decode(frame.body, type=reply_type)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise PeerError(f"{kind}: reply not understood: {error}") from error
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -74,6 +74,10 @@
             await one.exchange(other.address, Ping("long"), 5)
         with pytest.raises(transport.FrameTooLongError):
             await one.exchange(other.address, Ping("x" * 70_000), 5)
+        stranger = transport.PeerTransport("127.0.0.1:1", "another-secret-key")
+        with pytest.raises(transport.PeerError, match="another key"):
+            await stranger.exchange(other.address, Ping("zero"), 5)
+        await stranger.close()
         nobody = f"127.0.0.1:{site.free_port()}"
         with pytest.raises(transport.UnreachableError):
             await one.exchange(nobody, Ping("?"), 0.2)
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -27,13 +27,14 @@
     assert check(EXAMPLE).exit_code == 0
     text = EXAMPLE.read_text()
     loaded = settings.Settings.from_file(EXAMPLE).ok
-    shown = re.findall(r'^# (\w+) = ("[^"]*"|[\d.]+)', text, re.MULTILINE)
+    shown = re.findall(r'^# (\w+) = ("[^"]*"|\[\]|[\d.]+)', text, re.MULTILINE)
     defaults: dict[str, set[Any]] = {}
     for section in vars(loaded).values():
         for field in dataclasses.fields(section):
             defaults.setdefault(field.name, set()).add(field.default)
     for key, value in shown:
-        assert value.strip('"') in {str(d) for d in defaults[key]}, key
+        default = value.strip('"').replace("[]", "()")
+        assert default in {str(d) for d in defaults[key]}, key
     named = {key for key, _ in shown} | set(re.findall(r"(?m)^(\w+) =", text))
     assert named >= set(defaults) - {"demand", "limits"}
 
