Measure the fleet and check merging on its own

Change: tests of the merge rules and of the configuration by themselves; scripts/measure fleet with real processes and the core in one process.

--- /dev/null
+++ b/src/yuccatally_bench/fleet.py
@@ -0,0 +1,336 @@
+"""Spread of changes, and control cost as a function of the fleet size."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+import os
+import pathlib
+import re
+import tempfile
+import time
+from typing import TYPE_CHECKING
+
+import click
+
+from yuccatally.core.config import documents
+from yuccatally.core.config import spread
+from yuccatally.peers import transport
+from yuccatally_bench import report
+from yuccatally_standins import carrier
+from yuccatally_standins import site
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+SETTLE_S = 3.0
+IDLE_S = 10.0
+CHANGES = 8
+CHANGE_GAP_S = 0.3
+WAIT_S = 30.0
+PARTITION_S = 20.0
+HEAL_STEP_S = 0.1
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+# TCP, IP and SP headers of a message with its acknowledgement, and the
+# segments that open and close a connection.
+MESSAGE_OVERHEAD_BYTES = carrier.OVERHEAD_BYTES
+CONNECTION_OVERHEAD_BYTES = 500
+APPLIED = re.compile(
+    r"timestamp=(\S+) .*event=configuration_applied.* revision=(\d+)"
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """Totals of one instance at one time."""
+
+    at: float
+    platform_calls: int
+    traffic_bytes: int
+    cpu_s: float
+    memory_mb: float
+
+
+@click.command()
+@click.option("--processes", multiple=True, type=int, default=(8, 16, 32))
+@click.option("--core", multiple=True, type=int, default=(8, 32, 64, 128, 340))
+@click.option("--html", type=click.Path(path_type=pathlib.Path))
+def command(
+    processes: tuple[int, ...],
+    core: tuple[int, ...],
+    html: pathlib.Path | None,
+) -> None:
+    """Measures seconds to be in force everywhere and cost per instance."""
+    tables = []
+    if processes:
+        rows = [_processes(count) for count in processes]
+        title = f"\nreal processes, commit {report.commit()}"
+        tables += _tables(title, rows)
+    if core:
+        rows = [_core(count) for count in core]
+        title = f"\ncore in one process, commit {report.commit()}"
+        tables += _tables(title, rows)
+    if html is not None:
+        report.write_html(html, "Fleet", tables)
+
+
+def _tables(title: str, rows: list[report.Row]) -> list[str]:
+    text = report.table(title, rows)
+    click.echo(text)
+    return [text]
+
+
+def _processes(count: int) -> report.Row:
+    plan = site.Plan(instances=count, engines=(), pipelines={})
+    with tempfile.TemporaryDirectory() as folder:
+        started = site.Site(plan, pathlib.Path(folder))
+        try:
+            started.start()
+            _await(lambda: _members(started) == {count})
+            time.sleep(SETTLE_S)
+            before = _usages(started)
+            time.sleep(IDLE_S)
+            after = _usages(started)
+            with_platform = _with_platform(started)
+            started.set_faults("platform", down=True)
+            without = _without_platform(started)
+        finally:
+            started.stop()
+    figures = {
+        "in force s": with_platform,
+        "worst s": (max(with_platform),),
+        "peers only s": without,
+        "worst peers s": (max(without),),
+        **_rates(before, after),
+    }
+    return report.Row(f"{count} instances", figures)
+
+
+def _rates(
+    before: list[Usage], after: list[Usage]
+) -> dict[str, tuple[float, ...]]:
+    pairs = list(zip(before, after, strict=True))
+    return {
+        "calls/s": tuple(
+            (b.platform_calls - a.platform_calls) / (b.at - a.at)
+            for a, b in pairs
+        ),
+        "KB/s": tuple(
+            (b.traffic_bytes - a.traffic_bytes) / (b.at - a.at) / 1e3
+            for a, b in pairs
+        ),
+        "% core": tuple(
+            100 * (b.cpu_s - a.cpu_s) / (b.at - a.at) for a, b in pairs
+        ),
+        "MB": tuple(b.memory_mb for b in after),
+    }
+
+
+def _members(started: site.Site) -> set[int]:
+    return {
+        started.status(p)["fleet"]["members"]
+        for p in started.of_role("instance")
+    }
+
+
+def _usages(started: site.Site) -> list[Usage]:
+    return [_usage(started, p) for p in started.of_role("instance")]
+
+
+def _usage(started: site.Site, process: site.Process) -> Usage:
+    status = started.status(process)["fleet"]
+    traffic = status["traffic"]
+    messages = 2 * (traffic["exchanges"] + traffic["served"])
+    total = traffic["sent_bytes"] + traffic["received_bytes"]
+    total += messages * MESSAGE_OVERHEAD_BYTES
+    total += 2 * traffic["opened"] * CONNECTION_OVERHEAD_BYTES
+    folder = pathlib.Path(f"/proc/{process.popen.pid}")
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+    memory = re.search(r"VmRSS:\s+(\d+)", (folder / "status").read_text())
+    return Usage(
+        time.monotonic(),
+        status["platform_calls"],
+        total,
+        cpu_s,
+        int(memory[1]) / 1024 if memory else 0.0,
+    )
+
+
+def _with_platform(started: site.Site) -> tuple[float, ...]:
+    accepted: dict[int, float] = {}
+    for number in range(CHANGES):
+        spec = {"layers": number + 1, "version": "v1"}
+        revision = started.declare("model", "measured", spec)["revision"]
+        accepted[revision] = time.time()
+        time.sleep(CHANGE_GAP_S)
+    _await(lambda: _in_force(started) == {max(accepted)})
+    return tuple(
+        _last_applied(started, revision) - at
+        for revision, at in accepted.items()
+    )
+
+
+def _without_platform(started: site.Site) -> tuple[float, ...]:
+    """Hands changes to one instance as a peer does and follows them."""
+    first = max(_in_force(started)) + 1
+    address = started.of_role("instance")[0].extra["peers"]
+
+    async def hand_over() -> dict[int, float]:
+        accepted = {}
+        peer = transport.PeerTransport("127.0.0.1:1")
+        for revision in range(first, first + CHANGES):
+            document = documents.Document(
+                "model",
+                "measured",
+                revision,
+                spec={"layers": revision, "version": "v1"},
+            )
+            push = spread.ConfigPush(
+                "bench", "127.0.0.1:1", revision - 1, revision, (document,)
+            )
+            accepted[revision] = time.time()
+            await peer.exchange(address, push, WAIT_S)
+            await asyncio.sleep(CHANGE_GAP_S)
+        await peer.close()
+        return accepted
+
+    accepted = asyncio.run(hand_over())
+    _await(lambda: _in_force(started) == {max(accepted)})
+    return tuple(
+        _last_applied(started, revision) - at
+        for revision, at in accepted.items()
+    )
+
+
+def _in_force(started: site.Site) -> set[int]:
+    return {started.status(p)["revision"] for p in started.of_role("instance")}
+
+
+def _last_applied(started: site.Site, revision: int) -> float:
+    """Returns when the last instance had a revision or a later one."""
+    return max(
+        min(at for applied, at in _applied(started, p) if applied >= revision)
+        for p in started.of_role("instance")
+    )
+
+
+def _applied(
+    started: site.Site, process: site.Process
+) -> Iterable[tuple[int, float]]:
+    log = (started.folder / f"{process.name}.log").read_text()
+    for match in APPLIED.finditer(log):
+        written = datetime.datetime.fromisoformat(match[1])
+        yield int(match[2]), written.timestamp()
+
+
+def _await(condition: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError("the instances did not agree in time")
+        time.sleep(0.1)
+
+
+def _core(count: int) -> report.Row:
+    names = [f"i{n}" for n in range(count)]
+    links = carrier.Carrier(names, seed=count, data_centres=min(23, count // 3))
+    links.run(SETTLE_S + 5)
+    nodes = list(links.nodes.values())
+    counted = [n.sent_bytes + n.received_bytes for n in nodes]
+    cpu_s = time.process_time()
+    links.run(IDLE_S)
+    cpu_s = time.process_time() - cpu_s
+    rates = tuple(
+        (n.sent_bytes + n.received_bytes - before) / IDLE_S / 1e3
+        for n, before in zip(nodes, counted, strict=True)
+    )
+    changed = tuple(_core_change(links) for _ in range(CHANGES))
+    links.platform_up = False
+    by_peers = tuple(_core_change(links, handed_to=n) for n in nodes[:CHANGES])
+    links.platform_up = True
+    leaving = tuple(_core_leave(links, names[-1 - i]) for i in range(3))
+    healed, heal_rates = _core_partition(links)
+    return report.Row(
+        f"{count} instances",
+        {
+            "in force s": changed,
+            "worst s": (max(changed),),
+            "peers only s": by_peers,
+            "worst peers s": (max(by_peers),),
+            "leaving s": leaving,
+            "heal s": (healed,),
+            "KB/s": rates,
+            "worst KB/s": (max(rates),),
+            "heal KB/s": (max(heal_rates),),
+            "% core": (100 * cpu_s / IDLE_S / count,),
+        },
+    )
+
+
+def _core_change(
+    links: carrier.Carrier, handed_to: carrier.Node | None = None
+) -> float:
+    revision = links.change("measured")
+    if handed_to is not None:
+        links.hand_over(handed_to)
+    return _until(
+        links,
+        lambda: all(
+            n.config.revision >= revision for n in links.nodes.values()
+        ),
+        0.005,
+    )
+
+
+def _core_leave(links: carrier.Carrier, name: str) -> float:
+    links.leave(name)
+    return _until(
+        links,
+        lambda: all(
+            n.agent.membership.table.records[name].update.leaving
+            for n in links.nodes.values()
+        ),
+        0.005,
+    )
+
+
+def _core_partition(
+    links: carrier.Carrier,
+) -> tuple[float, tuple[float, ...]]:
+    """Cuts the fleet in two halves and returns how it heals."""
+    names = list(links.nodes)
+    half = set(names[: len(names) // 2])
+    for one in half:
+        for other in set(names) - half:
+            links.cut |= {(one, other), (other, one)}
+    links.run(PARTITION_S)
+    links.cut = set()
+    nodes = list(links.nodes.values())
+    counted = [n.sent_bytes + n.received_bytes for n in nodes]
+    healed_s = _until(
+        links,
+        lambda: all(
+            not n.agent.membership.table.dead for n in links.nodes.values()
+        ),
+        HEAL_STEP_S,
+    )
+    links.run(max(0.0, 10.0 - healed_s))
+    span_s = max(10.0, healed_s)
+    return healed_s, tuple(
+        (n.sent_bytes + n.received_bytes - before) / span_s / 1e3
+        for n, before in zip(nodes, counted, strict=True)
+    )
+
+
+def _until(
+    links: carrier.Carrier, condition: Callable[[], bool], step_s: float
+) -> float:
+    start = links.now
+    while not condition():
+        if links.now - start > WAIT_S:
+            raise TimeoutError("the instances did not agree in time")
+        links.run(step_s)
+    return links.now - start
--- a/src/yuccatally_standins/carrier.py
+++ b/src/yuccatally_standins/carrier.py
@@ -40,7 +40,6 @@
     config: configuration.Configuration
     running: bool = True
     paused: bool = False
-    cursor: int = 0
     held: list[Callable[[], None]] = dataclasses.field(default_factory=list)
     sent_bytes: int = 0
     received_bytes: int = 0
@@ -155,6 +154,15 @@
             action()
         self.now = end
 
+    def hand_over(self, node: Node) -> None:
+        """Gives a node every change that it does not have."""
+        since = node.config.revision
+        new = self.changes[since:]
+        events = tuple(map(documents.event_from, new))
+        delta = configuration.Delta(since, new[-1].revision, events)
+        node.config.apply_delta(delta)
+        self._perform(node, node.agent.on_config_change(self.now))
+
     def running(self) -> dict[str, Node]:
         """Returns the nodes that were not killed."""
         return {k: n for k, n in self.nodes.items() if n.running}
@@ -180,21 +188,10 @@
     def _watch(self, node: Node) -> None:
         def look() -> None:
             self._later(WATCH_DELAY_S, lambda: self._watch(node))
-            if not self.platform_up or not node.agent.is_watcher():
-                node.cursor = min(node.cursor, node.config.revision)
-                return
-            new = self.changes[node.cursor :]
-            if not new:
-                return
-            node.cursor = len(self.changes)
-            since = min(new[0].revision - 1, node.config.revision)
-            events = tuple(map(documents.event_from, new))
-            before = node.config.revision
-            node.config.apply_delta(
-                configuration.Delta(since, new[-1].revision, events)
-            )
-            if node.config.revision > before:
-                self._perform(node, node.agent.on_config_change(self.now))
+            # Revisions of this platform are consecutive.
+            current = node.config.revision >= len(self.changes)
+            if not current and self.platform_up and node.agent.is_watcher():
+                self.hand_over(node)
 
         self._at(node, look)
 
--- /dev/null
+++ b/tests/core/config/test_configuration.py
@@ -0,0 +1,130 @@
+"""Changes in any order lead to the same configuration and never back."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yuccatally.core.config import configuration
+from yuccatally.core.config import documents
+from yuccatally.core.config import spread
+
+NAMES = ("a", "b", "c")
+
+
+def document(name: str, revision: int, kind: str) -> documents.Document:
+    """Returns a change: a model, one that is not valid, or a deletion."""
+    layers = 0 if kind == "invalid" else revision
+    spec = {"layers": layers, "version": "v1"}
+    deleted = kind == "deleted"
+    return documents.Document("model", name, revision, 1, deleted, spec)
+
+
+HISTORY = st.lists(
+    st.tuples(
+        st.sampled_from(NAMES), st.sampled_from(["valid", "invalid", "deleted"])
+    ),
+    min_size=1,
+    max_size=12,
+).map(lambda drawn: [document(n, r, k) for r, (n, k) in enumerate(drawn, 1)])
+
+
+def applied(changes: list[documents.Document]) -> configuration.Configuration:
+    """Returns a configuration that saw all changes in order."""
+    config = configuration.Configuration()
+    events = tuple(map(documents.event_from, changes))
+    config.apply_delta(configuration.Delta(0, len(changes), events))
+    return config
+
+
+def snapshot(changes: list[documents.Document]) -> configuration.Snapshot:
+    """Returns what the platform lists after some changes."""
+    last = {c.name: c for c in changes}
+    kept = [c for c in last.values() if not c.deleted]
+    return documents.snapshot_from(kept, len(changes))
+
+
+def assert_equal(
+    config: configuration.Configuration, expected: configuration.Configuration
+) -> None:
+    assert config.revisions == expected.revisions
+    assert config.content == expected.content
+    assert config.blocked == expected.blocked
+    assert {k for k in config.objects if k not in config.blocked} == {
+        k for k in expected.objects if k not in expected.blocked
+    }
+
+
+@given(HISTORY, st.randoms(use_true_random=False))
+def test_order_and_repetition_do_not_matter(
+    history: list[documents.Document], rng: object
+) -> None:
+    """Guards against an older change that replaces a newer one."""
+    config = configuration.Configuration()
+    for change in rng.sample(history * 2, len(history) * 2):
+        held = dict(config.revisions)
+        event = documents.event_from(change)
+        config.apply_delta(configuration.Delta(0, 0, (event,)))
+        for key, revision in config.revisions.items():
+            assert revision >= held.get(key, 0)
+    assert_equal(config, applied(history))
+
+
+@given(HISTORY, st.data())
+def test_instances_agree_after_an_exchange(
+    history: list[documents.Document], data: st.DataObject
+) -> None:
+    """Guards against a deletion that is undone by a peer that missed it.
+
+    One instance listed the platform at some time, the other saw the changes
+    up to another time, and missed one of them.
+    """
+    listed_at = data.draw(st.integers(1, len(history)))
+    seen = data.draw(st.integers(0, len(history)))
+    missed = data.draw(st.integers(0, len(history)))
+    one = configuration.Configuration()
+    assert one.apply_snapshot(snapshot(history[:listed_at]))
+    other = applied([c for c in history[:seen] if c.revision != missed])
+    for _ in range(2):
+        for giver, taker in ((one, other), (other, one)):
+            whole = giver.everything()
+            taker.apply_delta(whole)
+    assert_equal(one, other)
+    newest = max(listed_at, seen)
+    if not listed_at < missed <= seen:
+        assert_equal(one, applied(history[:newest]))
+
+
+@given(HISTORY, st.data())
+def test_older_listing_is_refused(
+    history: list[documents.Document], data: st.DataObject
+) -> None:
+    """Guards against a stale read or a restored platform that takes effect."""
+    older = data.draw(st.integers(0, len(history) - 1))
+    config = applied(history)
+    assert not config.apply_snapshot(snapshot(history[:older]))
+    assert_equal(config, applied(history))
+    assert config.rejected == 1
+    assert config.apply_snapshot(snapshot(history))
+    assert_equal(config, applied(history))
+
+
+def test_large_configuration_is_pulled_in_parts() -> None:
+    """Guards against objects of up to 1 MB that do not fit into a frame."""
+    text = "v" * 300_000
+    spec = {"layers": 1, "version": text}
+    changes = [
+        documents.Document("model", name, revision, 1, False, spec)
+        for revision, name in enumerate(NAMES, 1)
+    ]
+    giver = spread.Spread(applied(changes), None)
+    pull, received, parts = spread.ConfigPull(0), b"", 0
+    while True:
+        part = giver.serve(pull)
+        assert len(part.data) <= spread.PART_BYTES
+        received += part.data
+        parts += 1
+        if len(received) == part.total:
+            break
+        pull = spread.ConfigPull(0, len(received), part.tag)
+    assert parts > len(changes) * len(text) // spread.PART_BYTES
--- /dev/null
+++ b/tests/core/membership/test_table.py
@@ -0,0 +1,70 @@
+"""Rules that merge the beliefs of two instances."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yuccatally.core.membership import messages
+from yuccatally.core.membership import table
+
+
+def member(boot: str) -> messages.Member:
+    return messages.Member("i1", boot, "north", "127.0.0.1:1", "127.0.0.1:2")
+
+
+UPDATES = st.builds(
+    messages.Update,
+    st.sampled_from([member("a"), member("b")]),
+    st.integers(1, 3),
+    st.sampled_from(messages.State),
+    st.booleans(),
+)
+
+
+@given(UPDATES, UPDATES, st.booleans(), st.booleans())
+def test_hearsay_is_limited(
+    held: messages.Update, told: messages.Update, repair: bool, settled: bool
+) -> None:
+    """Guards against old or second-hand news that overrules newer news."""
+    belief = table.merged(held, told, repair, settled)
+    assert belief.incarnation == max(held.incarnation, told.incarnation)
+    if held.member.boot == told.member.boot:
+        assert belief.leaving == (held.leaving or told.leaving)
+        if held.state is not messages.State.DEAD:
+            assert belief.state is not messages.State.DEAD
+        elif told.incarnation <= held.incarnation and not repair:
+            assert belief.state is messages.State.DEAD
+    if told.incarnation < held.incarnation:
+        assert belief.state is held.state
+
+
+@given(st.lists(UPDATES, min_size=1, max_size=6), st.randoms())
+def test_all_instances_agree_on_life_and_leaving(
+    updates: list[messages.Update], rng: object
+) -> None:
+    """Guards against digests that differ for ever after the same news."""
+    ends = []
+    for _ in range(2):
+        belief = updates[0]
+        for update in updates + rng.sample(updates, len(updates)):
+            belief = table.merged(belief, update, False)
+        ends.append((belief.member.boot, belief.incarnation, belief.leaving))
+    assert ends[0] == ends[1]
+
+
+def test_updates_fit_the_limit_and_end() -> None:
+    """Guards against messages or queues that grow with the fleet."""
+    full = table.Table()
+    for number in range(400):
+        update = messages.Update(
+            messages.Member(f"i{number}", "b", "north", "x" * 21, "y" * 21), 1
+        )
+        full.set(update, 0.0)
+    newest = full.take(800)
+    assert newest[0].member.name == "i399"
+    assert sum(map(table.length_of, newest)) <= 800
+    taken = 0
+    while full.queue:
+        taken += len(full.take(800))
+    assert taken < 400 * 40
