--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -14,12 +14,15 @@
 import structlog
 
 from yuccatally.callers import application as callers_application
+from yuccatally.callers import gate
 from yuccatally.callers import responses
 from yuccatally.core.config import configuration
 from yuccatally.core.requests import ledger
 from yuccatally.core.requests import outcomes
 from yuccatally.instance import claims
 from yuccatally.instance import control
+from yuccatally.instance import drain
+from yuccatally.instance import fleet
 from yuccatally.instance import generations
 from yuccatally.instance import servers
 from yuccatally.instance import services
@@ -40,8 +43,6 @@
     from yuccatally.settings import settings as settings_module
     from yuccatally.store import client
 
-ADDRESS_KEEP_S = 2.0
-MEMBERS_REFRESH_S = 1.0
 # Longest extension of a drain while the platform is unavailable. Duplicates of
 # calls whose settlement is lost get "unknown" instead of the stored answer.
 SETTLE_LIMIT_S = 60.0
@@ -71,14 +72,21 @@
             store,
             self.config,
             settings.platform.watch_wait_s,
-            self._on_config_change,
+            self._on_platform_change,
+            has_role=lambda: self.fleet.agent.is_watcher(),
+            first_wait_s=watch.PEERS_FIRST_S,
+        )
+        self.fleet = fleet.Fleet(
+            settings,
+            store,
+            self.config,
+            self.watch,
+            lambda: len(self.ledger.in_flight),
         )
         self.control = control.Control(
             settings.instance.name, store, self.config, self._live_names
         )
-        self.members: tuple[client.Member, ...] = ()
-        self.leaving = False
-        self.drained = asyncio.Event()
+        self.drain = drain.Drain(self.fleet.leave, self._busy)
         self.background: set[asyncio.Task[Any]] = set()
         self.next_request = 0
         self.boot = os.urandom(4).hex()
@@ -98,7 +106,7 @@
         ) as self.session:
             listeners = [
                 servers.Listener(
-                    callers_application.application(self),
+                    gate.Gate(callers_application.application(self), self),
                     self.settings.callers.address,
                 ),
                 servers.Listener(
@@ -107,13 +115,14 @@
                 ),
             ]
             self.spawn(self.watch.run())
-            self.spawn(self._refresh_members())
+            self.fleet.start()
             self.spawn(self.control.run(self.session))
+            self.drain.listeners = listeners[:1]
             served = [asyncio.create_task(x.serve()) for x in listeners]
             _log.info("started", callers=self.settings.callers.address)
-            await self.drained.wait()
-            for listener in listeners:
-                listener.stop()
+            await self.drain.done.wait()
+            await self._settle_claims()
+            await asyncio.gather(*(x.stop() for x in listeners))
             await asyncio.gather(*served)
             await self._close()
         _log.info("stopped")
@@ -168,22 +177,15 @@
             self.metrics.count("unfinished_requests")
             self.finish(request, found.unfinished_outcome())
 
-    def instances_for_callers(self) -> dict[str, Any]:
-        """Returns the addresses a caller should use, best first."""
-        here = self.settings.instance.data_centre
-        usable = [m for m in self.members if not m.leaving]
-        usable.sort(key=lambda m: (m.data_centre != here, m.name))
-        return {
-            "instances": [
-                {
-                    "name": m.name,
-                    "address": m.callers_address,
-                    "data_centre": m.data_centre,
-                }
-                for m in usable
-            ],
-            "keep_s": ADDRESS_KEEP_S,
-        }
+    @property
+    def leaving(self) -> bool:
+        """Whether the shutdown has been announced."""
+        return self.drain.leaving
+
+    @property
+    def members(self) -> tuple[client.Member, ...]:
+        """All instances that are not dead, with this one."""
+        return self.fleet.members()
 
     def status(self) -> dict[str, Any]:
         """Returns the state of this instance for operators."""
@@ -204,35 +206,28 @@
                 name: dataclasses.asdict(progress)
                 for name, progress in self.control.progress.items()
             },
+            "fleet": self.fleet.status(),
         }
 
     def start_drain(self) -> None:
         """Starts a graceful shutdown; repeated calls change nothing."""
         if not self.leaving:
-            self.leaving = True
-            self.spawn(self._drain())
+            self.spawn(self.drain.run())
 
-    async def _drain(self) -> None:
-        _log.info("draining", in_flight=len(self.ledger.in_flight))
-        await asyncio.sleep(ADDRESS_KEEP_S)
-        # A poll keeps the ledger free of I/O.
-        while self.ledger.in_flight:  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
+    def _busy(self) -> int:
+        return len(self.ledger.in_flight)
+
+    async def _settle_claims(self) -> None:
         unsettled = await self.claims.finish(SETTLE_LIMIT_S)
         if unsettled:
             _log.error("claims_not_settled", count=unsettled)
-        self.drained.set()
 
     def _live_names(self) -> list[str]:
         return [m.name for m in self.members if not m.leaving]
 
-    async def _refresh_members(self) -> None:
-        while True:
-            with contextlib.suppress(Exception):
-                self.members = await self.store.members()
-            await asyncio.sleep(MEMBERS_REFRESH_S)
-
-    def _on_config_change(self) -> None:
+    def _on_platform_change(self, from_peer: bool) -> None:
+        if not from_peer:
+            self.fleet.config_changed()
         for connection in self.generations.reconcile(self.session):
             self.spawn(connection.close())
 
@@ -257,4 +252,5 @@
         await self.control.give_up()
         await self.claims.close()
         await self.services.close()
+        await self.fleet.close()
         await self.store.close()
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from typing import TYPE_CHECKING
@@ -11,13 +12,15 @@
 from yuccatally.settings import settings as settings_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
-
-    from starlette import applications
+    from typing import Any
 
 KEEP_ALIVE_S = 75
 BACKLOG = 2048
 SEND_BUFFER_BYTES = 32 * 1024
+# Time for the first request of a connection that was just accepted.
+LAST_REQUEST_S = 0.2
 
 
 class _Server(uvicorn.Server):
@@ -30,7 +33,7 @@
 class Listener:
     """One HTTP listener."""
 
-    def __init__(self, app: applications.Starlette, address: str) -> None:
+    def __init__(self, app: Callable[..., Any], address: str) -> None:
         host, port = settings_module.split_address(address)
         self.socket = socket.socket(
             socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -59,6 +62,20 @@
         """Serves until ``stop`` is called and requests have ended."""
         await self.server.serve(sockets=[self.socket])
 
-    def stop(self) -> None:
-        """Stops accepting connections."""
+    def close_idle(self) -> None:
+        """Closes connections that wait for another request.
+
+        A connection without any request stays: its first one may be on the
+        way, and its sender could not tell whether it was run.
+        """
+        for connection in list(self.server.server_state.connections):
+            cycle = getattr(connection, "cycle", None)
+            if cycle is not None and cycle.response_complete:
+                connection.shutdown()
+
+    async def stop(self) -> None:
+        """Stops accepting; requests on the way still get their answer."""
+        for server in self.server.servers:
+            server.close()
+        await asyncio.sleep(LAST_REQUEST_S)
         self.server.should_exit = True
--- a/src/yuccatally/store/client.py
+++ b/src/yuccatally/store/client.py
@@ -23,6 +23,10 @@
     """The revision to watch from is not kept any more."""
 
 
+class SilentError(StoreError):
+    """No answer to a read came in time, although a connection was up."""
+
+
 class UncertainError(StoreError):
     """A write may have taken effect although its reply was lost."""
 
@@ -79,8 +83,13 @@
     """What yuccatally needs of the platform's object API.
 
     Every method raises ``StoreError`` if the platform cannot be reached.
+
+    Attributes:
+        calls: Calls made, counted as the platform counts them.
     """
 
+    calls: int
+
     async def list_objects(self, kind: str = "") -> Listing:
         """Returns all objects of one kind, or of every watched kind."""
 
--- a/src/yuccatally/store/http.py
+++ b/src/yuccatally/store/http.py
@@ -11,7 +11,7 @@
 from yuccatally.store import once
 
 CALL_TIMEOUT_S = 2.0
-WATCH_MARGIN_S = 2.0
+WATCH_MARGIN_S = 1.0
 
 
 class HttpStore:
@@ -104,6 +104,8 @@
 
 def _lost(method: str, path: str, error: Exception) -> client.StoreError:
     message = f"{method} {path}: no answer ({type(error).__name__})"
+    if method == "GET" and isinstance(error, TimeoutError):
+        return client.SilentError(message)
     if method == "GET":
         return client.StoreError(message)
     return client.UncertainError(message)
--- a/src/yuccatally_standins/site.py
+++ b/src/yuccatally_standins/site.py
@@ -17,6 +17,7 @@
 import urllib.request
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     import pathlib
 
 MODEL = "litter-7b"
@@ -185,7 +186,10 @@
 
     def start_instance(self, name: str) -> Process:
         """Starts an entry instance."""
-        index = len(self.of_role("instance"))
+        others = [p for p in self.of_role("instance") if p.name != name]
+        # A restarted instance stays in its data centre.
+        names = [p.name for p in self.of_role("instance")]
+        index = names.index(name) if name in names else len(names)
         addresses = {
             role: f"127.0.0.1:{free_port()}"
             for role in ("callers", "operators", "peers")
@@ -197,6 +201,7 @@
                 DATA_CENTRES[index % len(DATA_CENTRES)],
                 addresses,
                 self.processes["platform"].address,
+                [p.extra["peers"] for p in others[:3]],
             )
             + self.plan.settings
         )
@@ -364,7 +369,11 @@
 
 
 def settings_text(
-    name: str, data_centre: str, addresses: dict[str, str], platform: str
+    name: str,
+    data_centre: str,
+    addresses: dict[str, str],
+    platform: str,
+    seeds: Sequence[str] = (),
 ) -> str:
     """Returns the settings file of an instance."""
     digest = hashlib.sha256(OPERATORS_KEY.encode()).hexdigest()
@@ -382,6 +391,7 @@
 
 [peers]
 address = "{addresses["peers"]}"
+seeds = {json.dumps(list(seeds))}
 
 [platform]
 address = "{platform}"
