Limit what a connection may send and index client accounts

Each request compared its key with every account.

Change: A protocol class on uvicorn's with limits on bytes, times and connections from the settings; refusals are counted by reason. TLS where the settings name a certificate and a key.

Conclusion: a sender that breaks a limit ends only its own connection.

--- a/src/yuccatally/callers/application.py
+++ b/src/yuccatally/callers/application.py
@@ -59,6 +59,7 @@
 
     def __init__(self, node: instance.Instance) -> None:
         self.node = node
+        self.accounts = access.AccountIndex(node.config)
 
     async def completion(self, request: requests.Request) -> http.Response:
         """Serves ``POST /v1/completions``."""
@@ -89,7 +90,7 @@
         self, request: requests.Request, handler: Handler
     ) -> http.Response:
         identity = self.node.accept()
-        account = access.account_of(request, self.node.config)
+        account = self.accounts.account_of(request)
         if account is None:
             return self._unauthenticated(identity)
         try:
@@ -175,7 +176,7 @@
         self, request: requests.Request, content: object
     ) -> http.Response:
         identity = self.node.accept()
-        if access.account_of(request, self.node.config) is None:
+        if self.accounts.account_of(request) is None:
             return self._unauthenticated(identity)
         return self.node.answer(identity, content)
 
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -95,11 +95,17 @@
             listeners = [
                 servers.Listener(
                     callers_application.application(self),
-                    self.settings.callers.address,
+                    self.settings.callers,
+                    self.settings.limits,
+                    self.settings.limits.body_bytes,
+                    self._on_connection_refused,
                 ),
                 servers.Listener(
                     operators_application.application(self),
-                    self.settings.operators.address,
+                    self.settings.operators,
+                    self.settings.limits,
+                    operators_application.BODY_BYTES,
+                    self._on_connection_refused,
                 ),
             ]
             self._spawn(self.watch.run())
@@ -235,6 +241,9 @@
                 self.members = await self.store.members()
             await asyncio.sleep(MEMBERS_REFRESH_S)
 
+    def _on_connection_refused(self, reason: str) -> None:
+        self.metrics.count("connections_refused", reason)
+
     def _on_config_change(self) -> None:
         for connection in self.generations.reconcile(self.session):
             self._spawn(connection.close())
--- /dev/null
+++ b/src/yuccatally/instance/protocol.py
@@ -0,0 +1,289 @@
+"""HTTP server protocol with limits on what a connection may send."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import structlog
+from uvicorn.protocols.http import httptools_impl
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+
+# A body in chunks of one byte takes six bytes for each; extensions of chunks
+# and trailers, which the parser does not bound, must fit into the rest.
+WIRE_FACTOR = 8
+
+# Time in which a refused sender can read the refusal. A close at once would
+# reset the connection while it still sends, and the refusal would be lost.
+LINGER_S = 2.0
+
+_log = structlog.get_logger()
+
+_PHRASES = {
+    400: b"Bad Request",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    503: b"Service Unavailable",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class ConnectionLimits:
+    """Limits of the connections of one listener.
+
+    Attributes:
+        header_bytes: Longest request line and headers together, in bytes.
+        header_timeout_s: Longest time from the connection or the first byte
+            of a later request to the end of its headers, in seconds.
+        body_bytes: Longest body that the application reads, in bytes.
+        body_timeout_s: Longest time from the end of the headers to the end
+            of the body, in seconds.
+        write_timeout_s: Longest time in which a caller takes nothing of an
+            answer that waits for it, in seconds.
+        connections: Most open connections.
+    """
+
+    header_bytes: int
+    header_timeout_s: float
+    body_bytes: int
+    body_timeout_s: float
+    write_timeout_s: float
+    connections: int
+
+    @property
+    def wire_bytes(self) -> int:
+        """Most bytes of one request on the wire."""
+        return self.header_bytes + WIRE_FACTOR * self.body_bytes
+
+
+class LimitedProtocol(httptools_impl.HttpToolsProtocol):
+    """Refuses senders that are too slow or send too much.
+
+    Subclasses of ``limited`` set ``limits`` and ``refused``.
+    """
+
+    limits: ConnectionLimits
+    on_refused: Callable[[str], None]
+
+    def __init__(self, *args: Any, **named: Any) -> None:
+        super().__init__(*args, **named)
+        self.begun = False
+        self.in_headers = True
+        self.in_body = False
+        self.wire_bytes = 0
+        self.header_bytes = 0
+        self.closing = False
+        self.read_timer: asyncio.TimerHandle | None = None
+        self.write_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Starts the time limit for the first headers."""
+        super().connection_made(transport)
+        if len(self.connections) > self.limits.connections:
+            self._refuse(503, "too-many-connections", "try another instance")
+            return
+        self._start_header_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stops the time limits."""
+        self._stop_read_timer()
+        self.resume_writing()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Passes data to the parser within the limits."""
+        if self.closing:
+            return
+        if self.in_headers and self.read_timer is None:
+            self._start_header_timer()
+        self.wire_bytes += len(data)
+        super().data_received(data)
+        if self.closing or self.transport.is_closing():
+            return
+        if self.begun and self.in_headers and self.read_timer is None:
+            self._start_header_timer()  # behind another request in this data
+        if self.in_headers and self.wire_bytes > self.limits.header_bytes:
+            self._refuse_headers()
+        elif self.in_body and self.wire_bytes > self.limits.wire_bytes:
+            text = f"the request is longer than {self.limits.wire_bytes} bytes"
+            self._refuse(413, "body-too-long", text)
+
+    def on_message_begin(self) -> None:
+        """Notes that a request has started."""
+        self.begun = True
+        super().on_message_begin()
+
+    def on_url(self, url: bytes) -> None:
+        """Counts the request line."""
+        self.header_bytes += len(url)
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Counts headers; drops trailers, which nothing here reads."""
+        if not self.in_headers:
+            return
+        self.header_bytes += len(name) + len(value) + len(": \r\n")
+        super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Starts the time limit for the body."""
+        self._stop_read_timer()
+        self.in_headers = False
+        if self.closing:
+            return
+        if self.header_bytes > self.limits.header_bytes:
+            self._refuse_headers()
+            return
+        self.in_body = True
+        self.read_timer = self.loop.call_later(
+            self.limits.body_timeout_s, self._body_too_slow
+        )
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Ignores what comes after a refusal."""
+        if not self.closing:
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Gets ready for the next request of the connection."""
+        self._stop_read_timer()
+        self.begun, self.in_headers, self.in_body = False, True, False
+        self.wire_bytes = self.header_bytes = 0
+        if not self.closing:
+            super().on_message_complete()
+
+    def pause_writing(self) -> None:
+        """Starts the time limit for a caller that does not read."""
+        super().pause_writing()
+        self.write_timer = self.loop.call_later(
+            self.limits.write_timeout_s, self._reader_too_slow
+        )
+
+    def resume_writing(self) -> None:
+        """Stops the time limit for a caller that does not read."""
+        if self.write_timer is not None:
+            self.write_timer.cancel()
+            self.write_timer = None
+        super().resume_writing()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuses what the parser does not understand."""
+        self._refuse(400, "malformed", msg)
+
+    def _start_header_timer(self) -> None:
+        self.read_timer = self.loop.call_later(
+            self.limits.header_timeout_s, self._headers_too_slow
+        )
+
+    def _stop_read_timer(self) -> None:
+        if self.read_timer is not None:
+            self.read_timer.cancel()
+            self.read_timer = None
+
+    def _headers_too_slow(self) -> None:
+        self.read_timer = None
+        if not self.begun:
+            self._abort("idle")  # nobody waits for an answer
+            return
+        limit_s = self.limits.header_timeout_s
+        text = f"the headers were not complete within {limit_s:g} s"
+        self._refuse(408, "headers-too-slow", text)
+
+    def _body_too_slow(self) -> None:
+        self.read_timer = None
+        limit_s = self.limits.body_timeout_s
+        text = f"the body was not complete within {limit_s:g} s"
+        self._refuse(408, "body-too-slow", text)
+
+    def _reader_too_slow(self) -> None:
+        self._abort("reader-too-slow")
+
+    def _refuse_headers(self) -> None:
+        limit = self.limits.header_bytes
+        text = f"request line and headers are longer than {limit} bytes"
+        self._refuse(431, "headers-too-long", text)
+
+    def _refuse(self, status: int, reason: str, text: str) -> None:
+        """Answers once, then discards input until the connection is closed.
+
+        The application sees a connection that was closed by the caller.
+        """
+        if self.closing:
+            return
+        if not self._may_answer():
+            self._abort(reason)
+            return
+        self._note(reason)
+        self._stop_read_timer()
+        if self.in_body:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        self.transport.write(_response(status, reason, text))
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.loop.call_later(LINGER_S, self.transport.abort)
+
+    def _may_answer(self) -> bool:
+        """Returns whether a caller takes an answer for this request's own.
+
+        An earlier request of the connection may still be running; a refusal
+        would be read as its answer.
+        """
+        cycle = self.cycle
+        if self.in_body:
+            return not cycle.response_started and not self.pipeline
+        return cycle is None or cycle.response_complete
+
+    def _abort(self, reason: str) -> None:
+        self._note(reason)
+        self.transport.abort()
+
+    def _note(self, reason: str) -> None:
+        self.closing = True
+        self.on_refused(reason)
+        _log.warning(
+            "connection_refused",
+            reason=reason,
+            address=self.client[0] if self.client else "",
+        )
+
+
+def limited(
+    limits: ConnectionLimits, on_refused: Callable[[str], None]
+) -> type[LimitedProtocol]:
+    """Returns a protocol class with limits.
+
+    Args:
+        limits: The limits.
+        on_refused: Called with the reason of each refusal.
+    """
+    members = {"limits": limits, "on_refused": staticmethod(on_refused)}
+    return type("LimitedProtocol", (LimitedProtocol,), members)
+
+
+def _response(status: int, reason: str, text: str) -> bytes:
+    error = {
+        "message": text,
+        "type": "invalid_request_error",
+        "param": None,
+        "code": reason,
+        "outcome": "not-run",
+    }
+    body = msgspec.json.encode({"error": error})
+    return b"".join(
+        [
+            b"HTTP/1.1 %d %s\r\n" % (status, _PHRASES[status]),
+            b"Content-Type: application/json\r\n",
+            b"Content-Length: %d\r\n" % len(body),
+            b"Yuccatally-Outcome: not-run\r\n",
+            b"Connection: close\r\n\r\n",
+            body,
+        ]
+    )
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -8,9 +8,11 @@
 
 import uvicorn
 
+from yuccatally.instance import protocol
 from yuccatally.settings import settings as settings_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from starlette import applications
@@ -28,10 +30,17 @@
 
 
 class Listener:
-    """One HTTP listener."""
+    """One HTTP listener, with TLS if the settings name a certificate."""
 
-    def __init__(self, app: applications.Starlette, address: str) -> None:
-        host, port = settings_module.split_address(address)
+    def __init__(
+        self,
+        app: applications.Starlette,
+        settings: settings_module.ListenerSettings,
+        limits: settings_module.LimitsSettings,
+        body_bytes: int,
+        on_refused: Callable[[str], None],
+    ) -> None:
+        host, port = settings_module.split_address(settings.address)
         self.socket = socket.socket(
             socket.AF_INET6 if ":" in host else socket.AF_INET
         )
@@ -47,7 +56,19 @@
             log_config=None,
             access_log=False,
             lifespan="off",
-            http="httptools",
+            http=protocol.limited(
+                protocol.ConnectionLimits(
+                    header_bytes=limits.header_bytes,
+                    header_timeout_s=limits.header_timeout_s,
+                    body_bytes=body_bytes,
+                    body_timeout_s=limits.body_timeout_s,
+                    write_timeout_s=limits.write_timeout_s,
+                    connections=limits.connections,
+                ),
+                on_refused,
+            ),
+            ssl_certfile=settings.certificate_file or None,
+            ssl_keyfile=settings.key_file or None,
             ws="none",
             backlog=BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_S,
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -6,6 +6,7 @@
 import ipaddress
 import pathlib
 import re
+import ssl
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -135,11 +136,22 @@
 
     def problems(self) -> Iterator[Finding]:
         """Yields what is wrong with the combination of values."""
+        if self.certificate_file and self.key_file:
+            yield from self._pair()
         if self.certificate_file and not self.key_file:
             yield "key_file", "is required because certificate_file is set"
         if self.key_file and not self.certificate_file:
             yield "certificate_file", "is required because key_file is set"
 
+    def _pair(self) -> Iterator[Finding]:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        try:
+            context.load_cert_chain(self.certificate_file, self.key_file)
+        except (OSError, ValueError) as error:
+            reason = getattr(error, "reason", None) or error
+            message = f"does not form a pair with key_file: {reason}"
+            yield "certificate_file", message
+
 
 @dataclasses.dataclass(frozen=True)
 class OperatorsSettings(ListenerSettings):
@@ -192,6 +204,8 @@
             from the connection, to the end of its headers, in seconds.
         body_timeout_s: Longest time from the end of the headers to the end
             of the body, in seconds.
+        write_timeout_s: Longest time in which a caller takes nothing of an
+            answer that waits for it, in seconds.
         request_timeout_s: Deadline of a request that states none, in seconds.
         connections: Most open connections of one listener.
     """
@@ -200,6 +214,7 @@
     header_bytes: int = strict.checked(_range(1_024, 1_048_576), 32_768)
     header_timeout_s: float = strict.checked(_range(0.1, 600), 10.0)
     body_timeout_s: float = strict.checked(_range(0.1, 3_600), 60.0)
+    write_timeout_s: float = strict.checked(_range(0.1, 3_600), 60.0)
     request_timeout_s: float = strict.checked(_range(0.1, 3_600), 60.0)
     connections: int = strict.checked(_range(16, 1_000_000), 8_192)
 
--- a/src/yuccatally/telemetry/metrics.py
+++ b/src/yuccatally/telemetry/metrics.py
@@ -27,6 +27,7 @@
 HELP = {
     "requests": "Requests by state; accepted is the sum of all others.",
     "refusals": "Requests that were not answered, by reason.",
+    "connections_refused": "Connections ended by a limit, by reason.",
     "step_frames": "Frames sent to engines.",
     "step_items": "Step items sent to engines.",
     "results_dropped": "Results of engines that matched no outstanding item.",
