Build the program as one file and document it for operators

Cause: Instances have no disk and start no other process, but the program could only run from an installed environment. Nothing told operators how to use it.

Pages for operators, a glossary and a section of decisions. A test runs the commands that the pages show and compares the shape of their output; it found that `yuccatally list` without a kind was refused. The account index follows the content of the configuration, which can change below a revision.

--- a/src/yuccatally/callers/access.py
+++ b/src/yuccatally/callers/access.py
@@ -25,8 +25,7 @@
 
     def __init__(self, config: configuration.Configuration) -> None:
         self.config = config
-        self.revision = -1
-        self.objects: object = None
+        self.seen: tuple[int, int] | None = None
         self.accounts: dict[str, kinds.Object] = {}
 
     def account_of(self, request: requests.Request) -> kinds.Object | None:
@@ -46,14 +45,13 @@
         return account
 
     def _refresh(self) -> None:
-        # A snapshot replaces the objects and may keep the revision.
-        config = self.config
-        if self.revision == config.revision and self.objects is config.objects:
+        now = (self.config.revision, self.config.content)
+        if self.seen == now:
             return
-        self.revision, self.objects = config.revision, config.objects
+        self.seen = now
         # With one key in two accounts, the first by name has it everywhere.
         ordered = sorted(
-            config.of_kind("client_account"),
+            self.config.of_kind("client_account"),
             key=lambda o: o.name,
             reverse=True,
         )
--- a/src/yuccatally/cli/objects.py
+++ b/src/yuccatally/cli/objects.py
@@ -107,14 +107,17 @@
 
 
 @click.command("list")
-@click.argument("kind", type=_KIND, required=False, default="")
+@click.argument("kind", type=_KIND, required=False)
 @click.option("--selector", default="", help="Label selector.")
 @options.operator_command
 async def list_objects(
-    client: client_module.Client, output: str, kind: str, selector: str
+    client: client_module.Client,
+    output: str,
+    kind: str | None,
+    selector: str,
 ) -> None:
     """Lists the objects in force on an instance."""
-    found = await _select(client, kind, selector)
+    found = await _select(client, kind or "", selector)
     shown.show(output, found, _objects_table(found["objects"]))
 
 
@@ -394,7 +397,7 @@
             "name": o["name"],
             "declared": o,
         }
-        for o in content["objects"]
+        for o in sorted(content["objects"], key=lambda o: o["revision"])
     ]
 
 
@@ -402,7 +405,9 @@
     name = f"{change['kind']}/{change['name']}"
     declared = change["declared"]
     if declared is None:
-        return f"revision={change['revision']} object={name} deleted"
+        blocked = change.get("blocked")
+        text = f"rejected: {blocked['problem']}" if blocked else "deleted"
+        return f"revision={change['revision']} object={name} {text}"
     return (
         f"revision={change['revision']} object={name} "
         f"version={declared['version']} "
--- a/src/yuccatally/core/config/merge.py
+++ b/src/yuccatally/core/config/merge.py
@@ -51,8 +51,8 @@
         ]
         return (
             f"label {self.key!r}: another operator changed it from {shown[0]} "
-            f"to {shown[1]} at the same time, so {shown[2]} was not written; "
-            "look at the object and repeat the command if it is still wanted"
+            f"to {shown[1]}, so {shown[2]} was not written; look at the object "
+            "and repeat the command if that is still wanted"
         )
 
 
--- /dev/null
+++ b/src/yuccatally_build/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the program as one file."""
--- a/src/yuccatally_standins/demo.py
+++ b/src/yuccatally_standins/demo.py
@@ -57,6 +57,8 @@
             f"role={process.role} address={process.address} "
             f"pid={process.popen.pid} name={process.name}{suffix}"
         )
+    for name, value in site.environment(started).items():
+        click.echo(f"export {name}={value}")
     stopped = threading.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: stopped.set())
--- a/src/yuccatally_standins/site.py
+++ b/src/yuccatally_standins/site.py
@@ -363,6 +363,21 @@
         return _response(error.code, error)
 
 
+def environment(started: Site) -> dict[str, str]:
+    """Returns variables for the commands that the pages show."""
+    instances = started.of_role("instance")
+    operators = {
+        f"OPERATORS_{p.name.upper()}": p.extra["operators"] for p in instances
+    }
+    return {
+        "YUCCATALLY_ADDRESS": instances[0].extra["operators"],
+        "YUCCATALLY_KEY": OPERATORS_KEY,
+        "CALLERS": instances[0].extra["callers"],
+        "ACCOUNT_KEY": ACCOUNT_KEY,
+        **operators,
+    }
+
+
 def settings_text(
     name: str, data_centre: str, addresses: dict[str, str], platform: str
 ) -> str:
--- a/tests/callers/test_access.py
+++ b/tests/callers/test_access.py
@@ -19,7 +19,7 @@
 def account(name: str, key: str, revision: int) -> configuration.Event:
     digest = hashlib.sha256(key.encode("latin-1")).hexdigest()
     spec = specs.ClientAccountSpec(digest)
-    declared = kinds.Object("client_account", name, spec)
+    declared = kinds.Object("client_account", name, spec, revision=revision)
     return configuration.Event(revision, "client_account", name, declared)
 
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -183,6 +183,7 @@
     assert shown.exit_code == 0
     assert "platform unavailable" in shown.stdout
     assert listed.stdout.count("engine/") == 5
+    assert run("list").stdout.count("/") > 5
 
 
 def test_wait_names_the_instances_that_are_behind(
--- /dev/null
+++ b/tests/docs/test_pages.py
@@ -0,0 +1,48 @@
+"""The pages show what the commands print, and cover what there is."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from yuccatally.cli import main
+from yuccatally.core.requests import outcomes
+from yuccatally_standins import pages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import pathlib
+
+    from yuccatally_standins import site
+
+
+def test_pages_show_what_commands_print(
+    start_site: Callable[..., site.Site], tmp_path: pathlib.Path
+) -> None:
+    """Guards against pages whose commands fail or print something else.
+
+    ``python -m yuccatally_standins.pages`` writes the present output.
+    """
+    variables = pages.prepare(start_site())
+    for page in pages.PAGES:
+        text = (pages.ROOT / page).read_text()
+        shown = pages.run(text, variables, tmp_path)
+        assert pages.shape(shown) == pages.shape(text), page
+        assert "Traceback" not in shown
+
+
+def test_pages_cover_every_command_and_refusal() -> None:
+    """Guards against commands and refusals that no page explains."""
+    text = "".join((pages.ROOT / page).read_text() for page in pages.PAGES)
+    for name in set(main.main.commands) - {"run", "check"}:
+        assert f"yuccatally {name}" in text, name
+    for reason in outcomes.Reason:
+        assert f"| `{reason}` |" in text, reason
+
+
+def test_links_lead_somewhere() -> None:
+    """Guards against links to files that were moved or removed."""
+    for page in (*pages.PAGES, "docs/glossary.md"):
+        path = pages.ROOT / page
+        for target in re.findall(r"\]\(([^)#]+)", path.read_text()):
+            assert (path.parent / target).exists(), f"{page}: {target}"
