--- a/src/yuccatally/callers/application.py
+++ b/src/yuccatally/callers/application.py
@@ -61,6 +61,7 @@
 
     def __init__(self, node: instance.Instance) -> None:
         self.node = node
+        self.accounts = access.AccountIndex(node.config)
 
     async def completion(self, request: requests.Request) -> http.Response:
         """Serves ``POST /v1/completions``."""
@@ -93,7 +94,7 @@
         self, request: requests.Request, handler: Handler
     ) -> http.Response:
         identity = self.node.accept()
-        account = access.account_of(request, self.node.config)
+        account = self.accounts.account_of(request)
         if account is None:
             return self._unauthenticated(identity)
         try:
@@ -184,7 +185,7 @@
         self, request: requests.Request, content: object
     ) -> http.Response:
         identity = self.node.accept()
-        if access.account_of(request, self.node.config) is None:
+        if self.accounts.account_of(request) is None:
             return self._unauthenticated(identity)
         return self.node.answer(identity, content)
 
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -107,11 +107,17 @@
             listeners = [
                 servers.Listener(
                     gate.Gate(callers_application.application(self), self),
-                    self.settings.callers.address,
+                    self.settings.callers,
+                    self.settings.limits,
+                    self.settings.limits.body_bytes,
+                    self._on_connection_refused,
                 ),
                 servers.Listener(
                     operators_application.application(self),
-                    self.settings.operators.address,
+                    self.settings.operators,
+                    self.settings.limits,
+                    operators_application.BODY_BYTES,
+                    self._on_connection_refused,
                 ),
             ]
             self.spawn(self.watch.run())
@@ -225,6 +231,9 @@
     def _live_names(self) -> list[str]:
         return [m.name for m in self.members if not m.leaving]
 
+    def _on_connection_refused(self, reason: str) -> None:
+        self.metrics.count("connections_refused", reason)
+
     def _on_platform_change(self, from_peer: bool) -> None:
         if not from_peer:
             self.fleet.config_changed()
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -9,6 +9,7 @@
 
 import uvicorn
 
+from yuccatally.instance import protocol
 from yuccatally.settings import settings as settings_module
 
 if TYPE_CHECKING:
@@ -31,10 +32,17 @@
 
 
 class Listener:
-    """One HTTP listener."""
+    """One HTTP listener, with TLS if the settings name a certificate."""
 
-    def __init__(self, app: Callable[..., Any], address: str) -> None:
-        host, port = settings_module.split_address(address)
+    def __init__(
+        self,
+        app: Callable[..., Any],
+        settings: settings_module.ListenerSettings,
+        limits: settings_module.LimitsSettings,
+        body_bytes: int,
+        on_refused: Callable[[str], None],
+    ) -> None:
+        host, port = settings_module.split_address(settings.address)
         self.socket = socket.socket(
             socket.AF_INET6 if ":" in host else socket.AF_INET
         )
@@ -50,7 +58,19 @@
             log_config=None,
             access_log=False,
             lifespan="off",
-            http="httptools",
+            http=protocol.limited(
+                protocol.ConnectionLimits(
+                    header_bytes=limits.header_bytes,
+                    header_timeout_s=limits.header_timeout_s,
+                    body_bytes=body_bytes,
+                    body_timeout_s=limits.body_timeout_s,
+                    write_timeout_s=limits.write_timeout_s,
+                    connections=limits.connections,
+                ),
+                on_refused,
+            ),
+            ssl_certfile=settings.certificate_file or None,
+            ssl_keyfile=settings.key_file or None,
             ws="none",
             backlog=BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_S,
