--- a/src/yuccatally/instance/generations.py
+++ b/src/yuccatally/instance/generations.py
@@ -51,6 +51,7 @@
         hops: Its spans.
         timers: Deadlines to cancel at the end.
         failed_at: When an attempt was lost without a token since.
+        started_at: When the current attempt started.
         excluded: Engines that the next route must not use.
     """
 
@@ -59,6 +60,7 @@
     hops: hops.HopRecorder
     timers: list[asyncio.TimerHandle] = dataclasses.field(default_factory=list)
     failed_at: float | None = None
+    started_at: float = 0.0
     excluded: frozenset[str] = frozenset()
 
 
@@ -305,8 +307,9 @@
         self._settle(action.request)
         entry.emitted.put_nowait(action)
         if entry.failed_at is not None:
-            elapsed_s = time.monotonic() - entry.failed_at
-            self.metrics.observe("recovery", elapsed_s)
+            now = time.monotonic()
+            self.metrics.observe("recovery", now - entry.failed_at)
+            self.metrics.observe("recovery_prefill", now - entry.started_at)
             entry.failed_at = None
 
     def _need_route(self, need: actions.NeedRoute) -> None:
@@ -361,6 +364,7 @@
             self.metrics.count("recovery_prefill_tokens", amount=tokens)
         for hop in route.hops:
             self.connections[hop.engine].sequences.add(machine.job.request)
+        entry.started_at = time.monotonic()
         entry.hops.start_attempt(machine.attempt + 1, route)
         self._perform(machine.start(route))
 
--- /dev/null
+++ b/src/yuccatally_bench/fixed_timeout.py
@@ -0,0 +1,145 @@
+"""Baseline without resume: restarts an answer after a fixed timeout."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccatally.core.stages import messages
+from yuccatally_standins import site
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from yuccatally_standins import streams
+
+TIMEOUT_S = 2.0
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(messages.FromEngine)
+
+
+@dataclasses.dataclass
+class Stage:
+    """One engine with its connection.
+
+    Attributes:
+        plan: Engine and layers.
+        socket: Connection, None after it was closed.
+        waiting: Steps without an answer.
+    """
+
+    plan: site.EnginePlan
+    socket: aiohttp.ClientWebSocketResponse | None = None
+    waiting: dict[tuple[str, int, int], asyncio.Future[list[int]]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+class FixedTimeout:
+    """Runs answers directly on the engines, without an instance.
+
+    A step that is not answered in time restarts the whole answer on the other
+    replica of the stage. Having no instance in between favours the baseline.
+    """
+
+    def __init__(self, started: site.Site, replicas: list[list[str]]) -> None:
+        self.site = started
+        self.replicas = replicas
+        plans = {p.name: p for p in started.plan.engines}
+        self.stages = {n: Stage(plans[n]) for r in replicas for n in r}
+        self.failed: set[str] = set()
+        self.frames = itertools.count(1)
+        self.readers: list[asyncio.Task[None]] = []
+
+    async def connect(self, session: aiohttp.ClientSession) -> None:
+        """Connects to every engine."""
+        for name, stage in self.stages.items():
+            url = f"{self.site.processes[name].url}/v1/steps"
+            stage.socket = await session.ws_connect(url)
+            self.readers.append(asyncio.create_task(self._read(stage)))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for reader in self.readers:
+            reader.cancel()
+        await asyncio.gather(*self.readers, return_exceptions=True)
+
+    async def answer(self, index: int, answer: streams.Answer) -> None:
+        """Generates one answer; records the time of each new token."""
+        for attempt in itertools.count(1):
+            route = [self._choose(index, names) for names in self.replicas]
+            try:
+                await self._attempt(answer, f"base-{index}", attempt, route)
+            except TimeoutError:
+                continue
+            answer.outcome = "answered"
+            return
+
+    def _choose(self, index: int, names: list[str]) -> str:
+        usable = [n for n in names if n not in self.failed] or names
+        return usable[index % len(usable)]
+
+    async def _attempt(
+        self,
+        answer: streams.Answer,
+        request: str,
+        attempt: int,
+        route: list[str],
+    ) -> None:
+        values = list(answer.prompt.encode())
+        text, position = "", 0
+        while len(text) < answer.max_tokens:
+            width = len(values)
+            for name in route:
+                values = await self._step(
+                    name, (request, attempt, position), values
+                )
+            if not values[0]:
+                break
+            position += width
+            text += chr(values[0])
+            if len(text) > len(answer.times):
+                answer.text = text
+                answer.times.append(time.monotonic())
+
+    async def _step(
+        self, name: str, key: tuple[str, int, int], values: list[int]
+    ) -> list[int]:
+        stage = self.stages[name]
+        plan = stage.plan
+        final = plan.last_layer == site.LAYERS
+        layers = (plan.first_layer, plan.last_layer)
+        item = messages.StepItem(
+            *key, *layers, site.MODEL, site.VERSION, values, 1, final
+        )
+        future = asyncio.get_running_loop().create_future()
+        stage.waiting[key] = future
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                frame = messages.Step(next(self.frames), [item])
+                if stage.socket is not None and not stage.socket.closed:
+                    await stage.socket.send_bytes(_encoder.encode(frame))
+                return await future
+        except (TimeoutError, ConnectionError) as error:
+            self.failed.add(name)
+            raise TimeoutError from error
+        finally:
+            stage.waiting.pop(key, None)
+
+    async def _read(self, stage: Stage) -> None:
+        assert stage.socket is not None
+        async for message in stage.socket:
+            result = _decoder.decode(message.data)
+            if not isinstance(result, messages.StepResult):
+                continue
+            for output in result.outputs:
+                key = (output.request, output.attempt, output.position)
+                future = stage.waiting.get(key)
+                if future is not None and not future.done():
+                    future.set_result(output.values)
--- /dev/null
+++ b/src/yuccatally_bench/injection.py
@@ -0,0 +1,159 @@
+"""Injects many faults into a site under load and counts what callers saw."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import random
+import signal
+import tempfile
+import time
+from typing import TYPE_CHECKING
+
+from yuccatally_bench import report
+from yuccatally_standins import engine_faults
+from yuccatally_standins import site
+from yuccatally_standins import streams
+
+if TYPE_CHECKING:
+    import aiohttp
+
+INSTANCES = 2
+REPLICAS = 3
+CALLERS = 24
+MAX_TOKENS = 60
+INTERVAL_S = 0.06
+# A kill costs the start of a process, so it is rarer than the other faults.
+KILL_SHARE = 0.03
+STOP_SHARE = 0.04
+RESTART_S = 0.4
+STOP_S = 1.2
+LIMIT_S = 170.0
+STAGES = {"a": (0, 4), "b": (4, 8), "c": (8, 12)}
+PLAN = site.Plan(
+    instances=INSTANCES,
+    engines=tuple(
+        site.EnginePlan(f"{part}{n}", *layers, 2.0, {"part": part})
+        for part, layers in STAGES.items()
+        for n in range(REPLICAS)
+    ),
+    pipelines={"p": tuple((f"part={p}", *r) for p, r in STAGES.items())},
+)
+
+
+@dataclasses.dataclass
+class _Run:
+    site: site.Site
+    session: aiohttp.ClientSession
+    random: random.Random
+    faults: int
+    answers: list[streams.Answer] = dataclasses.field(default_factory=list)
+    injected: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    down: set[str] = dataclasses.field(default_factory=set)
+    done: bool = False
+
+
+async def inject(faults: int, seed: int) -> str:
+    """Returns a table of injected faults and outcomes.
+
+    Args:
+        faults: Number of faults.
+        seed: Seed of their kinds, places and order.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        started = site.Site(PLAN, pathlib.Path(folder))
+        try:
+            await asyncio.to_thread(started.start)
+            async with streams.session() as session:
+                run = _Run(started, session, random.Random(seed), faults)
+                began = time.monotonic()
+                await _load_and_faults(run)
+                elapsed_s = time.monotonic() - began
+            return await asyncio.to_thread(_summary, run, seed, elapsed_s)
+        finally:
+            started.stop()
+
+
+async def _load_and_faults(run: _Run) -> None:
+    callers = [asyncio.create_task(_caller(run, n)) for n in range(CALLERS)]
+    repairs: list[asyncio.Task[None]] = []
+    deadline = time.monotonic() + LIMIT_S
+    while run.injected.total() < run.faults and time.monotonic() < deadline:
+        await asyncio.sleep(INTERVAL_S)
+        await _one_fault(run, repairs)
+    await asyncio.gather(*repairs)
+    run.done = True
+    await asyncio.gather(*callers)
+
+
+async def _caller(run: _Run, number: int) -> None:
+    nodes = run.site.of_role("instance")
+    while not run.done:
+        prompt = f"caller {number}, question {len(run.answers)}: " * 2
+        answer = streams.Answer(prompt, MAX_TOKENS)
+        run.answers.append(answer)
+        await streams.ask(run.session, nodes[number % len(nodes)], answer)
+
+
+async def _one_fault(run: _Run, repairs: list[asyncio.Task[None]]) -> None:
+    names = [p.name for p in PLAN.engines if p.name not in run.down]
+    name = run.random.choice(names)
+    # One engine of a stage stays up, so that the stage can be served.
+    others_down = sum(d[0] == name[0] for d in run.down)
+    kind = run.random.random()
+    if kind < KILL_SHARE + STOP_SHARE and others_down < REPLICAS - 1:
+        run.down.add(name)
+        process = run.site.processes[name]
+        if kind < KILL_SHARE:
+            process.kill()
+            run.injected["kill"] += 1
+            repairs.append(asyncio.create_task(_restart(run, name)))
+        else:
+            process.send(signal.SIGSTOP)
+            run.injected["stop"] += 1
+            repairs.append(asyncio.create_task(_continue(run, name)))
+        return
+    fault = run.random.choice(list(engine_faults.Once))
+    url = f"{run.site.processes[name].url}/faults"
+    async with run.session.post(url, json={"once": [fault]}):
+        run.injected[str(fault)] += 1
+
+
+async def _restart(run: _Run, name: str) -> None:
+    await asyncio.sleep(RESTART_S)
+    plan = next(p for p in PLAN.engines if p.name == name)
+    port = int(run.site.processes[name].address.rpartition(":")[2])
+    run.site.start_engine(plan, port)
+    await asyncio.to_thread(site.await_port, run.site.processes[name])
+    run.down.discard(name)
+
+
+async def _continue(run: _Run, name: str) -> None:
+    await asyncio.sleep(STOP_S)
+    run.site.processes[name].send(signal.SIGCONT)
+    run.down.discard(name)
+
+
+def _summary(run: _Run, seed: int, elapsed_s: float) -> str:
+    outcomes = collections.Counter(a.outcome or "none" for a in run.answers)
+    statuses = [run.site.status(p) for p in run.site.of_role("instance")]
+    wrong = streams.disagreements(run.site, run.answers)
+    refused = collections.Counter(a.error for a in run.answers if a.error)
+    lines = [
+        f"injected faults: {run.injected.total()} in {elapsed_s:.0f} s, "
+        f"seed {seed}, commit {report.commit()}",
+        f"  by kind: {dict(sorted(run.injected.items()))}",
+        f"answers: {len(run.answers)}, by outcome: {dict(outcomes)}, "
+        f"whole and right: {sum(a.whole for a in run.answers)}",
+        f"errors: {dict(refused)}",
+        f"lost (no outcome): {outcomes['none']}",
+        f"wrong or doubled: {len(wrong)} {wrong[:3]}",
+        f"identity holds: {all(s['balanced'] for s in statuses)}, "
+        f"in flight: {sum(s['requests']['in_flight'] for s in statuses)}",
+        f"sequences left on engines: {streams.leaked(run.site)}",
+    ]
+    return "\n".join(lines)
--- a/src/yuccatally_standins/site.py
+++ b/src/yuccatally_standins/site.py
@@ -142,7 +142,7 @@
         for engine in self.plan.engines:
             self.start_engine(engine)
         for process in self.processes.values():
-            _await_port(process)
+            await_port(process)
         self.declare_objects()
         for number in range(1, self.plan.instances + 1):
             self.start_instance(f"i{number}")
@@ -420,7 +420,8 @@
         return int(probe.getsockname()[1])
 
 
-def _await_port(process: Process) -> None:
+def await_port(process: Process) -> None:
+    """Waits until a process accepts connections."""
     host, _, port = process.address.rpartition(":")
     deadline = time.monotonic() + READY_TIMEOUT_S
     while time.monotonic() < deadline:
