Prefill the answers that are furthest along first

Cause: after a kill, prefill is the largest part of the wait: the chunks of all answers took turns, so that all resumed at the end.

Change: of the chunks that wait for an engine, those at the highest position go first.

--- a/src/yuccatally/core/stages/link.py
+++ b/src/yuccatally/core/stages/link.py
@@ -98,10 +98,15 @@
         self.load_at = now
 
     def submit(self, item: messages.StepItem) -> None:
-        """Queues an item; urgent items leave first, single tokens next."""
+        """Queues an item; urgent items leave first, single tokens next.
+
+        The prefill that is furthest along goes first: answers that share an
+        engine then resume one after the other instead of all at the end.
+        """
         self.order += 1
-        wide = len(item.values) > 1
-        self.pending[(item.priority, wide, self.order)] = item
+        width = len(item.values)
+        rank = (width > 1, -item.position if width > 1 else 0)
+        self.pending[(item.priority, *rank, self.order)] = item
 
     def withdraw(self, request: str, attempt: int) -> bool:
         """Removes the items of an attempt that were not sent yet.
@@ -208,7 +213,7 @@
         )
 
     def _take(self) -> list[messages.StepItem]:
-        keys: list[tuple[int, bool, int]] = []
+        keys: list[tuple[int, bool, int, int]] = []
         left: int | None = None
         for key, item in self.pending.items():
             if len(keys) >= MAX_ITEMS_PER_FRAME:
