--- a/src/yuccatally/instance/generations.py
+++ b/src/yuccatally/instance/generations.py
@@ -33,6 +33,7 @@
     from yuccatally.telemetry import metrics
 
 ROUTE_RETRY_S = 0.05
+LATE_IMPORT_S = 3.0
 FIRST_ROUTE_WAIT_S = 1.0  # covers a reconnect to an engine that restarted
 
 _log = structlog.get_logger()
@@ -51,6 +52,7 @@
         hops: Its spans.
         timers: Deadlines to cancel at the end.
         failed_at: When an attempt was lost without a token since.
+        started_at: When the current attempt started.
         excluded: Engines that the next route must not use.
     """
 
@@ -59,6 +61,7 @@
     hops: hops.HopRecorder
     timers: list[asyncio.TimerHandle] = dataclasses.field(default_factory=list)
     failed_at: float | None = None
+    started_at: float = 0.0
     excluded: frozenset[str] = frozenset()
 
 
@@ -290,6 +293,15 @@
                 target.session, wanted, source.address, target.address
             )
         self.metrics.count("state_imports", "ok" if succeeded else "failed")
+        if not succeeded:
+            # A paused engine may carry the import out after its release.
+            asyncio.get_running_loop().call_later(
+                LATE_IMPORT_S,
+                self._release,
+                wanted.target,
+                wanted.request,
+                wanted.attempt,
+            )
         entry = self.running.get(wanted.request)
         if entry is None:
             for engine, attempt in (
@@ -305,8 +317,9 @@
         self._settle(action.request)
         entry.emitted.put_nowait(action)
         if entry.failed_at is not None:
-            elapsed_s = time.monotonic() - entry.failed_at
-            self.metrics.observe("recovery", elapsed_s)
+            now = time.monotonic()
+            self.metrics.observe("recovery", now - entry.failed_at)
+            self.metrics.observe("recovery_prefill", now - entry.started_at)
             entry.failed_at = None
 
     def _need_route(self, need: actions.NeedRoute) -> None:
@@ -361,6 +374,7 @@
             self.metrics.count("recovery_prefill_tokens", amount=tokens)
         for hop in route.hops:
             self.connections[hop.engine].sequences.add(machine.job.request)
+        entry.started_at = time.monotonic()
         entry.hops.start_attempt(machine.attempt + 1, route)
         self._perform(machine.start(route))
 
