Keep a trail of every request with a copy on one peer

Cause: The explanation of a request was lost with the instance that took it, and the span buffer could grow to 4,096 requests of 128 spans.

--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -19,6 +19,7 @@
 from yuccatally.core.config import configuration
 from yuccatally.core.requests import ledger
 from yuccatally.core.requests import outcomes
+from yuccatally.core.requests import trail
 from yuccatally.instance import claims
 from yuccatally.instance import control
 from yuccatally.instance import drain
@@ -26,6 +27,7 @@
 from yuccatally.instance import generations
 from yuccatally.instance import servers
 from yuccatally.instance import services
+from yuccatally.instance import trails
 from yuccatally.instance import watch
 from yuccatally.operators import application as operators_application
 from yuccatally.store import http as http_store
@@ -62,7 +64,11 @@
         self.ledger = ledger.Ledger()
         self.metrics = metrics.Metrics()
         self.traces = traces.TraceBuffer()
-        self.tracer = traces.tracer(self.traces, settings.instance.name)
+        self.trail = trail.Trail(settings.instance.name)
+        self.trails = trails.Trails(self.trail, self.metrics)
+        self.tracer = traces.tracer(
+            self.traces, self.trail, settings.instance.name
+        )
         self.claims = claims.ClaimWriter(store)
         self.services = services.ServiceCalls(self.tracer, self.metrics)
         self.generations = generations.Generations(
@@ -124,6 +130,7 @@
             self.fleet.start()
             self.spawn(self.control.run(self.session))
             self.drain.listeners = listeners[:1]
+            self.spawn(self.trails.run())
             served = [asyncio.create_task(x.serve()) for x in listeners]
             _log.info("started", callers=self.settings.callers.address)
             await self.drain.done.wait()
@@ -139,6 +146,7 @@
         name = self.settings.instance.name
         request = f"{name}-{self.boot}-{self.next_request:x}"
         self.ledger.accept(request, time.monotonic())
+        self.trail.add(request, trail.Step.ACCEPTED, time.time())
         return request
 
     def finish(self, request: str, outcome: outcomes.Outcome) -> None:
@@ -227,6 +235,7 @@
         unsettled = await self.claims.finish(SETTLE_LIMIT_S)
         if unsettled:
             _log.error("claims_not_settled", count=unsettled)
+        await self.trails.copy_now()
 
     def _live_names(self) -> list[str]:
         return [m.name for m in self.members if not m.leaving]
--- /dev/null
+++ b/src/yuccatally/instance/trails.py
@@ -0,0 +1,133 @@
+"""Copies the trail to peers and gathers it again."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+
+import structlog
+
+from yuccatally.core.requests import trail
+
+if TYPE_CHECKING:
+    from yuccatally.telemetry import metrics
+
+COPY_INTERVAL_S = 0.5
+# With larger delays the query of an operator would take too long.
+EXCHANGE_TIMEOUT_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class TrailPeers(Protocol):
+    """What the trail needs of the transport between instances.
+
+    ``trail.Trail.on_copy`` and ``on_query`` are the receiving side.
+    """
+
+    def trail_peers(self) -> tuple[str, ...]:
+        """Returns the names of the live other instances."""
+
+    async def copy_trail(self, peer: str, message: trail.TrailCopy) -> None:
+        """Delivers records.
+
+        Raises:
+            OSError: The peer did not confirm them.
+        """
+
+    async def query_trail(
+        self, peer: str, message: trail.TrailQuery
+    ) -> trail.TrailReply:
+        """Asks a peer.
+
+        Raises:
+            OSError: The peer did not answer.
+        """
+
+
+class NoPeers:
+    """Stands in for the transport of an instance without peers."""
+
+    def trail_peers(self) -> tuple[str, ...]:
+        """See ``TrailPeers.trail_peers``."""
+        return ()
+
+    async def copy_trail(self, peer: str, message: trail.TrailCopy) -> None:
+        """See ``TrailPeers.copy_trail``."""
+        raise ConnectionError(f"no transport to {peer}")
+
+    async def query_trail(
+        self, peer: str, message: trail.TrailQuery
+    ) -> trail.TrailReply:
+        """See ``TrailPeers.query_trail``."""
+        raise ConnectionError(f"no transport to {peer}")
+
+
+class Trails:
+    """Keeps the copies of one instance's trail up to date.
+
+    Attributes:
+        peers: Transport; replaced once it is connected.
+    """
+
+    def __init__(self, kept: trail.Trail, figures: metrics.Metrics) -> None:
+        self.trail = kept
+        self.metrics = figures
+        self.peers: TrailPeers = NoPeers()
+
+    async def run(self) -> None:
+        """Copies records until cancelled."""
+        while True:
+            await asyncio.sleep(COPY_INTERVAL_S)
+            await self.copy_now()
+
+    async def copy_now(self) -> None:
+        """Sends everything that is pending."""
+        batches = self.trail.take_batches(self.peers.trail_peers())
+        await asyncio.gather(*(self._copy(b) for b in batches))
+
+    async def explain(self, request: str) -> dict[str, Any]:
+        """Returns where a request went, for operators.
+
+        Records come from here, from the instance that took the request and
+        from the peers that may hold the copy.
+        """
+        query = trail.TrailQuery(request)
+        asked = self.trail.queried_peers(request, self.peers.trail_peers())
+        answered = await asyncio.gather(*(self._query(p, query) for p in asked))
+        replies = [self.trail.on_query(query)]
+        replies += [r for r in answered if r is not None]
+        records = trail.merge(replies)
+        ended = any(r.step is trail.Step.OUTCOME for r in records)
+        return {
+            "request": request,
+            "taken_by": trail.origin_of(request),
+            "found": bool(records),
+            "ended": ended,
+            "sources": [r.sender for r in replies if r.records],
+            "silent": [
+                p for p, r in zip(asked, answered, strict=True) if r is None
+            ],
+            "records": records,
+        }
+
+    async def _copy(self, batch: trail.Batch) -> None:
+        try:
+            async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+                await self.peers.copy_trail(batch.peer, batch.message)
+        except (OSError, TimeoutError) as error:
+            self.metrics.count("trail_copies_failed")
+            _log.info("trail_copy_failed", peer=batch.peer, error=str(error))
+            self.trail.put_back(batch)
+
+    async def _query(
+        self, peer: str, query: trail.TrailQuery
+    ) -> trail.TrailReply | None:
+        try:
+            async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+                return await self.peers.query_trail(peer, query)
+        except (OSError, TimeoutError) as error:
+            _log.info("trail_query_failed", peer=peer, error=str(error))
+            return None
--- a/src/yuccatally/operators/views.py
+++ b/src/yuccatally/operators/views.py
@@ -118,9 +118,17 @@
         return json_response(self._figures())
 
     async def explain(self, request: requests.Request) -> responses.Response:
-        """Serves ``GET /operator/requests/ID``."""
+        """Serves ``GET /operator/requests/ID``, with the trail from peers.
+
+        ``?local=true`` leaves out the trail, so that a question to all
+        instances does not make each of them ask others.
+        """
         identity = request.path_params["request"]
-        return json_response({"spans": self.node.traces.spans(identity)})
+        spans = self.node.traces.spans(identity)
+        if request.query_params.get("local") == "true":
+            return json_response({"spans": spans})
+        explained = await self.node.trails.explain(identity)
+        return json_response({**explained, "spans": spans})
 
     async def spans(self, request: requests.Request) -> responses.Response:
         """Serves ``GET /operator/spans?limit=N`` with the latest requests."""
@@ -180,8 +188,9 @@
         identity = request.path_params["request"]
         own = msgspec.to_builtins({"spans": self.node.traces.spans(identity)})
         answers = await self._ask(
-            request, f"/operator/requests/{identity}", own
+            request, f"/operator/requests/{identity}?local=true", own
         )
+        explained = await self.node.trails.explain(identity)
         spans = [
             {"instance": a.instance, **span}
             for a in answers
@@ -189,7 +198,7 @@
         ]
         spans.sort(key=lambda s: s["start_unix_s"])
         content = {
-            "request": identity,
+            **explained,
             "spans": spans,
             "unreachable": [a.instance for a in answers if a.error],
         }
--- a/src/yuccatally/telemetry/traces.py
+++ b/src/yuccatally/telemetry/traces.py
@@ -1,4 +1,4 @@
-"""Spans of each hop, kept in a bounded buffer."""
+"""Spans of each hop, kept in a bounded buffer and copied to the trail."""
 
 from __future__ import annotations
 
@@ -11,13 +11,28 @@
 from opentelemetry.sdk import trace as sdk_trace
 from opentelemetry.sdk.trace import export
 
+from yuccatally.core.requests import trail
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from opentelemetry import context
     from opentelemetry import trace
 
 REQUESTS_KEPT = 4096
 SPANS_PER_REQUEST = 128
+SPANS_KEPT = 16_384
+_STARTS = {
+    "claim": trail.Step.CLAIM,
+    "call": trail.Step.SENT,
+    "attempt": trail.Step.ATTEMPT,
+    "outcome": trail.Step.OUTCOME,
+}
+_ENDS = {
+    "claim": trail.Step.CLAIMED,
+    "call": trail.Step.RESULT,
+    "attempt": trail.Step.ATTEMPT_ENDED,
+}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,6 +59,7 @@
         self.requests: collections.OrderedDict[str, list[SpanRecord]] = (
             collections.OrderedDict()
         )
+        self.count = 0
 
     def export(
         self, spans: Sequence[sdk_trace.ReadableSpan]
@@ -70,15 +86,67 @@
         kept = self.requests.setdefault(request, [])
         if len(kept) < SPANS_PER_REQUEST:
             kept.append(record)
-        if len(self.requests) > REQUESTS_KEPT:
-            self.requests.popitem(last=False)
+            self.count += 1
+        while len(self.requests) > REQUESTS_KEPT or self.count > SPANS_KEPT:
+            _, gone = self.requests.popitem(last=False)
+            self.count -= len(gone)
+
 
+class TrailProcessor(sdk_trace.SpanProcessor):
+    """Records the start and the end of each hop in the trail.
+
+    The start matters too: when an instance dies, the hop that its request was
+    on has not ended.
+    """
 
-def tracer(buffer: TraceBuffer, instance: str) -> trace.Tracer:
-    """Returns a tracer whose spans end in the buffer."""
+    def __init__(self, kept: trail.Trail) -> None:
+        self.trail = kept
+
+    def on_start(
+        self,
+        span: sdk_trace.Span,
+        parent_context: context.Context | None = None,
+    ) -> None:
+        """Records the start of a span that belongs to a request."""
+        step = _STARTS.get(span.name, trail.Step.NOTE)
+        self._add(span, step, span.start_time, dict(span.attributes or {}))
+
+    def on_end(self, span: sdk_trace.ReadableSpan) -> None:
+        """Records what became known while the span lasted."""
+        step = _ENDS.get(span.name)
+        if step is None:
+            return
+        attributes = dict(span.attributes or {})
+        started, ended = span.start_time or 0, span.end_time or 0
+        attributes["ms"] = round((ended - started) / 1e6, 1)
+        self._add(span, step, ended, attributes)
+
+    def _add(
+        self,
+        span: sdk_trace.ReadableSpan,
+        step: trail.Step,
+        at_ns: int | None,
+        attributes: dict[str, Any],
+    ) -> None:
+        request = str(attributes.pop("request", ""))
+        if not request:
+            return
+        if step is trail.Step.NOTE:
+            attributes = {"name": span.name, **attributes}
+        # The end repeats what the start said, except for long lists.
+        attributes.pop("engines" if step in _ENDS.values() else "", None)
+        detail = " ".join(f"{k}={v}" for k, v in attributes.items())
+        self.trail.add(request, step, (at_ns or 0) / 1e9, detail)
+
+
+def tracer(
+    buffer: TraceBuffer, kept: trail.Trail, instance: str
+) -> trace.Tracer:
+    """Returns a tracer whose spans end in the buffer and in the trail."""
     resource = resources.Resource.create({"service.instance.id": instance})
     provider = sdk_trace.TracerProvider(
         resource=resource, shutdown_on_exit=False
     )
     provider.add_span_processor(export.SimpleSpanProcessor(buffer))
+    provider.add_span_processor(TrailProcessor(kept))
     return provider.get_tracer("yuccatally")
--- /dev/null
+++ b/src/yuccatally_bench/claims.py
@@ -0,0 +1,207 @@
+"""Cost of at-most-once bookings: platform calls, bytes and latency."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import os
+import socket
+import statistics
+import subprocess
+import sys
+import time
+import uuid
+
+import click
+
+from yuccatally.core.claims import bucket
+from yuccatally.core.claims import layout
+from yuccatally.instance import claims
+from yuccatally.store import http as http_store
+from yuccatally_bench import report
+
+REPLY = bucket.Reply(
+    200,
+    (("Content-Type", "application/json"),),
+    b'{"number": 1, "lot": "maple-7"}',
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Variant:
+    """A way to write claims.
+
+    Attributes:
+        name: Name in the table.
+        shards: Buckets of one window.
+        grouped: Whether claims of an instance share writes.
+        settle_delay_s: Longest wait of a settlement for a shared write.
+    """
+
+    name: str
+    shards: int
+    grouped: bool = True
+    settle_delay_s: float = claims.SETTLE_DELAY_S
+
+
+VARIANTS = (
+    Variant("alone", layout.DEFAULT_SHARDS, False, 0.0),
+    Variant("64 buckets", 64),
+    Variant("16 buckets", 16),
+    Variant("4 buckets", 4),
+    Variant("1 bucket", 1),
+)
+
+
+@click.command()
+@click.option("--instances", default=4, show_default=True)
+@click.option("--bookings", default=600, show_default=True, help="Of each run.")
+@click.option("--runs", default=3, show_default=True)
+@click.option("--platform-ms", default=3.0, show_default=True)
+@click.option("--only", default="", help="Measure one variant.")
+def command(
+    instances: int, bookings: int, runs: int, platform_ms: float, only: str
+) -> None:
+    """Measures claims and settlements against a platform of its own.
+
+    Each instance is a claim writer in this process with connections of its
+    own; the platform is the stand-in, as a separate process.
+    """
+    click.echo(
+        f"{instances} instances, {bookings} bookings a run, platform answers "
+        f"after {platform_ms:g} ms, commit {report.commit()}"
+    )
+    for concurrent in (1, 8, 64):
+        rows = []
+        for variant in VARIANTS:
+            if only and only != variant.name:
+                continue
+            made = [
+                _run(variant, instances, bookings, concurrent, platform_ms)
+                for _ in range(runs)
+            ]
+            columns = made[0]
+            figures = {c: tuple(m[c] for m in made) for c in columns}
+            rows.append(report.Row(variant.name, figures))
+        click.echo(report.table(f"{concurrent} concurrent bookings", rows))
+
+
+def _run(
+    variant: Variant,
+    instances: int,
+    bookings: int,
+    concurrent: int,
+    platform_ms: float,
+) -> dict[str, float]:
+    port = _free_port()
+    platform = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "yuccatally_standins",
+            "platform",
+            "--port",
+            str(port),
+        ],
+        env=os.environ,
+    )
+    try:
+        return asyncio.run(
+            _measure(
+                variant, instances, bookings, concurrent, platform_ms, port
+            )
+        )
+    finally:
+        platform.kill()
+        platform.wait()
+
+
+async def _measure(
+    variant: Variant,
+    instances: int,
+    bookings: int,
+    concurrent: int,
+    platform_ms: float,
+    port: int,
+) -> dict[str, float]:
+    stores = [
+        http_store.HttpStore(f"http://127.0.0.1:{port}")
+        for _ in range(instances)
+    ]
+    await _ready(stores[0])
+    async with stores[0].session.post(
+        f"{stores[0].base}/faults", json={"claim_delay_s": platform_ms / 1e3}
+    ):
+        pass
+    # Without grouping, each booking writes through a writer of its own.
+    shared = [claims.ClaimWriter(s, variant.settle_delay_s) for s in stores]
+    used = list(shared)
+    numbers = iter(range(bookings))
+    latencies: list[float] = []
+
+    async def caller(index: int) -> None:
+        for number in numbers:
+            writer = shared[index % instances]
+            if not variant.grouped:
+                writer = claims.ClaimWriter(stores[index % instances], 0.0)
+                used.append(writer)
+            latencies.append(await _book(writer, number, variant.shards))
+            if not variant.grouped:
+                await writer.finish(60)
+
+    started = time.monotonic()
+    await asyncio.gather(*(caller(i) for i in range(concurrent)))
+    elapsed_s = time.monotonic() - started
+    for writer in used:
+        await writer.finish(60)
+        await writer.close()
+    for store in stores:
+        with contextlib.suppress(Exception):
+            await store.close()
+    reads = sum(w.calls["read"] for w in used)
+    writes = sum(w.calls["write"] for w in used)
+    latencies.sort()
+    return {
+        "writes/booking": writes / bookings,
+        "conflicts/booking": sum(w.calls["conflict"] for w in used) / bookings,
+        "reads/booking": reads / bookings,
+        "bytes/booking": sum(w.written_bytes for w in used) / bookings,
+        "p50 ms": statistics.median(latencies) * 1e3,
+        "p95 ms": latencies[int(len(latencies) * 0.95)] * 1e3,
+        "bookings/s": bookings / elapsed_s,
+    }
+
+
+async def _book(writer: claims.ClaimWriter, number: int, shards: int) -> float:
+    now = time.time()
+    key = uuid.UUID(
+        int=int(now * 1000) << 80 | 7 << 76 | 2 << 62 | uuid.uuid4().int >> 66
+    )
+    place = layout.place("reservations", "desk", str(key), now, shards)
+    assert isinstance(place, layout.Place)
+    claim = claims.Key(place, f"i1-5f3a9c20-{number:x}", uuid.uuid4().hex)
+    started = time.monotonic()
+    verdict = await writer.take(claim, give_up_s=60)
+    elapsed_s = time.monotonic() - started
+    assert isinstance(verdict, bucket.Won), verdict
+    writer.settle(claim, REPLY)
+    return elapsed_s
+
+
+async def _ready(store: http_store.HttpStore) -> None:
+    for attempt in itertools.count():
+        try:
+            await store.members()
+            return
+        except Exception:
+            if attempt > 200:
+                raise
+            await asyncio.sleep(0.05)
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -203,6 +203,28 @@
     assert_balanced(desk, one)
 
 
+def test_operators_can_explain_a_booking(desk: site.Site) -> None:
+    """Guards against a hop that leaves no record."""
+    one = desk.processes["i1"]
+    answer = book(one, new_key())
+    request = answer.headers["yuccatally-outcome"].partition("request=")[2]
+    url = f"http://{one.extra['operators']}/operator/requests/{request}"
+    explained = site.fetch("GET", url, key=site.OPERATORS_KEY).json()
+    steps = [step for step, _, _ in explained["records"]]
+    assert steps == [
+        "accepted",
+        "claim",
+        "claimed",
+        "sent",
+        "result",
+        "outcome",
+    ]
+    details = " ".join(detail for _, _, detail in explained["records"])
+    assert desk.processes["reservations"].address in details
+    assert "verdict=Won" in details
+    assert "outcome=answered" in details
+
+
 def test_same_key_at_once_runs_once(desk: site.Site) -> None:
     """Guards against two instances that both win a claim."""
     key = new_key()
