Read a bucket before writing when its copy is usually stale

Cause: With several instances, a write from an old copy mostly conflicts; each conflict costs a write, and the platform permits fewer writes than reads. Change: Books of an instance share an estimate of how often a copy is stale and read first above a share of 0.25.

--- a/src/yuccatally/core/claims/book.py
+++ b/src/yuccatally/core/claims/book.py
@@ -23,6 +23,32 @@
 BACKOFF_LAST_S = 2.0
 CONFLICT_FIRST_S = 0.002
 CONFLICT_LAST_S = 0.1
+READ_FIRST_ABOVE = 0.25
+STALENESS_WEIGHT = 0.1
+
+
+class Staleness:
+    """How often other instances change a bucket between two own writes.
+
+    A write from an old copy costs a failed write and a read more when the
+    copy is stale; reading first always costs a read. The platform permits
+    several times more reads than writes, so the limit is low.
+
+    Attributes:
+        estimate: Share of copies that were found stale recently.
+    """
+
+    def __init__(self) -> None:
+        self.estimate = 0.0
+
+    @property
+    def read_first(self) -> bool:
+        """Whether to read before writing from an old copy."""
+        return self.estimate > READ_FIRST_ABOVE
+
+    def observe(self, stale: bool) -> None:
+        """Takes note of whether a copy was stale."""
+        self.estimate += STALENESS_WEIGHT * (stale - self.estimate)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,13 +123,18 @@
         version: Version of ``content``.
     """
 
-    def __init__(self, jitter: Callable[[], float]) -> None:
+    def __init__(
+        self, jitter: Callable[[], float], staleness: Staleness | None = None
+    ) -> None:
         """Creates a book without knowledge of the bucket.
 
         Args:
             jitter: Returns a number from 0 to 1 for each backoff.
+            staleness: Estimate shared by the books of an instance.
         """
         self.jitter = jitter
+        self.staleness = staleness or Staleness()
+        self.just_read = False
         self.entries: dict[int, _Entry] = {}
         self.content: bucket.Bucket | None = None
         self.version = 0
@@ -148,10 +179,12 @@
             raise RuntimeError("report the result of the last call first")
         self._expire(now)
         if not self.entries:
+            self.just_read = False
             return Rest(math.inf)
         due_at = min(e.due_at for e in self.entries.values())
         wake_at = max(due_at, self.retry_at)
         if wake_at > now:
+            self.just_read = False
             give_up_at = min(e.give_up_at for e in self.entries.values())
             return Rest(min(wake_at, give_up_at))
         if self.content is None:
@@ -160,14 +193,20 @@
 
     def on_read(self, content: bucket.Bucket, version: int) -> None:
         """Takes note of the bucket; version 0 stands for no object."""
+        if self.content is not None:
+            self.staleness.observe(version != self.version)
         self.phase = _Phase.IDLE
         self.failures = 0
+        self.just_read = True
         self.content, self.version = content, version
 
     def on_written(self, version: int, now: float) -> None:
         """Takes note that the last write took effect."""
         assert self.sent is not None
         content, verdicts = self.sent
+        if not self.just_read:
+            self.staleness.observe(False)
+        self.just_read = False
         self.phase, self.sent = _Phase.IDLE, None
         self.failures = self.conflicts = 0
         self.content, self.version = content, version
@@ -180,6 +219,9 @@
         This proves nothing about the effect of the write: a transport that
         sends it twice sees the first take effect and the second refused.
         """
+        if not self.just_read:
+            self.staleness.observe(True)
+        self.just_read = False
         self.phase, self.sent, self.content = _Phase.IDLE, None, None
         # The first conflict usually means a cache that is out of date; only
         # repeated ones mean that other instances are writing right now.
@@ -218,6 +260,8 @@
             e.ticket: v for e, v in zip(entries, merged.verdicts, strict=True)
         }
         if merged.dirty:
+            if self.staleness.read_first and not self.just_read:
+                return self._read(now)
             for entry in entries:
                 if isinstance(verdicts[entry.ticket], bucket.Won):
                     entry.exposed = True
--- a/src/yuccatally/instance/claims.py
+++ b/src/yuccatally/instance/claims.py
@@ -74,6 +74,7 @@
         self.waiting: dict[int, asyncio.Future[bucket.Verdict]] = {}
         self.next_ticket = 0
         self.random = random.Random()
+        self.staleness = book.Staleness()
         self.calls: collections.Counter[str] = collections.Counter()
         self.written_bytes = 0
 
@@ -165,7 +166,7 @@
     def _worker(self, name: str) -> _Worker:
         worker = self.workers.get(name)
         if worker is None:
-            machine = book.ClaimBook(self.random.random)
+            machine = book.ClaimBook(self.random.random, self.staleness)
             worker = _Worker(machine, asyncio.Event())
             self.workers[name] = worker
             self._forget_idle()
