Keep claims of keys with a time in windows of 2 minutes

Cause: A bucket held the claims of an hour, so at 10 bookings/s each write carried about 75 kB. Copies of buckets and pending releases had no bound in bytes, and a duplicate could not be told apart from a short answer.

--- a/src/yuccatally/core/claims/book.py
+++ b/src/yuccatally/core/claims/book.py
@@ -121,6 +121,7 @@
         entries: Changes that are not decided, by ticket.
         content: Last content read or written; None if it has to be read.
         version: Version of ``content``.
+        length: Encoded length of ``content`` in bytes, estimated.
     """
 
     def __init__(
@@ -138,6 +139,7 @@
         self.entries: dict[int, _Entry] = {}
         self.content: bucket.Bucket | None = None
         self.version = 0
+        self.length = 0
         self.read_at = -math.inf
         self.retry_at = -math.inf
         self.failures = 0
@@ -198,7 +200,7 @@
         self.phase = _Phase.IDLE
         self.failures = 0
         self.just_read = True
-        self.content, self.version = content, version
+        self._keep(content, version)
 
     def on_written(self, version: int, now: float) -> None:
         """Takes note that the last write took effect."""
@@ -209,7 +211,7 @@
         self.just_read = False
         self.phase, self.sent = _Phase.IDLE, None
         self.failures = self.conflicts = 0
-        self.content, self.version = content, version
+        self._keep(content, version)
         for ticket, verdict in verdicts.items():
             self._conclude(ticket, verdict, now)
 
@@ -244,6 +246,10 @@
         decided, self.decided = self.decided, []
         return decided
 
+    def _keep(self, content: bucket.Bucket, version: int) -> None:
+        self.content, self.version = content, version
+        self.length = content.length
+
     def _read(self, now: float) -> Read:
         self.phase = _Phase.READING
         self.read_at = now
--- a/src/yuccatally/core/claims/bucket.py
+++ b/src/yuccatally/core/claims/bucket.py
@@ -78,6 +78,11 @@
 
     claims: dict[str, Claim] = {}
 
+    @property
+    def length(self) -> int:
+        """Encoded length in bytes, estimated."""
+        return sum(c.length for c in self.claims.values())
+
 
 @dataclasses.dataclass(frozen=True)
 class Take:
--- a/src/yuccatally/core/claims/layout.py
+++ b/src/yuccatally/core/claims/layout.py
@@ -4,21 +4,46 @@
 
 import dataclasses
 import hashlib
+import math
 import uuid
 
 RETENTION_S = 7 * 86_400.0
 # Clocks of callers and instances may differ by this much.
 CLOCK_MARGIN_S = 3_600.0
 KEY_AHEAD_S = 600.0
-WINDOW_S = 3_600.0
-# Names of windows are used again once everything in them has expired, which
-# bounds the number of objects without a deletion ever being needed.
-WINDOWS = 176
-DEFAULT_SHARDS = 64
 OPAQUE_SHARDS = 1024
 DIGEST_BYTES = 16
 
 
+@dataclasses.dataclass(frozen=True)
+class Scheme:
+    """How keys with a time spread over buckets; equal on all instances.
+
+    Short windows keep buckets small, so each write carries few bytes; few
+    shards let many claims share a write.
+
+    Attributes:
+        window_s: Length of a window in seconds.
+        shards: Buckets of one window.
+    """
+
+    window_s: float = 120.0
+    shards: int = 64
+
+    @property
+    def windows(self) -> int:
+        """Names of windows.
+
+        A name is used again once everything in its window has expired, which
+        bounds the number of objects without a deletion ever being needed.
+        """
+        used_s = RETENTION_S + CLOCK_MARGIN_S + KEY_AHEAD_S
+        return math.ceil(used_s / self.window_s) + 2
+
+
+DEFAULT_SCHEME = Scheme()
+
+
 @dataclasses.dataclass(frozen=True)
 class Place:
     """Where a claim is kept.
@@ -46,7 +71,7 @@
     account: str,
     key: str,
     unix_now: float,
-    shards: int = DEFAULT_SHARDS,
+    scheme: Scheme = DEFAULT_SCHEME,
 ) -> Place | KeyRefused:
     """Returns where the claim of a key is kept.
 
@@ -59,7 +84,7 @@
         account: Name of the client account.
         key: Idempotency key as the caller sent it.
         unix_now: Unix time in seconds.
-        shards: Buckets of one window; equal on all instances.
+        scheme: How keys with a time spread over buckets.
 
     Returns:
         The place, or why the key is refused.
@@ -84,8 +109,8 @@
             "the time in the Idempotency-Key is ahead of the clock; correct "
             "the caller's clock and use a new key"
         )
-    window = int(key_unix // WINDOW_S) % WINDOWS
-    bucket = f"window-{window:03d}-{number % shards:02d}"
+    window = int(key_unix // scheme.window_s) % scheme.windows
+    bucket = f"window-{window:04d}-{number % scheme.shards:02d}"
     return Place(bucket, name.hexdigest(), key_unix)
 
 
--- a/src/yuccatally/instance/claims.py
+++ b/src/yuccatally/instance/claims.py
@@ -23,7 +23,11 @@
 SETTLE_DELAY_S = 0.05
 DUPLICATE_WAIT_S = 2.0
 MAX_WAITING = 4096
+# Releases add up while the platform answers reads but loses writes.
+MAX_PENDING = 16_384
+# Copies of buckets are kept within these limits; others are read again.
 BOOKS_KEPT = 256
+COPIES_BYTES = 16 * 1024 * 1024
 
 _log = structlog.get_logger()
 
@@ -97,7 +101,7 @@
             The verdict. A claim that may have been written nevertheless is
             released in the background.
         """
-        if len(self.waiting) >= MAX_WAITING:
+        if len(self.waiting) >= MAX_WAITING or self.pending >= MAX_PENDING:
             return bucket.Full()
         now = time.monotonic()
         place = key.place
@@ -169,18 +173,18 @@
             machine = book.ClaimBook(self.random.random, self.staleness)
             worker = _Worker(machine, asyncio.Event())
             self.workers[name] = worker
-            self._forget_idle()
         self.workers.move_to_end(name)
         return worker
 
     def _forget_idle(self) -> None:
-        excess = len(self.workers) - BOOKS_KEPT
+        """Drops the least recently used copies beyond the limits."""
+        used = sum(w.book.length for w in self.workers.values())
         for name, worker in list(self.workers.items()):
-            if excess <= 0:
+            if len(self.workers) <= BOOKS_KEPT and used <= COPIES_BYTES:
                 return
             if worker.task is None and not worker.book.entries:
                 del self.workers[name]
-                excess -= 1
+                used -= worker.book.length
 
     def _wake(self, name: str, worker: _Worker) -> None:
         worker.wake.set()
@@ -193,6 +197,7 @@
                 pass
         finally:
             worker.task = None
+            self._forget_idle()
 
     async def _step(self, name: str, worker: _Worker) -> bool:
         worker.wake.clear()
--- a/src/yuccatally_bench/claims.py
+++ b/src/yuccatally_bench/claims.py
@@ -15,6 +15,7 @@
 import uuid
 
 import click
+import msgspec
 
 from yuccatally.core.claims import bucket
 from yuccatally.core.claims import layout
@@ -35,23 +36,23 @@
 
     Attributes:
         name: Name in the table.
-        shards: Buckets of one window.
+        scheme: How keys spread over buckets.
         grouped: Whether claims of an instance share writes.
         settle_delay_s: Longest wait of a settlement for a shared write.
     """
 
     name: str
-    shards: int
+    scheme: layout.Scheme
     grouped: bool = True
     settle_delay_s: float = claims.SETTLE_DELAY_S
 
 
 VARIANTS = (
-    Variant("alone", layout.DEFAULT_SHARDS, False, 0.0),
-    Variant("64 buckets", 64),
-    Variant("16 buckets", 16),
-    Variant("4 buckets", 4),
-    Variant("1 bucket", 1),
+    Variant("alone", layout.DEFAULT_SCHEME, False, 0.0),
+    Variant("64 an hour", layout.Scheme(3600.0, 64)),
+    Variant("64 in 2 min", layout.DEFAULT_SCHEME),
+    Variant("16 in 2 min", layout.Scheme(120.0, 16)),
+    Variant("4 in 2 min", layout.Scheme(120.0, 4)),
 )
 
 
@@ -60,9 +61,20 @@
 @click.option("--bookings", default=600, show_default=True, help="Of each run.")
 @click.option("--runs", default=3, show_default=True)
 @click.option("--platform-ms", default=3.0, show_default=True)
+@click.option(
+    "--rate",
+    default=10.0,
+    show_default=True,
+    help="Bookings a second that half-filled the current window before.",
+)
 @click.option("--only", default="", help="Measure one variant.")
 def command(
-    instances: int, bookings: int, runs: int, platform_ms: float, only: str
+    instances: int,
+    bookings: int,
+    runs: int,
+    platform_ms: float,
+    rate: float,
+    only: str,
 ) -> None:
     """Measures claims and settlements against a platform of its own.
 
@@ -71,7 +83,8 @@
     """
     click.echo(
         f"{instances} instances, {bookings} bookings a run, platform answers "
-        f"after {platform_ms:g} ms, commit {report.commit()}"
+        f"after {platform_ms:g} ms, windows filled by {rate:g} bookings/s, "
+        f"commit {report.commit()}"
     )
     for concurrent in (1, 8, 64):
         rows = []
@@ -79,7 +92,9 @@
             if only and only != variant.name:
                 continue
             made = [
-                _run(variant, instances, bookings, concurrent, platform_ms)
+                _run(
+                    variant, instances, bookings, concurrent, platform_ms, rate
+                )
                 for _ in range(runs)
             ]
             columns = made[0]
@@ -94,6 +109,7 @@
     bookings: int,
     concurrent: int,
     platform_ms: float,
+    rate: float,
 ) -> dict[str, float]:
     port = _free_port()
     platform = subprocess.Popen(
@@ -110,7 +126,13 @@
     try:
         return asyncio.run(
             _measure(
-                variant, instances, bookings, concurrent, platform_ms, port
+                variant,
+                instances,
+                bookings,
+                concurrent,
+                platform_ms,
+                rate,
+                port,
             )
         )
     finally:
@@ -124,6 +146,7 @@
     bookings: int,
     concurrent: int,
     platform_ms: float,
+    rate: float,
     port: int,
 ) -> dict[str, float]:
     stores = [
@@ -131,6 +154,7 @@
         for _ in range(instances)
     ]
     await _ready(stores[0])
+    await _fill(stores[0], variant.scheme, rate)
     async with stores[0].session.post(
         f"{stores[0].base}/faults", json={"claim_delay_s": platform_ms / 1e3}
     ):
@@ -147,7 +171,7 @@
             if not variant.grouped:
                 writer = claims.ClaimWriter(stores[index % instances], 0.0)
                 used.append(writer)
-            latencies.append(await _book(writer, number, variant.shards))
+            latencies.append(await _book(writer, number, variant.scheme))
             if not variant.grouped:
                 await writer.finish(60)
 
@@ -174,12 +198,14 @@
     }
 
 
-async def _book(writer: claims.ClaimWriter, number: int, shards: int) -> float:
+async def _book(
+    writer: claims.ClaimWriter, number: int, scheme: layout.Scheme
+) -> float:
     now = time.time()
     key = uuid.UUID(
         int=int(now * 1000) << 80 | 7 << 76 | 2 << 62 | uuid.uuid4().int >> 66
     )
-    place = layout.place("reservations", "desk", str(key), now, shards)
+    place = layout.place("reservations", "desk", str(key), now, scheme)
     assert isinstance(place, layout.Place)
     claim = claims.Key(place, f"i1-5f3a9c20-{number:x}", uuid.uuid4().hex)
     started = time.monotonic()
@@ -190,6 +216,27 @@
     return elapsed_s
 
 
+async def _fill(
+    store: http_store.HttpStore, scheme: layout.Scheme, rate: float
+) -> None:
+    """Writes the claims of the first half of the current window.
+
+    The next window is filled as well, since a run may reach it.
+    """
+    now = time.time()
+    count = int(rate * scheme.window_s / 2 / scheme.shards)
+    claim = bucket.Claim(
+        "i1-5f3a9c20-0", "0" * 32, bucket.ClaimState.DONE, now, REPLY
+    )
+    filled = bucket.Bucket({uuid.uuid4().hex: claim for _ in range(count)})
+    spec = msgspec.to_builtins(filled)
+    for unix in (now, now + scheme.window_s):
+        window = int(unix // scheme.window_s) % scheme.windows
+        for shard in range(scheme.shards):
+            name = f"window-{window:04d}-{shard:02d}"
+            await store.put(claims.KIND, name, spec, {}, 0)
+
+
 async def _ready(store: http_store.HttpStore) -> None:
     for attempt in itertools.count():
         try:
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
 import dataclasses
 import json
 import signal
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
 PLAN = site.Plan(instances=3, engines=(), pipelines={})
@@ -89,6 +91,15 @@
     )
 
 
+def declare_service(
+    desk: site.Site, addresses: list[str], processes: Iterable[site.Process]
+) -> None:
+    spec = {"addresses": addresses, "data_centre": "north"}
+    changed = desk.declare("service", "reservations", spec)
+    for process in processes:
+        wait_for_revision(desk, process, changed["revision"])
+
+
 def add_instance(desk: site.Site) -> site.Process:
     """Starts an instance that a test may stop or kill."""
     process = desk.start_instance(f"x{len(desk.processes)}")
@@ -289,6 +300,61 @@
     assert executions(desk, key) == runs
 
 
+def test_key_after_its_instance_was_killed_before_the_call(
+    desk: site.Site,
+) -> None:
+    """Guards against a takeover of a claim that was stored but not used."""
+    key = new_key()
+    victim, survivor = add_instance(desk), desk.processes["i1"]
+    running = (victim, *desk.of_role("instance"))
+    live = [desk.processes["reservations"].address]
+    with contextlib.ExitStack() as stack:
+        # Connections beyond the backlog are neither accepted nor refused.
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(3):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        stuck = [f"127.0.0.1:{listener.getsockname()[1]}"]
+        declare_service(desk, stuck, running)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            lost = pool.submit(book, victim, key)
+            time.sleep(0.5)
+            victim.kill()
+            with pytest.raises(OSError):
+                lost.result()
+        del desk.processes[victim.name]
+        declare_service(desk, live, desk.of_role("instance"))
+    assert book(survivor, key).outcome == "unknown"
+    assert executions(desk, key) == 0
+
+
+def test_replayed_answers_are_whole_or_refused(desk: site.Site) -> None:
+    """Guards against a duplicate that gets a part of a long answer."""
+    one, two = desk.of_role("instance")[:2]
+    for length, second in ((900, "answered"), (4000, "unknown")):
+        key = new_key()
+        answers = [
+            site.fetch(
+                "PUT",
+                f"{p.url}/services/reservations/mirror/201?length={length}",
+                key=site.ACCOUNT_KEY,
+                headers={"Idempotency-Key": key},
+            )
+            for p in (one, two)
+        ]
+        assert [a.outcome for a in answers] == ["answered", second]
+        assert len(answers[0].body) == length
+        if second == "answered":
+            assert answers[1].body == answers[0].body
+            assert answers[1].headers["etag"] == '"v1"'
+            assert answers[1].headers["x-request"] != ""
+        else:
+            assert answers[1].json()["error"]["code"] == "answer-not-kept"
+
+
 @pytest.mark.parametrize(
     ("pause_s", "first", "second", "third"),
     [
@@ -428,10 +494,7 @@
         ([dead], "not-run"),
         ([live], "answered"),
     ):
-        spec = {"addresses": addresses, "data_centre": "north"}
-        changed = desk.declare("service", "reservations", spec)
-        for process in desk.of_role("instance"):
-            wait_for_revision(desk, process, changed["revision"])
+        declare_service(desk, addresses, desk.of_role("instance"))
         url = f"{one.url}/services/reservations/stock/lot"
         got = {
             site.fetch("GET", url, key=site.ACCOUNT_KEY).outcome
