--- /dev/null
+++ b/tests/build/test_archive.py
@@ -0,0 +1,51 @@
+"""The program as one file."""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+from typing import TYPE_CHECKING
+
+from yuccatally_build import archive
+from yuccatally_standins import site
+
+if TYPE_CHECKING:
+    import pytest
+
+SOURCE = pathlib.Path(archive.__file__).parents[1]
+
+
+def test_one_file_serves_without_other_files_or_processes(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a program that unpacks to a disk or starts itself again.
+
+    The file runs with only itself on the module path, and what it maps and
+    holds open is neither in the environment it was built from nor on a disk.
+    """
+    program = tmp_path / "yuccatally"
+    built = archive.build(SOURCE, program)
+    again = archive.build(SOURCE, tmp_path / "again")
+    assert program.read_bytes() == again.path.read_bytes()
+    assert built.extensions > 10
+    monkeypatch.setenv("TMPDIR", "/no/such/folder")
+    version = subprocess.run(
+        [program, "--version"], capture_output=True, text=True, check=True
+    )
+    assert version.stdout.startswith("yuccatally, version")
+    plan = site.Plan(instances=1, engines=(), pipelines={})
+    started = site.Site(plan, tmp_path, (str(program),))
+    try:
+        started.start()
+        process = started.of_role("instance")[0]
+        url = f"{process.url}/v1/models"
+        answer = site.fetch("GET", url, key=site.ACCOUNT_KEY)
+        assert (answer.status, answer.outcome) == (200, "answered")
+        proc = pathlib.Path(f"/proc/{process.popen.pid}")
+        children = [p.read_text() for p in proc.glob("task/*/children")]
+        assert not any(children)
+        maps = proc.joinpath("maps").read_text()
+        assert "site-packages" not in maps
+        assert "/memfd:uvloop.loop" in maps
+    finally:
+        started.stop()
