Route by outstanding work and admit requests at the door

Cause: every request started at once, so that engines worked on answers that came too late, and the choice counted sequences of engines of any speed alike.

Change: core/routing chooses by outstanding token-layers, load reports by age, prefix hits and the pace of engines and links, draws two candidates by speed, limits sequences on each engine and leaves out engines that only refuse. core/admission holds requests in strict order of class with a guaranteed part for lower classes, serves accounts by deficit round robin, refuses what cannot meet its deadline, and shares account limits by loans between instances.

--- a/src/yuccatally/callers/application.py
+++ b/src/yuccatally/callers/application.py
@@ -12,7 +12,9 @@
 
 from yuccatally.callers import access
 from yuccatally.callers import completions
+from yuccatally.callers import responses
 from yuccatally.callers import services
+from yuccatally.callers import urgency
 from yuccatally.core.requests import outcomes
 
 if TYPE_CHECKING:
@@ -115,7 +117,7 @@
         try:
             answer = await handler(identity, account, request, body)
             return _Ending(self.node, identity, answer)
-        except completions.MalformedError as error:
+        except responses.MalformedError as error:
             return self._refuse(identity, outcomes.Reason.MALFORMED, str(error))
         except Exception:
             _log.exception("request_failed", request=identity)
@@ -137,9 +139,10 @@
         body: bytes,
     ) -> http.Response:
         asked = completions.parse_completion(body)
+        wish = urgency.wish_of(request.headers)
         self.node.ledger.life_of(identity).delegate()
         return await completions.serve(
-            self.node, identity, account, asked, request.receive
+            self.node, identity, account, asked, wish, request.receive
         )
 
     async def _chat(
@@ -150,9 +153,10 @@
         body: bytes,
     ) -> http.Response:
         asked = completions.parse_chat(body)
+        wish = urgency.wish_of(request.headers)
         self.node.ledger.life_of(identity).delegate()
         return await completions.serve(
-            self.node, identity, account, asked, request.receive
+            self.node, identity, account, asked, wish, request.receive
         )
 
     async def _service(
--- a/src/yuccatally/callers/completions.py
+++ b/src/yuccatally/callers/completions.py
@@ -13,8 +13,8 @@
 from yuccatally.callers import messages
 from yuccatally.callers import responses
 from yuccatally.callers import streams
+from yuccatally.callers import urgency
 from yuccatally.core.generation import actions
-from yuccatally.core.objects import specs
 from yuccatally.core.requests import outcomes
 from yuccatally.core.requests import text
 
@@ -53,20 +53,18 @@
     chat: bool
 
 
-class MalformedError(Exception):
-    """The body of a request cannot be served."""
-
-
 def parse_completion(body: bytes) -> Asked:
     """Parses the body of ``POST /v1/completions``.
 
     Raises:
-        MalformedError: The body is not a request that can be served.
+        responses.MalformedError: The body is not a request that can be served.
     """
     raw = _decode(body, messages.CompletionRequest)
     _require_plain(raw.n, raw.stop)
     if raw.best_of not in (None, 1) or raw.echo:
-        raise MalformedError("best_of above 1 and echo are not supported")
+        raise responses.MalformedError(
+            "best_of above 1 and echo are not supported"
+        )
     match raw.prompt:
         case str() as prompt:
             tokens = text.encode(prompt)
@@ -75,7 +73,9 @@
         case list() as ids if ids and all(isinstance(i, int) for i in ids):
             tokens = tuple(int(i) for i in ids)
         case _:
-            raise MalformedError("prompt: expected one text or token ids")
+            raise responses.MalformedError(
+                "prompt: expected one text or token ids"
+            )
     return _asked(raw, tokens, raw.max_tokens, chat=False)
 
 
@@ -83,7 +83,7 @@
     """Parses the body of ``POST /v1/chat/completions``.
 
     Raises:
-        MalformedError: The body is not a request that can be served.
+        responses.MalformedError: The body is not a request that can be served.
     """
     raw = _decode(body, messages.ChatRequest)
     _require_plain(raw.n, raw.stop)
@@ -107,6 +107,7 @@
     request: str,
     account: kinds.Object,
     asked: Asked,
+    wish: urgency.Wish,
     receive: types.Receive,
 ) -> http.Response:
     """Generates an answer for an accepted request.
@@ -116,6 +117,7 @@
         request: Request id.
         account: Client account of the caller.
         asked: What to generate.
+        wish: Class and deadline that the caller stated.
         receive: Tells when the caller closes the connection.
 
     Returns:
@@ -136,7 +138,17 @@
             f"prompt and max_tokens exceed {model.spec.context_tokens} tokens",
         )
         return node.refuse(request, refusal)
-    job = _job(node, request, account, asked, model)
+    job = _job(node, request, account, asked, model, wish)
+    try:
+        turned_away = await streams.unless_gone(
+            receive, node.door.enter(job, account)
+        )
+    except streams.CallerGoneError:
+        turned_away = dataclasses.replace(
+            _gone(), outcome=outcomes.Outcome.NOT_RUN
+        )
+    if turned_away is not None:
+        return node.refuse(request, turned_away)
     emitted = node.generations.generate(job)
     if asked.stream:
         stream = streams.EventStream(node, request)
@@ -290,6 +302,7 @@
     account: kinds.Object,
     asked: Asked,
     model: kinds.Object,
+    wish: urgency.Wish,
 ) -> actions.Job:
     return actions.Job(
         request=request,
@@ -298,8 +311,10 @@
         prompt=asked.prompt,
         max_tokens=asked.max_tokens,
         end_token=model.spec.end_token,
-        priority=specs.Urgency[account.spec.urgency.upper()],
-        deadline=time.monotonic() + node.settings.limits.request_timeout_s,
+        priority=wish.priority(account),
+        deadline=time.monotonic()
+        + wish.timeout_s(node.settings.limits.request_timeout_s),
+        account=account.name,
     )
 
 
@@ -310,13 +325,15 @@
     chat: bool,
 ) -> Asked:
     if not prompt:
-        raise MalformedError("the prompt is empty")
+        raise responses.MalformedError("the prompt is empty")
     limit = DEFAULT_MAX_TOKENS if max_tokens is None else max_tokens
     if not 1 <= limit <= MAX_TOKEN_ID:
-        raise MalformedError(f"max_tokens: must be from 1 to {MAX_TOKEN_ID}")
+        raise responses.MalformedError(
+            f"max_tokens: must be from 1 to {MAX_TOKEN_ID}"
+        )
     if not all(0 <= token <= MAX_TOKEN_ID for token in prompt):
         message = f"prompt: token ids must be from 0 to {MAX_TOKEN_ID}"
-        raise MalformedError(message)
+        raise responses.MalformedError(message)
     options = raw.stream_options or messages.StreamOptions()
     return Asked(
         raw.model, prompt, limit, raw.stream, options.include_usage, chat
@@ -327,16 +344,18 @@
     try:
         return msgspec.json.decode(body, type=target)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise MalformedError(str(error)) from error
+        raise responses.MalformedError(str(error)) from error
     except RecursionError as error:
-        raise MalformedError("the body is nested too deeply") from error
+        raise responses.MalformedError(
+            "the body is nested too deeply"
+        ) from error
 
 
 def _require_plain(n: int | None, stop: Any) -> None:
     if n not in (None, 1):
-        raise MalformedError("n: only 1 is supported")
+        raise responses.MalformedError("n: only 1 is supported")
     if stop:
-        raise MalformedError("stop: is not supported")
+        raise responses.MalformedError("stop: is not supported")
 
 
 def _content(message: messages.ChatMessage) -> str:
@@ -346,5 +365,7 @@
     if len(parts) != len(message.content) or not all(
         isinstance(p, str) for p in parts
     ):
-        raise MalformedError("messages: only parts of type text are supported")
+        raise responses.MalformedError(
+            "messages: only parts of type text are supported"
+        )
     return "".join(str(p) for p in parts)
--- a/src/yuccatally/callers/responses.py
+++ b/src/yuccatally/callers/responses.py
@@ -36,6 +36,10 @@
 }
 
 
+class MalformedError(Exception):
+    """A header or the body of a request cannot be served."""
+
+
 def outcome_header(request: str, outcome: outcomes.Outcome) -> str:
     """Returns the value of the outcome header.
 
--- /dev/null
+++ b/src/yuccatally/core/admission/fairqueue.py
@@ -0,0 +1,196 @@
+"""Waiting requests: classes in order, accounts in turn."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+# While higher classes always have work, a lower class gets at least this part
+# of the work that is let in.
+GUARANTEED_PART = {0: 0.0, 1: 0.1, 2: 0.05}
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """A request that waits for an engine.
+
+    Attributes:
+        request: Request id.
+        account: Client account.
+        weight: Weight of the account within its class.
+        urgency: Class; a lower value is served first.
+        model: Name of the model.
+        version: Version of the weights.
+        work: Expected positions (tokens to prefill and to generate).
+        deadline: Monotonic time in seconds.
+        offered_at: Monotonic time in seconds.
+    """
+
+    request: str
+    account: str
+    weight: int
+    urgency: int
+    model: str
+    version: str
+    work: float
+    deadline: float
+    offered_at: float
+
+
+class AccountTurns:
+    """Deficit round robin over the accounts of one class."""
+
+    def __init__(self) -> None:
+        self.queues: collections.OrderedDict[
+            str, collections.OrderedDict[str, Waiting]
+        ] = collections.OrderedDict()
+        self.deficits: dict[str, float] = {}
+        self.work = 0.0
+        self.count = 0
+
+    def push(self, item: Waiting) -> None:
+        """Adds a request behind the others of its account."""
+        queue = self.queues.get(item.account)
+        if queue is None:
+            queue = self.queues[item.account] = collections.OrderedDict()
+            self.deficits[item.account] = 0.0
+        queue[item.request] = item
+        self.work += item.work
+        self.count += 1
+
+    def peek(self) -> Waiting | None:
+        """Returns the request whose turn it is."""
+        if not self.queues:
+            return None
+        # Each round gives every account its weight times a quantum that lets
+        # at least one request through, so the number of rounds is bounded.
+        heads = {a: next(iter(q.values())) for a, q in self.queues.items()}
+        account = next(iter(self.queues))
+        if self.deficits[account] >= heads[account].work:
+            return heads[account]
+        rounds = min(
+            max(0.0, item.work - self.deficits[a]) / item.weight
+            for a, item in heads.items()
+        )
+        for name, item in heads.items():
+            self.deficits[name] += rounds * item.weight
+        ready = next(
+            a for a, i in heads.items() if self.deficits[a] >= i.work - 1e-6
+        )
+        self.queues.move_to_end(ready, last=False)
+        return heads[ready]
+
+    def pop(self) -> Waiting:
+        """Removes the request that ``peek`` returns; it must not be None."""
+        item = self.peek()
+        assert item is not None
+        self.deficits[item.account] -= item.work
+        self.queues.move_to_end(item.account)
+        self.remove(item.account, item.request)
+        return item
+
+    def remove(self, account: str, request: str) -> Waiting | None:
+        """Removes a request wherever it is."""
+        queue = self.queues.get(account)
+        item = queue.pop(request, None) if queue else None
+        if item is None:
+            return None
+        self.work -= item.work
+        self.count -= 1
+        if not queue:
+            del self.queues[account]
+            # An account that has nothing waiting saves up no turns.
+            del self.deficits[account]
+        return item
+
+    def longest(self) -> tuple[str, float]:
+        """Returns the account with the most work for its weight."""
+        return max(
+            ((a, _load(q)) for a, q in self.queues.items()),
+            key=lambda pair: (pair[1], pair[0]),
+        )
+
+    def newest_of(self, account: str) -> Waiting:
+        """Returns the request of an account that came last."""
+        return next(reversed(self.queues[account].values()))
+
+    def load_of(self, account: str) -> float:
+        """Returns the waiting work of an account for its weight."""
+        queue = self.queues.get(account)
+        return _load(queue) if queue else 0.0
+
+    def expired(self, latest: float) -> list[Waiting]:
+        """Returns requests whose deadline is before a time."""
+        return [
+            i
+            for queue in self.queues.values()
+            for i in queue.values()
+            if i.deadline < latest
+        ]
+
+
+class ClassQueue:
+    """Classes in strict order, but for a bounded part of the lower ones."""
+
+    def __init__(self) -> None:
+        self.classes = {u: AccountTurns() for u in sorted(GUARANTEED_PART)}
+        self.credit = dict.fromkeys(self.classes, 0.0)
+
+    def __len__(self) -> int:
+        return sum(c.count for c in self.classes.values())
+
+    def push(self, item: Waiting) -> None:
+        """Adds a request."""
+        self.classes[item.urgency].push(item)
+
+    def next_class(self) -> int | None:
+        """Returns the class whose turn it is, None if nothing waits."""
+        waiting = [u for u, c in self.classes.items() if c.count]
+        if not waiting:
+            return None
+        for urgency in reversed(waiting[1:]):
+            head = self.classes[urgency].peek()
+            if head is not None and self.credit[urgency] >= head.work:
+                return urgency
+        return waiting[0]
+
+    def highest_class(self) -> int | None:
+        """Returns the highest class in which a request waits."""
+        return next((u for u, c in self.classes.items() if c.count), None)
+
+    def pop(self, urgency: int) -> Waiting:
+        """Removes the next request of a class that is not empty."""
+        item = self.classes[urgency].pop()
+        for lower, turns in self.classes.items():
+            if lower == urgency:
+                self.credit[lower] = max(0.0, self.credit[lower] - item.work)
+            elif lower > urgency and turns.count:
+                self.credit[lower] += item.work * GUARANTEED_PART[lower]
+            elif not turns.count:
+                self.credit[lower] = 0.0
+        return item
+
+    def work_before(self, urgency: int) -> float:
+        """Returns the work that a new request of a class has to wait for."""
+        return sum(c.work for u, c in self.classes.items() if u <= urgency)
+
+    def victim_for(self, item: Waiting) -> Waiting | None:
+        """Returns what to give up for a new request when the queue is full.
+
+        The lowest class goes first; within the same class the account with
+        the most waiting work for its weight, if that is not the new one's.
+        """
+        lowest = max(u for u, c in self.classes.items() if c.count)
+        if lowest < item.urgency:
+            return None
+        turns = self.classes[lowest]
+        account, most = turns.longest()
+        if lowest == item.urgency:
+            after = turns.load_of(item.account) + item.work / item.weight
+            if account == item.account or after >= most:
+                return None
+        return turns.newest_of(account)
+
+
+def _load(queue: collections.OrderedDict[str, Waiting]) -> float:
+    return sum(i.work / i.weight for i in queue.values())
--- a/src/yuccatally/core/generation/actions.py
+++ b/src/yuccatally/core/generation/actions.py
@@ -42,6 +42,7 @@
         end_token: Token id that ends the answer.
         priority: Class of urgency; a lower value is served first.
         deadline: Monotonic time in seconds at which the request is given up.
+        account: Client account it is counted for.
     """
 
     request: str
@@ -52,6 +53,7 @@
     end_token: int
     priority: int
     deadline: float
+    account: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/src/yuccatally/instance/door.py
@@ -0,0 +1,160 @@
+"""Holds model requests at the door until engines have room."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from yuccatally.core.admission import admission
+from yuccatally.core.admission import fairqueue
+from yuccatally.core.admission import limits
+from yuccatally.core.objects import specs
+from yuccatally.core.requests import outcomes
+
+if TYPE_CHECKING:
+    from yuccatally.core.generation import actions
+    from yuccatally.core.objects import kinds
+    from yuccatally.instance import routes
+    from yuccatally.telemetry import metrics
+
+# Deadlines of waiting requests and limits that grew are looked at this often.
+TICK_S = 0.05
+
+_log = structlog.get_logger()
+
+Answer = outcomes.Refusal | None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Place:
+    job: actions.Job
+    answer: asyncio.Future[Answer]
+
+
+class Door:
+    """Admission of model requests, over futures of the waiting callers."""
+
+    def __init__(
+        self,
+        chosen: routes.Routes,
+        figures: metrics.Metrics,
+        length: int = admission.QUEUE_LENGTH,
+    ) -> None:
+        self.routes = chosen
+        self.metrics = figures
+        starts_at = time.monotonic() + limits.JOIN_WAIT_S
+        self.admission = admission.Admission(length, starts_at=starts_at)
+        self.places: dict[str, _Place] = {}
+        self.inside: dict[str, actions.Job] = {}
+        self.tick_scheduled = False
+        chosen.on_generated = self.on_generated
+        chosen.on_room = self.pump
+
+    async def enter(self, job: actions.Job, account: kinds.Object) -> Answer:
+        """Waits until a request may run.
+
+        Args:
+            job: The request.
+            account: Its client account.
+
+        Returns:
+            None if it may run, the refusal otherwise.
+        """
+        now = time.monotonic()
+        spec = account.spec
+        expected = self.routes.router.demand.expected(
+            job.account, job.model, job.max_tokens
+        )
+        offered = self.admission.offer(
+            fairqueue.Waiting(
+                request=job.request,
+                account=account.name,
+                weight=spec.weight,
+                urgency=int(job.priority),
+                model=job.model,
+                version=job.version,
+                work=len(job.prompt) + expected,
+                deadline=job.deadline,
+                offered_at=now,
+            ),
+            limits.AccountLimits(spec.requests_per_s, spec.tokens_per_s),
+            job.max_tokens,
+            now,
+        )
+        if isinstance(offered, outcomes.Refusal):
+            return offered
+        answer = asyncio.get_running_loop().create_future()
+        self.places[job.request] = _Place(job, answer)
+        self._answer_shed(offered.shed)
+        self.pump()
+        self._schedule_tick()
+        try:
+            refusal = await answer
+        except asyncio.CancelledError:
+            self.leave(job.request)
+            raise
+        self.metrics.observe("admission_wait", time.monotonic() - now)
+        return refusal
+
+    def leave(self, request: str) -> None:
+        """Forgets a request, wherever it stands."""
+        self.places.pop(request, None)
+        self.admission.withdraw(request)
+        self.on_generated(request, 0)
+        self.routes.cancel(request)
+
+    def on_generated(self, request: str, tokens: int) -> None:
+        """Records that a request that was let in is over."""
+        job = self.inside.pop(request, None)
+        if job is not None:
+            now = time.monotonic()
+            self.admission.release(request, job.max_tokens, tokens, now)
+            self.pump()
+
+    def pump(self) -> None:
+        """Lets requests in while engines have room."""
+        if not self.places:
+            return
+        now = time.monotonic()
+        self.routes.router.use(self.routes.config)
+        for key in list(self.admission.waiting()):
+            while (urgency := self._next(key, now)) is not None:
+                self._let_in(self.admission.grant(key, urgency, now))
+
+    def _next(self, key: tuple[str, str], now: float) -> int | None:
+        for urgent_only in (False, True):
+            urgency = self.admission.next_urgency(key, urgent_only)
+            urgent = urgency == specs.Urgency.URGENT
+            if urgency is not None and self.routes.router.room(
+                *key, urgent, now
+            ):
+                return urgency
+        return None
+
+    def _let_in(self, item: fairqueue.Waiting) -> None:
+        place = self.places.pop(item.request)
+        self.inside[item.request] = place.job
+        self.routes.reserve(place.job)
+        if not place.answer.done():
+            place.answer.set_result(None)
+
+    def _answer_shed(self, shed: tuple[admission.Shed, ...]) -> None:
+        for each in shed:
+            place = self.places.pop(each.request, None)
+            if place is not None and not place.answer.done():
+                place.answer.set_result(each.refusal)
+
+    def _schedule_tick(self) -> None:
+        if not self.tick_scheduled and self.places:
+            self.tick_scheduled = True
+            asyncio.get_running_loop().call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self.tick_scheduled = False
+        self._answer_shed(self.admission.expire(time.monotonic()))
+        self.pump()
+        self._schedule_tick()
--- a/src/yuccatally/instance/generations.py
+++ b/src/yuccatally/instance/generations.py
@@ -17,6 +17,7 @@
 from yuccatally.core.routing import router
 from yuccatally.core.stages import messages
 from yuccatally.instance import hops
+from yuccatally.instance import routes
 from yuccatally.upstreams import engines
 from yuccatally.upstreams import kv
 
@@ -73,8 +74,10 @@
         config: configuration.Configuration,
         tracer: trace.Tracer,
         figures: metrics.Metrics,
+        chosen: routes.Routes | None = None,
     ) -> None:
         self.config = config
+        self.routes = chosen or routes.Routes(config)
         self.tracer = tracer
         self.metrics = figures
         self.connections: dict[str, engines.EngineConnection] = {}
@@ -160,8 +163,10 @@
             entry.hops.on_result(match.item)
             machine = entry.generation
             if isinstance(match.result, messages.StepOutput):
+                self.routes.on_result(engine, match.item)
                 self._perform(machine.on_output(match.item, match.result))
             else:
+                self.routes.on_refusal(engine)
                 _log.info(
                     "step_refused",
                     request=match.item.request,
@@ -178,6 +183,7 @@
     def on_connected(self, engine: str) -> None:
         """See ``engines.Receiver``."""
         _log.info("engine_connected", engine=engine)
+        self.routes.on_connected(engine)
         self._retry_waiting()
 
     def on_disconnected(self, engine: str, lost: engines.Lost) -> None:
@@ -189,6 +195,7 @@
             sequences=len(lost.sequences),
         )
         self.metrics.count("engine_failures", lost.reason)
+        self.routes.on_disconnected(engine)
         if lost.progress_at:
             detected_s = time.monotonic() - lost.progress_at
             self.metrics.observe("recovery_detection", detected_s)
@@ -197,6 +204,16 @@
             if entry is not None:
                 self._perform(entry.generation.on_failure(engine))
 
+    def on_report(
+        self, engine: str, load: messages.Load, measured_at: float
+    ) -> None:
+        """See ``engines.Receiver``."""
+        self.routes.on_report(engine, load, measured_at)
+
+    def on_cache(self, engine: str, events: messages.CacheEvents) -> None:
+        """See ``engines.Receiver``."""
+        self.routes.on_cache(self.connections[engine], events)
+
     def view(self) -> dict[str, router.EngineView]:
         """Returns the state of each engine for routing."""
         return {
@@ -252,6 +269,9 @@
                 case actions.EmitToken():
                     self._on_token(action)
                 case actions.Finished() | actions.Failed():
+                    self.routes.on_over(
+                        self.running[action.request].generation, action
+                    )
                     self.running[action.request].emitted.put_nowait(action)
                 case actions.Dropped(request=request, reason=reason):
                     self.metrics.count("results_dropped")
@@ -263,6 +283,7 @@
         if entry.generation.stage_of(item) is None:
             return
         entry.hops.on_submit(item)
+        self.routes.on_queued(item)
         connection = self.connections.get(engine)
         if connection is None or not connection.submit(item):
             self._perform(entry.generation.on_failure(engine))
@@ -337,9 +358,7 @@
             request, job.priority, len(machine.known)
         ):
             return
-        route = router.choose(
-            job.model, job.version, self.config, self.view(), excluded
-        )
+        route = self.routes.choose(machine, excluded)
         if route is None:
             self.waiting[request] = excluded
             self._settle(request)
@@ -361,6 +380,7 @@
             self.metrics.count("recovery_prefill_tokens", amount=tokens)
         for hop in route.hops:
             self.connections[hop.engine].sequences.add(machine.job.request)
+        self.routes.start(machine, route)
         entry.hops.start_attempt(machine.attempt + 1, route)
         self._perform(machine.start(route))
 
@@ -370,6 +390,7 @@
             connection = self.connections.get(hop.engine)
             if connection is not None:
                 connection.sequences.discard(machine.job.request)
+        self.routes.on_attempt_end(machine.job.request)
         entry.hops.end_attempt(len(machine.tokens), reason)
 
     def _settle(self, request: str) -> None:
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -19,11 +19,14 @@
 from yuccatally.core.config import configuration
 from yuccatally.core.requests import ledger
 from yuccatally.core.requests import outcomes
+from yuccatally.core.routing import router
 from yuccatally.instance import claims
 from yuccatally.instance import control
+from yuccatally.instance import door
 from yuccatally.instance import drain
 from yuccatally.instance import fleet
 from yuccatally.instance import generations
+from yuccatally.instance import routes
 from yuccatally.instance import servers
 from yuccatally.instance import services
 from yuccatally.instance import watch
@@ -65,8 +68,17 @@
         self.tracer = traces.tracer(self.traces, settings.instance.name)
         self.claims = claims.ClaimWriter(store)
         self.services = services.ServiceCalls(self.tracer, self.metrics)
+        self.routes = routes.Routes(
+            self.config,
+            router.Options(
+                settings.routing.policy,
+                settings.routing.demand,
+                settings.routing.limits,
+            ),
+        )
+        self.door = door.Door(self.routes, self.metrics, settings.routing.queue)
         self.generations = generations.Generations(
-            self.config, self.tracer, self.metrics
+            self.config, self.tracer, self.metrics, self.routes
         )
         self.watch = watch.ConfigWatch(
             store,
@@ -144,6 +156,7 @@
     def finish(self, request: str, outcome: outcomes.Outcome) -> None:
         """Records the outcome of a request."""
         ended = self.ledger.finish(request, outcome)
+        self.door.leave(request)
         elapsed_s = time.monotonic() - ended.accepted_at
         self.metrics.observe("request", elapsed_s)
         with self.span("outcome", request, outcome=str(outcome)):
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -239,11 +239,14 @@
             ``least-outstanding`` and ``round-robin`` are for comparison.
         demand: Whether the queued work of a request is estimated from what
             its account used so far instead of from its token limit.
+        limits: Whether the sequences on an engine are limited, so that other
+            requests wait at the door in the order of their class.
         queue: Greatest number of requests that wait for an engine.
     """
 
     policy: str = "work"
     demand: bool = True
+    limits: bool = True
     queue: int = 512
 
     def __post_init__(self) -> None:
--- a/src/yuccatally/upstreams/engines.py
+++ b/src/yuccatally/upstreams/engines.py
@@ -68,6 +68,14 @@
     def on_disconnected(self, engine: str, lost: Lost) -> None:
         """The engine failed; its sequences have to move."""
 
+    def on_report(
+        self, engine: str, load: messages.Load, measured_at: float
+    ) -> None:
+        """The engine reported its load of a time, monotonic seconds."""
+
+    def on_cache(self, engine: str, events: messages.CacheEvents) -> None:
+        """The engine reported changes of its prefix cache."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Opened:
@@ -243,8 +251,10 @@
                 self._flush()
             case messages.Pong():
                 opened.link.on_pong(message, now)
+                measured_at = now - message.load.age_s
+                self.receiver.on_report(self.name, message.load, measured_at)
             case messages.CacheEvents():
-                pass
+                self.receiver.on_cache(self.name, message)
 
     def _without_probe(
         self, matched: tuple[link.Matched, ...]
--- a/src/yuccatally_bench/throughput.py
+++ b/src/yuccatally_bench/throughput.py
@@ -36,20 +36,29 @@
 
     policy: str
     planned: bool
+    door: bool
 
     @property
     def name(self) -> str:
         """Name for tables."""
         split = "planned" if self.planned else "even"
-        return f"{self.policy}, {split}"
+        waiting = ", limits" if self.door else ""
+        return f"{self.policy}, {split}{waiting}"
+
+    @property
+    def settings(self) -> str:
+        """Text for the settings of the instances."""
+        limits = str(self.door).lower()
+        return f'\n[routing]\npolicy = "{self.policy}"\nlimits = {limits}\n'
 
 
 VARIANTS = (
-    Variant("round-robin", planned=False),
-    Variant("least-outstanding", planned=False),
-    Variant("round-robin", planned=True),
-    Variant("least-outstanding", planned=True),
-    Variant("work", planned=True),
+    Variant("round-robin", planned=False, door=False),
+    Variant("least-outstanding", planned=False, door=False),
+    Variant("round-robin", planned=True, door=False),
+    Variant("least-outstanding", planned=True, door=False),
+    Variant("least-outstanding", planned=True, door=True),
+    Variant("work", planned=True, door=True),
 )
 
 
@@ -108,11 +117,12 @@
 def _run(
     mix: mixes.Mix, variant: Variant, load: float, seed: int
 ) -> dict[str, float]:
-    settings = f'\n[routing]\npolicy = "{variant.policy}"\n'
     accounts = {
         c.account: {"urgency": c.urgency, "weight": c.weight} for c in CALLERS
     }
-    plan = mixes.site_plan(mix, variant.planned, INSTANCES, settings, accounts)
+    plan = mixes.site_plan(
+        mix, variant.planned, INSTANCES, variant.settings, accounts
+    )
     rate = mix.bound_requests_per_s() * load
     offered = callers.Load(
         CALLERS,
