Fill the steps of engines at saturation

Two frames outstanding for each link let items wait in the instance while a step began without them, the target latency of an engine contained the delay of its link, and a target of 2.25 full steps made answers late.

Change: four frames outstanding; target of 2 full steps plus the delay of the link; the time of service is estimated with a margin.

--- a/src/yuccatally/core/admission/admission.py
+++ b/src/yuccatally/core/admission/admission.py
@@ -17,6 +17,8 @@
 # Work let in and times of service are averaged over about this many requests.
 SMOOTHING = 0.05
 SERVICE_WEIGHT = 0.1
+# Half of all requests take longer than the mean.
+SERVICE_MARGIN = 1.15
 SERVICE_HALF_LIFE_S = 5.0
 RATE_WINDOW_S = 0.5
 RATE_WEIGHT = 0.3
@@ -271,7 +273,7 @@
 
     def service_s(self, urgency: int, work: float, now: float) -> float:
         service = self.services.get(urgency)
-        return work * service.each(now) if service else 0.0
+        return SERVICE_MARGIN * work * service.each(now) if service else 0.0
 
     def longest_s(self, urgency: int, now: float) -> float:
         return self.service_s(urgency, self.most_work, now)
--- a/src/yuccatally/core/routing/concurrency.py
+++ b/src/yuccatally/core/routing/concurrency.py
@@ -9,7 +9,7 @@
 LEAST_LIMIT = 1.0
 # An engine does its highest rate when the next full batch waits at the end of
 # a step: an item then spends the rest of one step and one whole step there.
-TARGET_STEPS = 2.25
+TARGET_STEPS = 2.0
 # Without declared rates the target is this multiple of the lowest latency. A
 # step that takes k times the time of a step with one item reaches at least
 # (k - 1) / k of the engine's highest rate.
@@ -57,17 +57,20 @@
         elif latency_s < self.floors[0]:
             self.floors[0] = latency_s
 
-    def target_s(self, full_step_s: float) -> float:
+    def target_s(self, full_step_s: float, single_s: float = 0.0) -> float:
         """Returns the latency at which the engine is fully used.
 
         Args:
             full_step_s: Time of a full step, 0 if not known.
+            single_s: Time of a step with one token; what the lowest latency
+                exceeds it by is the delay of the link.
         """
         if math.isinf(self.floor_s):
             return math.inf
         if not full_step_s:
             return TARGET_FLOORS * self.floor_s
-        return max(TARGET_STEPS * full_step_s, IDLE_PACE * self.floor_s)
+        link_s = max(0.0, self.floor_s - single_s)
+        return link_s + TARGET_STEPS * full_step_s
 
     def adjust(self, mean_s: float, target_s: float, used: int) -> None:
         """Adapts the limit to the latency of one window.
--- a/src/yuccatally/core/routing/load.py
+++ b/src/yuccatally/core/routing/load.py
@@ -60,6 +60,7 @@
     Attributes:
         name: Name of the engine.
         declared: Its declared rates.
+        layers: Layers of the model that it applies.
         connected: Whether its link is up.
         work: Token-layers of own sequences that remain to be done.
         sequences: Own sequences routed over it.
@@ -71,6 +72,7 @@
     def __init__(self, name: str, declared: Declared, layers: int) -> None:
         self.name = name
         self.declared = declared
+        self.layers = layers
         self.connected = False
         self.work = 0.0
         self.sequences = 0
@@ -186,7 +188,9 @@
         found = window.work / seconds * shared
         each = window.work / window.items
         mean_s = window.latency_s / max(1, window.singles)
-        target_s = self.limit.target_s(self._full_step_s(each))
+        target_s = self.limit.target_s(
+            self._full_step_s(each), self._single_s()
+        )
         if not self.measured and not self.declared.complete:
             self.speed, self.measured = found, True
         elif found > self.speed:
@@ -196,6 +200,13 @@
         if window.singles:
             self.limit.adjust(mean_s, target_s, self.sequences)
 
+    def _single_s(self) -> float:
+        """Returns the declared time of a step with a single token."""
+        return (
+            self.declared.step_base_s
+            + self.layers * self.declared.token_layer_s
+        )
+
     def _full_step_s(self, work_each: float) -> float:
         if not self.declared.complete:
             return 0.0
--- a/src/yuccatally/core/stages/link.py
+++ b/src/yuccatally/core/stages/link.py
@@ -12,7 +12,7 @@
 
 HEARTBEAT_INTERVAL_S = 0.25
 HEARTBEAT_MISSES = 3
-MAX_FRAMES_OUTSTANDING = 2
+MAX_FRAMES_OUTSTANDING = 4
 MAX_ITEMS_PER_FRAME = 256
 # Longest prefill share of one frame: other sequences wait for it, and 76 ms
 # between tokens must hold over all stages.
--- a/src/yuccatally_standins/engine.py
+++ b/src/yuccatally_standins/engine.py
@@ -99,6 +99,8 @@
                 range(config.first_layer, config.last_layer),
             )
         self.token_layers = 0
+        self.items = 0
+        self.busy_s = 0.0
         self.busy_until = 0.0
         self.link = links.OutboundLink(config.link_delay_s, config.link_value_s)
         self.connections: set[_Connection] = set()
@@ -130,6 +132,8 @@
                 "steps": self.steps,
                 "tokens": self.tokens,
                 "token_layers": self.token_layers,
+                "items": self.items,
+                "busy_s": self.busy_s,
                 "sequences": len(self.states.held),
             }
         )
@@ -260,6 +264,8 @@
         now = time.monotonic()
         started = max(self.busy_until, now - CATCH_UP_S)
         self.busy_until = started + seconds
+        self.busy_s += seconds
+        self.items += len(self.batch)
         await asyncio.sleep(self.busy_until - now)
         self.steps += 1
         results = self._computed(fault)
