Refuse requests whose route is too slow for their deadline

Change: the expected time on the chosen route is compared with the deadline before anything is sent; a request that cannot be whole in time is refused as not-run.

--- a/src/yuccatally/core/admission/admission.py
+++ b/src/yuccatally/core/admission/admission.py
@@ -142,6 +142,14 @@
         self._rate(key).on_grant(item.work, now, waiting)
         return item
 
+    def take_back(self, request: str, max_tokens: int, now: float) -> Shed:
+        """Refuses a request that was let in and for which nothing was run."""
+        item = self.granted.pop(request).item
+        self.limits.give_back(item.account, max_tokens)
+        cause = "no free engine is fast enough for its deadline"
+        refusal = self._count(self._overloaded(item, cause, now))
+        return Shed(request, refusal)
+
     def expire(self, now: float) -> tuple[Shed, ...]:
         """Refuses waiting requests that cannot meet their deadline any more."""
         shed = []
--- a/src/yuccatally/core/routing/router.py
+++ b/src/yuccatally/core/routing/router.py
@@ -220,6 +220,16 @@
             if len(self.affinity) > AFFINITY_ENTRIES:
                 self.affinity.popitem(last=False)
 
+    def expected_s(self, ask: Ask, route: actions.Route, now: float) -> float:
+        """Returns how long an answer will probably take on a route."""
+        total_s = 0.0
+        for hop in route.hops:
+            known = self.engines.get(hop.engine)
+            if known is not None:
+                prefill_s = ask.prefill * known.layers / known.speed
+                total_s += known.item_s * self._tokens(ask) + prefill_s
+        return total_s
+
     def on_queued(self, item: messages.StepItem, now: float) -> None:
         """Records that an item was queued for an engine."""
         running = self.running.get(item.request)
--- a/src/yuccatally/instance/door.py
+++ b/src/yuccatally/instance/door.py
@@ -136,9 +136,15 @@
         return None
 
     def _let_in(self, item: fairqueue.Waiting) -> None:
-        place = self.places.pop(item.request)
+        place = self.places[item.request]
+        if not self.routes.reserve(place.job):
+            shed = self.admission.take_back(
+                item.request, place.job.max_tokens, time.monotonic()
+            )
+            self._answer_shed((shed,))
+            return
+        del self.places[item.request]
         self.inside[item.request] = place.job
-        self.routes.reserve(place.job)
         if not place.answer.done():
             place.answer.set_result(None)
 
--- a/src/yuccatally/instance/routes.py
+++ b/src/yuccatally/instance/routes.py
@@ -62,17 +62,26 @@
         self.on_generated: Callable[[str, int], None] = lambda _, __: None
         self.on_room: Callable[[], None] = lambda: None
 
-    def reserve(self, job: actions.Job) -> None:
+    def reserve(self, job: actions.Job) -> bool:
         """Chooses the first route of a request that was let in.
 
         The work counts from now on, before the generation starts.
+
+        Returns:
+            False if the answer cannot be whole by the deadline on the route;
+            then nothing is reserved.
         """
         self.router.use(self.config)
+        now = time.monotonic()
         ask = _ask(job, job.prompt, job.max_tokens)
-        route = self.router.choose(ask, time.monotonic())
-        if route is not None:
-            self.router.start(ask, route)
-            self.reserved[job.request] = route
+        route = self.router.choose(ask, now)
+        if route is None:
+            return True
+        if now + self.router.expected_s(ask, route, now) > job.deadline:
+            return False
+        self.router.start(ask, route)
+        self.reserved[job.request] = route
+        return True
 
     def cancel(self, request: str) -> None:
         """Gives a reserved route back."""
