Test routing and admission under faults

Cause: nothing showed that routing and admission hold under faults.

Change: tables of faults on small engines and a test clock, properties of the door.

--- a/src/yuccatally/core/admission/admission.py
+++ b/src/yuccatally/core/admission/admission.py
@@ -196,19 +196,20 @@
             rate = self._rate((item.model, item.version))
             rate.on_service(item.urgency, item.work, now - granted.at, now)
 
-    def wait_s(self, key: tuple[str, str], urgency: int, now: float) -> float:
-        """Returns how long a new request of a class will probably wait."""
+    def wait_s(self, item: fairqueue.Waiting, now: float) -> float:
+        """Returns how long a new request will probably wait."""
+        key = (item.model, item.version)
         queue = self.queues.get(key)
         if queue is None or not len(queue):
             return 0.0
-        return self._rate(key).drain_s(queue.work_before(urgency), now)
+        return self._rate(key).drain_s(queue.work_before(item), now)
 
     def _late(
         self, item: fairqueue.Waiting, now: float
     ) -> outcomes.Refusal | None:
         key = (item.model, item.version)
         needed_s = self._rate(key).service_s(item.urgency, item.work, now)
-        needed_s += self.wait_s(key, item.urgency, now)
+        needed_s += self.wait_s(item, now)
         if now + needed_s <= item.deadline:
             return None
         message = (
@@ -234,7 +235,7 @@
     def _overloaded(
         self, item: fairqueue.Waiting, cause: str, now: float
     ) -> outcomes.Refusal:
-        wait_s = self.wait_s((item.model, item.version), item.urgency, now)
+        wait_s = self.wait_s(item, now)
         return outcomes.Refusal(
             outcomes.Outcome.NOT_RUN,
             outcomes.Reason.OVERLOADED,
--- a/src/yuccatally/core/admission/fairqueue.py
+++ b/src/yuccatally/core/admission/fairqueue.py
@@ -45,6 +45,8 @@
             str, collections.OrderedDict[str, Waiting]
         ] = collections.OrderedDict()
         self.deficits: dict[str, float] = {}
+        self.loads: dict[str, float] = {}
+        self.weights: dict[str, int] = {}
         self.work = 0.0
         self.count = 0
 
@@ -55,6 +57,9 @@
             queue = self.queues[item.account] = collections.OrderedDict()
             self.deficits[item.account] = 0.0
         queue[item.request] = item
+        load = self.loads.get(item.account, 0.0)
+        self.loads[item.account] = load + item.work / item.weight
+        self.weights[item.account] = item.weight
         self.work += item.work
         self.count += 1
 
@@ -97,18 +102,18 @@
             return None
         self.work -= item.work
         self.count -= 1
+        self.loads[account] -= item.work / item.weight
         if not queue:
             del self.queues[account]
+            del self.loads[account]
+            del self.weights[account]
             # An account that has nothing waiting saves up no turns.
             del self.deficits[account]
         return item
 
     def longest(self) -> tuple[str, float]:
         """Returns the account with the most work for its weight."""
-        return max(
-            ((a, _load(q)) for a, q in self.queues.items()),
-            key=lambda pair: (pair[1], pair[0]),
-        )
+        return max(self.loads.items(), key=lambda pair: (pair[1], pair[0]))
 
     def newest_of(self, account: str) -> Waiting:
         """Returns the request of an account that came last."""
@@ -116,8 +121,23 @@
 
     def load_of(self, account: str) -> float:
         """Returns the waiting work of an account for its weight."""
-        queue = self.queues.get(account)
-        return _load(queue) if queue else 0.0
+        return max(0.0, self.loads.get(account, 0.0))
+
+    def work_before(self, account: str, weight: int, added: float) -> float:
+        """Returns the work done until an account has had some more.
+
+        Other accounts get their weight's part in the meantime, or less if
+        they have less waiting.
+        """
+        turns = self.load_of(account) + added / weight
+        return (
+            sum(
+                min(load, turns) * self.weights[name]
+                for name, load in self.loads.items()
+                if name != account
+            )
+            + turns * weight
+        )
 
     def expired(self, latest: float) -> list[Waiting]:
         """Returns requests whose deadline is before a time."""
@@ -170,9 +190,13 @@
                 self.credit[lower] = 0.0
         return item
 
-    def work_before(self, urgency: int) -> float:
-        """Returns the work that a new request of a class has to wait for."""
-        return sum(c.work for u, c in self.classes.items() if u <= urgency)
+    def work_before(self, item: Waiting) -> float:
+        """Returns the work that is let in until a new request is, with it."""
+        higher = sum(
+            c.work for u, c in self.classes.items() if u < item.urgency
+        )
+        own = self.classes[item.urgency]
+        return higher + own.work_before(item.account, item.weight, item.work)
 
     def victim_for(self, item: Waiting) -> Waiting | None:
         """Returns what to give up for a new request when the queue is full.
@@ -190,7 +214,3 @@
             if account == item.account or after >= most:
                 return None
         return turns.newest_of(account)
-
-
-def _load(queue: collections.OrderedDict[str, Waiting]) -> float:
-    return sum(i.work / i.weight for i in queue.values())
--- a/src/yuccatally/core/admission/limits.py
+++ b/src/yuccatally/core/admission/limits.py
@@ -84,7 +84,7 @@
         self.level = min(self.level + cost, self.rate * BURST_S)
 
     def _fill(self, now: float) -> None:
-        added = (now - self.changed) * self.rate
+        added = max(0.0, now - self.changed) * self.rate
         self.level = min(self.level + added, self.rate * BURST_S)
         self.changed = max(self.changed, now)
 
@@ -110,7 +110,7 @@
         self.members = max(1, members)
         self.starts_at = starts_at
         self.lent: list[tuple[float, float]] = []
-        self.borrowed: dict[str, tuple[float, float]] = {}
+        self.borrowed: list[tuple[float, float]] = []
         self.asked = 0.0
         self.asked_at = now
         self.bucket = Bucket(0.0, now)
@@ -140,9 +140,9 @@
         return self.asked * math.log(2) / DEMAND_HALF_LIFE_S
 
     def wish(self, now: float) -> float:
-        """Returns the demand above the own part, to tell peers."""
+        """Returns the demand above what may be used, to tell peers."""
         self._update(now)
-        return max(0.0, self.demand(now) - self._own(now))
+        return max(0.0, self.demand(now) - self._rate(now))
 
     def lend(self, wanted: float, now: float) -> float:
         """Gives a piece of the own part to a peer that wants more.
@@ -159,9 +159,11 @@
             self._update(now)
         return given
 
-    def borrow(self, peer: str, rate: float, asked_at: float) -> None:
+    def borrow(self, rate: float, asked_at: float, now: float) -> None:
         """Records a loan, dated from when it was asked for."""
-        self.borrowed[peer] = (asked_at + LOAN_TERM_S, rate)
+        self._update(now)
+        self.borrowed.append((asked_at + LOAN_TERM_S, rate))
+        self._update(now)
 
     def _own(self, now: float) -> float:
         if now < self.starts_at:
@@ -169,14 +171,20 @@
         lent = sum(rate for until, rate in self.lent if now < until)
         return max(0.0, self.limit / self.members - lent)
 
+    def _rate(self, now: float) -> float:
+        borrowed = sum(rate for until, rate in self.borrowed if now < until)
+        return self._own(now) + borrowed
+
     def _update(self, now: float) -> None:
+        # The bucket fills at each rate for as long as it was in force, even if
+        # nothing asked in between.
+        changes = {until for until, _ in (*self.lent, *self.borrowed)}
+        for at in sorted(c for c in (*changes, self.starts_at) if c <= now):
+            if at > self.bucket.changed:
+                self.bucket.set_rate(self._rate(at), at)
         self.lent = [loan for loan in self.lent if now < loan[0]]
-        self.borrowed = {
-            peer: loan for peer, loan in self.borrowed.items() if now < loan[0]
-        }
-        rate = self._own(now) + sum(r for _, r in self.borrowed.values())
-        if rate != self.bucket.rate:
-            self.bucket.set_rate(rate, now)
+        self.borrowed = [loan for loan in self.borrowed if now < loan[0]]
+        self.bucket.set_rate(self._rate(now), now)
 
     def _decay(self, now: float) -> None:
         age_s = max(0.0, now - self.asked_at)
@@ -270,13 +278,13 @@
         return tuple(loans)
 
     def borrow(
-        self, peer: str, unit: str, loans: Iterable[Loan], asked_at: float
+        self, unit: str, loans: Iterable[Loan], asked_at: float, now: float
     ) -> None:
-        """Records the answer of a peer to wishes sent at a time."""
+        """Records the answer to wishes that were sent at a time."""
         for loan in loans:
             shared = self.shared.get((loan.account, unit))
             if shared is not None:
-                shared.borrow(peer, loan.rate, asked_at)
+                shared.borrow(loan.rate, asked_at, now)
 
     def _of(
         self, account: str, unit: str, limit: float, now: float
--- a/src/yuccatally/core/routing/prefixes.py
+++ b/src/yuccatally/core/routing/prefixes.py
@@ -75,7 +75,7 @@
         count = len(events.stored) + len(events.evicted)
         expected = self.next_event
         if expected is not None and events.sequence < expected:
-            return None
+            return Resync(self.engine) if self.stale else None
         self.next_event = events.sequence + count
         for prefix in events.stored:
             self.known[prefix] = None
--- /dev/null
+++ b/tests/core/admission/test_admission.py
@@ -0,0 +1,280 @@
+"""Order, fairness, limits and refusals at the door."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from yuccatally.core.admission import admission
+from yuccatally.core.admission import fairqueue
+from yuccatally.core.admission import limits
+from yuccatally.core.requests import outcomes
+
+KEY = ("m", "v1")
+NO_LIMIT = limits.AccountLimits(0.0, 0.0)
+
+
+def waiting(
+    request: str,
+    account: str = "desk",
+    urgency: int = 1,
+    work: float = 10.0,
+    weight: int = 1,
+    deadline: float = 1e9,
+    now: float = 0.0,
+) -> fairqueue.Waiting:
+    return fairqueue.Waiting(
+        request, account, weight, urgency, *KEY, work, deadline, now
+    )
+
+
+def drain(door: admission.Admission, count: int) -> list[fairqueue.Waiting]:
+    found = []
+    for _ in range(count):
+        urgency = door.next_urgency(KEY)
+        if urgency is None:
+            break
+        found.append(door.grant(KEY, urgency, 0.0))
+    return found
+
+
+@hypothesis.settings(max_examples=50, deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 2), strategies.floats(1, 200)),
+        min_size=50,
+        max_size=120,
+    )
+)
+def test_no_class_starves(sizes: list[tuple[int, float]]) -> None:
+    """Guards against lower classes that never run while higher ones wait."""
+    door = admission.Admission()
+    for urgency in (0, 1, 2):
+        for i in range(100):
+            item = waiting(f"{urgency}-{i}", urgency=urgency, work=100.0)
+            door.offer(item, NO_LIMIT, 1, 0.0)
+    work: collections.Counter[int] = collections.Counter()
+    for i, (urgency, size) in enumerate(sizes):
+        item = waiting(f"new-{i}", urgency=urgency, work=size)
+        door.offer(item, NO_LIMIT, 1, 0.0)
+        for granted in drain(door, 1):
+            work[granted.urgency] += granted.work
+    total = sum(work.values())
+    # One request of each lower class may be due but not let in yet.
+    assert work[1] >= 0.1 * work[0] - 200
+    assert work[2] >= 0.05 * (work[0] + work[1]) - 200
+    assert work[0] >= 0.8 * total - 400
+
+
+@hypothesis.settings(max_examples=50, deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 2),
+            strategies.integers(0, 3),
+            strategies.booleans(),
+        ),
+        max_size=150,
+    )
+)
+def test_queue_is_bounded_and_every_request_has_one_fate(
+    offers: list[tuple[int, int, bool]],
+) -> None:
+    """Guards against a queue without bound and requests without an answer."""
+    door = admission.Admission(length=10)
+    fates: collections.Counter[str] = collections.Counter()
+    for i, (urgency, account, let_in) in enumerate(offers):
+        item = waiting(f"r{i}", f"a{account}", urgency)
+        answer = door.offer(item, NO_LIMIT, 1, 0.0)
+        if isinstance(answer, outcomes.Refusal):
+            assert answer.outcome is outcomes.Outcome.NOT_RUN
+            assert answer.retry_after_s >= 1
+            fates[item.request] += 1
+        else:
+            fates.update(s.request for s in answer.shed)
+        assert len(door.places) <= 10
+        assert len(door.places) == sum(len(q) for q in door.queues.values())
+        if let_in:
+            fates.update(g.request for g in drain(door, 1))
+    fates.update(g.request for g in drain(door, 1000))
+    assert fates == {f"r{i}": 1 for i in range(len(offers))}
+
+
+@pytest.mark.parametrize(
+    ("weights", "works"),
+    [
+        ({"a": 1, "b": 1}, {"a": 10.0, "b": 10.0}),
+        ({"a": 3, "b": 1}, {"a": 10.0, "b": 10.0}),
+        ({"a": 1, "b": 1}, {"a": 100.0, "b": 10.0}),
+        ({"a": 5, "b": 1, "c": 2}, {"a": 7.0, "b": 90.0, "c": 30.0}),
+    ],
+)
+def test_accounts_share_by_weight(
+    weights: dict[str, int], works: dict[str, float]
+) -> None:
+    """Guards against accounts that gain by long or by many requests."""
+    door = admission.Admission(length=10_000)
+    for i in range(1000):
+        for account, weight in weights.items():
+            item = waiting(f"{account}{i}", account, 1, works[account], weight)
+            door.offer(item, NO_LIMIT, 1, 0.0)
+    got: collections.Counter[str] = collections.Counter()
+    for granted in drain(door, 300):
+        got[granted.account] += granted.work
+    shares = [got[a] / w for a, w in weights.items()]
+    assert max(shares) - min(shares) <= 2 * max(works.values())
+
+
+@pytest.mark.parametrize(
+    ("queued", "new", "shed"),
+    [
+        pytest.param([("a", 2)], ("b", 0), "r0", id="lowest class goes first"),
+        pytest.param([("a", 0)], ("b", 2), None, id="a lower class never wins"),
+        pytest.param(
+            [("a", 1), ("a", 1), ("a", 1)],
+            ("b", 1),
+            "r2",
+            id="the newest of the largest account",
+        ),
+        pytest.param(
+            [("a", 1), ("b", 1)], ("a", 1), None, id="no more than a fair part"
+        ),
+        pytest.param(
+            [("a", 0), ("b", 2), ("c", 1)],
+            ("d", 1),
+            "r1",
+            id="not the middle class",
+        ),
+    ],
+)
+def test_full_queue(
+    queued: list[tuple[str, int]], new: tuple[str, int], shed: str | None
+) -> None:
+    """Guards against work of a high rank that is refused for a lower one."""
+    door = admission.Admission(length=len(queued))
+    for i, (account, urgency) in enumerate(queued):
+        door.offer(waiting(f"r{i}", account, urgency), NO_LIMIT, 1, 0.0)
+    answer = door.offer(waiting("new", *new), NO_LIMIT, 1, 0.0)
+    if shed is None:
+        assert isinstance(answer, outcomes.Refusal)
+        assert answer.reason is outcomes.Reason.OVERLOADED
+    else:
+        assert isinstance(answer, admission.Queued)
+        assert [s.request for s in answer.shed] == [shed]
+
+
+def test_deadline_that_cannot_be_met_is_refused_early() -> None:
+    """Guards against work on answers that come too late."""
+    door = admission.Admission()
+    for i in range(20):
+        door.offer(waiting(f"r{i}"), NO_LIMIT, 1, 0.0)
+        assert door.next_urgency(KEY) == 1
+        door.grant(KEY, 1, 0.0)
+        door.release(f"r{i}", 1, 1, 2.0)
+    now = 2.0
+    answer = door.offer(waiting("late", deadline=now + 1), NO_LIMIT, 1, now)
+    assert isinstance(answer, outcomes.Refusal)
+    assert answer.outcome is outcomes.Outcome.NOT_RUN
+    on_time = door.offer(waiting("ok", deadline=now + 4), NO_LIMIT, 1, now)
+    assert isinstance(on_time, admission.Queued)
+    assert [s.request for s in door.expire(now + 3)] == ["ok"]
+    # The estimate fades, or nothing would ever be let in again.
+    again = waiting("again", deadline=101.0, now=100.0)
+    assert isinstance(door.offer(again, NO_LIMIT, 1, 100.0), admission.Queued)
+
+
+class Fleet:
+    """Instances that share one limit over messages that may be lost."""
+
+    def __init__(self, limit: float, count: int) -> None:
+        self.doors = [limits.Limits(count) for _ in range(count)]
+        self.limits = limits.AccountLimits(0.0, limit)
+        self.taken: list[tuple[float, float]] = []
+
+    def offer(self, instance: int, cost: float, now: float) -> bool:
+        door = self.doors[instance]
+        taken = door.wait_s("desk", self.limits, cost, now) == 0
+        if taken:
+            self.taken.append((now, cost))
+        return taken
+
+    def exchange(self, asker: int, peer: int, now: float, lost: bool) -> None:
+        asking, lender = self.doors[asker], self.doors[peer]
+        for unit, wishes in asking.wishes(now).items():
+            loans = lender.lend(unit, wishes, now)
+            if not lost:
+                asking.borrow(unit, loans, asked_at=now - 0.1, now=now)
+
+
+@hypothesis.settings(max_examples=40, deadline=None)
+@hypothesis.given(
+    strategies.integers(1, 6),
+    strategies.floats(0, 1),
+    strategies.floats(0, 1),
+    strategies.integers(0, 2**32),
+)
+def test_limit_is_never_exceeded(
+    count: int, lost: float, skew: float, seed: int
+) -> None:
+    """Guards against instances that together allow more than the limit."""
+    chance = random.Random(seed)
+    limit, largest = 100.0, 5.0
+    fleet = Fleet(limit, count)
+    now = 0.0
+    for _ in range(600):
+        now += chance.expovariate(60)
+        busy = 0 if chance.random() < skew else chance.randrange(count)
+        fleet.offer(busy, chance.uniform(1, largest), now)
+        if chance.random() < 0.1 and count > 1:
+            asker, peer = chance.sample(range(count), 2)
+            fleet.exchange(asker, peer, now, chance.random() < lost)
+    for start, (since, _) in enumerate(fleet.taken):
+        total = 0.0
+        for at, cost in fleet.taken[start:]:
+            total += cost
+            allowed = limit * (at - since + limits.BURST_S)
+            assert total <= allowed + count * largest + 1e-6
+
+
+@pytest.mark.parametrize(
+    ("silent", "least", "most"),
+    [
+        (True, 0.15, 0.35),
+        (False, 0.5, 1.0),
+    ],
+)
+def test_limit_follows_demand_unless_peers_are_silent(
+    silent: bool, least: float, most: float
+) -> None:
+    """Guards against a limit that only a fraction of can be used."""
+    limit = 100.0
+    fleet = Fleet(limit, 4)
+    steps = 1000
+    for step in range(steps):
+        now = step / 100
+        fleet.offer(0, 1.0, now)
+        for peer in (1, 2, 3):
+            fleet.offer(peer, 0.1, now)
+            if step % 50 == 0:
+                fleet.exchange(0, peer, now, silent)
+    used = sum(c for at, c in fleet.taken if c == 1.0 and at >= 2.0)
+    assert least <= used / (limit * (steps / 100 - 2)) <= most
+
+
+def test_unused_tokens_are_given_back() -> None:
+    """Guards against answers that are charged for their token limit."""
+    door = admission.Admission()
+    allowed = limits.AccountLimits(0.0, 10.0)
+    first = door.offer(waiting("r0"), allowed, 10, 0.0)
+    assert isinstance(first, admission.Queued)
+    refused = door.offer(waiting("r1"), allowed, 5, 0.0)
+    assert isinstance(refused, outcomes.Refusal)
+    assert refused.reason is outcomes.Reason.LIMITED
+    drain(door, 1)
+    door.release("r0", 10, 2, 0.0)
+    second = door.offer(waiting("r2"), allowed, 5, 0.0)
+    assert isinstance(second, admission.Queued)
--- /dev/null
+++ b/tests/core/routing/test_faults.py
@@ -0,0 +1,206 @@
+"""Routing and admission under faults, on small engines and a test clock."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from yuccatally_bench import model
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PREFILL, TOKENS = 24, 16
+CALLERS = (
+    ("briefings", 0, 0.1, PREFILL, TOKENS),
+    ("desk", 1, 0.6, PREFILL, TOKENS),
+    ("reports", 2, 0.3, PREFILL, TOKENS),
+)
+# Request time of a default engine at full steps of 16 items.
+ENGINE_S = TOKENS * 0.008 / 16 + (PREFILL + TOKENS - 1) * 8 * 0.00005
+
+
+def replicas() -> model.Site:
+    """A pipeline of two stages with three engines each, two instances."""
+    front = [model.Engine(f"f{i}") for i in range(3)]
+    back = [model.Engine(f"b{i}", 8, 16) for i in range(3)]
+    stages = [
+        (0, 8, [e.name for e in front]),
+        (8, 16, [e.name for e in back]),
+    ]
+    return model.Site([*front, *back], [stages], 2)
+
+
+def pairs(seed: int = 1, queue: int = 512) -> model.Site:
+    """Two pipelines of two engines each, two instances."""
+    engines = [
+        model.Engine(f"{side}{i}", first, first + 8)
+        for i in range(2)
+        for side, first in (("f", 0), ("b", 8))
+    ]
+    pipelines = [[(0, 8, [f"f{i}"]), (8, 16, [f"b{i}"])] for i in range(2)]
+    return model.Site(engines, pipelines, 2, seed=seed, queue=queue)
+
+
+def served(site: model.Site, since: float, until: float) -> float:
+    """Returns the part of requests of a span that was answered in time."""
+    asked = [
+        r for r in site.runs if r.outcome and since <= r.offered_at < until
+    ]
+    return sum(r.good for r in asked) / len(asked)
+
+
+def latency_s(
+    site: model.Site, urgency: int, since: float, until: float, part: float
+) -> float:
+    """Returns a quantile of the time of answers of a class."""
+    found = sorted(
+        r.latency_s
+        for r in site.runs
+        if r.good and r.urgency == urgency and since <= r.offered_at < until
+    )
+    return found[int(len(found) * part)]
+
+
+def set_fault(**changes: object) -> Callable[[model.Engine], None]:
+    def change(engine: model.Engine) -> None:
+        for key, value in changes.items():
+            setattr(engine, key, value)
+
+    return change
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        pytest.param({"report": "frozen"}, id="report frozen"),
+        pytest.param({"report": "idle"}, id="report claims to be idle"),
+        pytest.param({"report": "busy"}, id="report claims to be busy"),
+        pytest.param({"report": "late"}, id="report late"),
+        pytest.param({"slow_factor": 10.0}, id="engine ten times slower"),
+        pytest.param({"delay_s": 0.5}, id="link a hundred times slower"),
+        pytest.param({"refuses": True}, id="engine refuses everything"),
+        pytest.param(
+            {"refuses": True, "report": "idle"},
+            id="engine refuses everything and claims to be idle",
+        ),
+    ],
+)
+def test_one_bad_engine_is_routed_around(fault: dict[str, object]) -> None:
+    """Guards against work that is drawn to an engine that cannot do it.
+
+    Two of three engines can carry 0.55 of the load of three.
+    """
+    site = replicas()
+    started = site.now
+    site.offer(3 / ENGINE_S * 0.55, 20, CALLERS, deadline_s=4.0)
+    site.at(5, lambda: set_fault(**fault)(site.engines["f0"]))
+    site.advance(25)
+    assert served(site, started + 8, started + 20) > 0.95
+
+
+def test_overstated_load_does_not_starve_an_engine() -> None:
+    """Guards against capacity that is lost to a report that lies."""
+    site = replicas()
+    site.engines["f0"].report = "busy"
+    site.offer(3 / ENGINE_S * 0.9, 15, CALLERS)
+    site.advance(15)
+    shares = [site.engines[f"f{i}"].applied for i in range(3)]
+    assert shares[0] > 0.15 * sum(shares)
+
+
+def test_instances_do_not_follow_one_old_report_together() -> None:
+    """Guards against herding: eight instances, reports of the same time."""
+    front = [model.Engine(f"f{i}", 0, 16) for i in range(6)]
+    stages = [(0, 16, [e.name for e in front])]
+    site = model.Site(front, [stages], 8)
+    site.engines["f0"].report = "frozen"
+    site.offer(6 / (2 * ENGINE_S) * 0.7, 15, CALLERS)
+    site.advance(18)
+    shares = sorted(e.applied for e in front)
+    assert shares[-1] < 2 * shares[0]
+    assert served(site, 105, 115) > 0.95
+
+
+def test_overload_and_return_to_normal() -> None:
+    """Guards against collapse under overload and a slow way back."""
+    rate = 2 / ENGINE_S
+    normal = pairs()
+    normal.offer(rate * 0.8, 35, CALLERS)
+    normal.advance(35)
+    peak = pairs()
+    peak.offer(rate * 1.2, 30, CALLERS)
+    peak.advance(30)
+    site = pairs()
+    site.offer(rate * 3, 30, CALLERS)
+    site.at(30, lambda: site.offer(rate * 0.8, 25, CALLERS))
+    site.advance(60)
+    best = peak.good_tokens(110, 130)
+    assert site.good_tokens(110, 130) > 0.9 * best
+    assert best > 0.8 * 20 * rate * TOKENS
+    for part in (0.5, 0.95):
+        usual_s = latency_s(normal, 0, 110, 128, part)
+        assert latency_s(site, 0, 110, 128, part) < 1.5 * usual_s
+        # Work of other classes is served as before once the overload is over.
+        usual_s = latency_s(normal, 1, 110, 128, part)
+        assert latency_s(site, 1, 143, 152, part) < 1.5 * usual_s
+    assert served(site, 143, 152) > 0.98
+
+
+def test_all_work_urgent_at_once() -> None:
+    """Guards against an unbounded queue and engines that thrash."""
+    site = pairs(queue=64)
+    rate = 2 / ENGINE_S
+    site.offer(rate * 3, 20, [("briefings", 0, 1.0, PREFILL, TOKENS)])
+    site.advance(20)
+    assert site.longest_queue <= 64
+    assert site.good_tokens(110, 120) > 0.8 * 10 * rate * TOKENS
+    lost = {r.outcome for r in site.runs if r.outcome and not r.good}
+    assert lost <= {"not-run"}
+
+
+def test_one_account_with_a_hundredfold_load() -> None:
+    """Guards against one account that takes the turns of the others."""
+    site = pairs()
+    callers = [
+        ("large", 1, 100.0, PREFILL, TOKENS),
+        *((f"small{i}", 1, 1.0, PREFILL, TOKENS) for i in range(3)),
+    ]
+    site.offer(2 / ENGINE_S * 2, 30, callers)
+    site.advance(30)
+    small = [r for r in site.runs if r.account != "large" and r.outcome]
+    large = [r for r in site.runs if r.account == "large" and r.outcome]
+    assert len(small) > 50
+    assert sum(r.good for r in small) > 0.95 * len(small)
+    assert sum(r.good for r in large) < 0.7 * len(large)
+
+
+def test_pipeline_lost_and_back_at_full_load() -> None:
+    """Guards against work that is lost or repeated without end."""
+    site = pairs()
+    rate = 2 / ENGINE_S
+    site.offer(rate * 0.95, 45, CALLERS)
+    site.at(10, lambda: site.disconnect("f1"))
+    site.at(22, lambda: site.reconnect("f1"))
+    site.advance(45)
+    assert site.good_tokens(114, 122) > 0.75 * 8 * rate / 2 * TOKENS
+    assert served(site, 130, 140) > 0.9
+    assert max(r.attempts for r in site.runs) <= 3
+    answered = [r for r in site.runs if r.outcome == "answered"]
+    assert all(r.done == r.tokens for r in answered)
+
+
+@pytest.mark.parametrize("declares", [True, False])
+def test_slow_engines_get_what_they_can_do(declares: bool) -> None:
+    """Guards against equal shares for engines of unequal speed."""
+    front = [
+        model.Engine("fast", 0, 8, declares=declares),
+        model.Engine("slow", 0, 8, 0.032, 0.0002, declares=declares),
+    ]
+    site = model.Site(front, [[(0, 8, ["fast", "slow"])]])
+    site.offer(1.25 / ENGINE_S * 0.9, 30, CALLERS)
+    site.advance(30)
+    fast, slow = (e.applied for e in front)
+    assert 2.5 < fast / slow < 30
+    assert served(site, 110, 125) > 0.9
