Keep the name of the error for malformed bodies

Cause: tests of the decoders use completions.MalformedError, which had moved.

Change: the name stays in that module.

--- a/src/yuccatally/callers/completions.py
+++ b/src/yuccatally/callers/completions.py
@@ -32,6 +32,9 @@
 MAX_TOKEN_ID = 2**31 - 1  # larger numbers do not fit into frames to engines
 
 
+MalformedError = responses.MalformedError
+
+
 @dataclasses.dataclass(frozen=True)
 class Asked:
     """What both endpoints have in common.
