Share account limits between instances by messages

Cause: each instance counted the limits of an account for itself.

A test over two processes covers limits, headers and deadlines.

--- a/src/yuccatally/core/admission/limits.py
+++ b/src/yuccatally/core/admission/limits.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
 # An account may use this much of its limit at once after a pause.
@@ -21,6 +22,7 @@
 # refused while all of it is lent.
 KEPT_PART = 0.25
 DEMAND_HALF_LIFE_S = 1.0
+UNITS = ("requests", "tokens")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -207,12 +209,14 @@
         members: Instances that share the limits.
         starts_at: When the other instances count this one as a member.
         shared: Limits by account and unit, ``requests`` or ``tokens``.
+        limit_of: Limit of an account by unit in the configuration.
     """
 
     def __init__(self, members: int = 1, starts_at: float = 0.0) -> None:
         self.members = members
         self.starts_at = starts_at
         self.shared: dict[tuple[str, str], SharedLimit] = {}
+        self.limit_of: Callable[[str, str], float] = self._known_limit
 
     def set_members(self, members: int, now: float) -> None:
         """Changes the number of instances that share all limits."""
@@ -267,11 +271,12 @@
     def lend(
         self, unit: str, wishes: Iterable[Wish], now: float
     ) -> tuple[Loan, ...]:
-        """Answers a peer's wishes."""
+        """Answers a peer's wishes, also for accounts not seen here yet."""
         loans = []
         for wish in wishes:
-            shared = self.shared.get((wish.account, unit))
-            if shared is not None:
+            limit = self.limit_of(wish.account, unit)
+            if limit > 0:
+                shared = self._of(wish.account, unit, limit, now)
                 given = shared.lend(wish.demand, now)
                 if given > 0:
                     loans.append(Loan(wish.account, given))
@@ -286,6 +291,10 @@
             if shared is not None:
                 shared.borrow(loan.rate, asked_at, now)
 
+    def _known_limit(self, account: str, unit: str) -> float:
+        shared = self.shared.get((account, unit))
+        return shared.limit if shared else 0.0
+
     def _of(
         self, account: str, unit: str, limit: float, now: float
     ) -> SharedLimit:
--- a/src/yuccatally/instance/door.py
+++ b/src/yuccatally/instance/door.py
@@ -48,6 +48,7 @@
         self.metrics = figures
         starts_at = time.monotonic() + limits.JOIN_WAIT_S
         self.admission = admission.Admission(length, starts_at=starts_at)
+        self.admission.limits.limit_of = self._limit_of
         self.places: dict[str, _Place] = {}
         self.inside: dict[str, actions.Job] = {}
         self.tick_scheduled = False
@@ -125,6 +126,14 @@
             while (urgency := self._next(key, now)) is not None:
                 self._let_in(self.admission.grant(key, urgency, now))
 
+    def _limit_of(self, account: str, unit: str) -> float:
+        declared = self.routes.config.get("client_account", account)
+        if declared is None:
+            return 0.0
+        if unit == "requests":
+            return float(declared.spec.requests_per_s)
+        return float(declared.spec.tokens_per_s)
+
     def _next(self, key: tuple[str, str], now: float) -> int | None:
         for urgent_only in (False, True):
             urgency = self.admission.next_urgency(key, urgent_only)
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -29,6 +29,7 @@
 from yuccatally.instance import routes
 from yuccatally.instance import servers
 from yuccatally.instance import services
+from yuccatally.instance import usage
 from yuccatally.instance import watch
 from yuccatally.operators import application as operators_application
 from yuccatally.store import http as http_store
@@ -95,6 +96,12 @@
             self.watch,
             lambda: len(self.ledger.in_flight),
         )
+        self.usage = usage.UsageExchange(
+            settings.instance.name,
+            self.door.admission.limits,
+            self.fleet.transport,
+            self.fleet.members,
+        )
         self.control = control.Control(
             settings.instance.name, store, self.config, self._live_names
         )
@@ -134,6 +141,7 @@
             ]
             self.spawn(self.watch.run())
             self.fleet.start()
+            self.spawn(self.usage.run())
             self.spawn(self.control.run(self.session))
             self.drain.listeners = listeners[:1]
             served = [asyncio.create_task(x.serve()) for x in listeners]
--- /dev/null
+++ b/tests/callers/test_admission.py
@@ -0,0 +1,86 @@
+"""Limits, classes and deadlines over real processes."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from yuccatally_standins import site
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LIMIT = 5.0
+PLAN = site.Plan(
+    instances=2,
+    engines=(
+        site.EnginePlan("front", 0, 8, 1.0, {"part": "front"}),
+        site.EnginePlan("back", 8, 12, 1.0, {"part": "back"}),
+    ),
+    pipelines={"p": (("part=front", 0, 8), ("part=back", 8, 12))},
+    accounts={"small": {"requests_per_s": LIMIT, "urgency": "normal"}},
+)
+BODY = {"model": site.MODEL, "prompt": "Lots?", "max_tokens": 2}
+
+
+def ask(
+    started: site.Site, number: int, key: str, **headers: str
+) -> site.Response:
+    process = started.of_role("instance")[number]
+    url = f"{process.url}/v1/completions"
+    named = {f"Yuccatally-{k.replace('_', '-')}": v for k, v in headers.items()}
+    return site.fetch("POST", url, BODY, key, named)
+
+
+def test_admission_over_two_instances(
+    start_site: Callable[[site.Plan], site.Site],
+) -> None:
+    """Guards against limits per instance and refusals that are not true."""
+    started = start_site(PLAN)
+    for headers in (
+        {"Urgency": "asap"},
+        {"Deadline_Ms": "soon"},
+        {"Deadline_Ms": "0"},
+    ):
+        refused = ask(started, 0, site.ACCOUNT_KEY, **headers)
+        assert (refused.status, refused.outcome) == (400, "not-run")
+    lowered = ask(
+        started, 0, site.ACCOUNT_KEY, Urgency="batch", Deadline_Ms="20000"
+    )
+    assert lowered.outcome == "answered"
+    # The limit holds once the instances know each other and have joined.
+    deadline = time.monotonic() + 20
+    while ask(started, 0, "small-key").status == 429:
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
+    begun = time.monotonic()
+    answers = [ask(started, i % 2, "small-key") for i in range(60)]
+    elapsed_s = time.monotonic() - begun
+    refused_limits = [a for a in answers if a.status == 429]
+    assert {a.outcome for a in refused_limits} == {"not-run"}
+    assert all(int(a.headers["retry-after"]) >= 1 for a in refused_limits)
+    answered = [a for a in answers if a.outcome == "answered"]
+    assert len(answered) + len(refused_limits) == len(answers)
+    assert 1 <= len(answered) <= LIMIT * (elapsed_s + 1) + 2
+    status = [started.status(p) for p in started.of_role("instance")]
+    assert all(s["balanced"] for s in status)
+
+
+def test_deadline_that_cannot_be_met(
+    start_site: Callable[[site.Plan], site.Site],
+) -> None:
+    """Guards against engines that work on answers nobody waits for."""
+    started = start_site(PLAN)
+    for _ in range(3):
+        usual = ask(started, 0, site.ACCOUNT_KEY, Deadline_Ms="9000")
+        assert usual.outcome == "answered"
+    before = site.fetch(
+        "GET", f"{started.processes['front'].url}/v1/engine"
+    ).json()["steps"]
+    refused = ask(started, 0, site.ACCOUNT_KEY, Deadline_Ms="1")
+    assert (refused.status, refused.outcome) == (503, "not-run")
+    assert "retry-after" in refused.headers
+    after = site.fetch(
+        "GET", f"{started.processes['front'].url}/v1/engine"
+    ).json()["steps"]
+    assert after == before
--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -227,10 +227,12 @@
     now = 0.0
     for _ in range(600):
         now += chance.expovariate(60)
-        busy = 0 if chance.random() < skew else chance.randrange(count)
+        # First one instance is busy and borrows, then the others are.
+        alone = now < 4 and chance.random() < skew
+        busy = 0 if alone else chance.randrange(count)
         fleet.offer(busy, chance.uniform(1, largest), now)
         if chance.random() < 0.1 and count > 1:
-            asker, peer = chance.sample(range(count), 2)
+            asker, peer = 0, chance.randrange(1, count)
             fleet.exchange(asker, peer, now, chance.random() < lost)
     for start, (since, _) in enumerate(fleet.taken):
         total = 0.0
