--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -20,14 +20,18 @@
 from yuccatally.core.requests import ledger
 from yuccatally.core.requests import outcomes
 from yuccatally.core.requests import trail
+from yuccatally.core.routing import router
 from yuccatally.instance import claims
 from yuccatally.instance import control
+from yuccatally.instance import door
 from yuccatally.instance import drain
 from yuccatally.instance import fleet
 from yuccatally.instance import generations
+from yuccatally.instance import routes
 from yuccatally.instance import servers
 from yuccatally.instance import services
 from yuccatally.instance import trails
+from yuccatally.instance import usage
 from yuccatally.instance import watch
 from yuccatally.operators import application as operators_application
 from yuccatally.store import http as http_store
@@ -71,8 +75,17 @@
         )
         self.claims = claims.ClaimWriter(store)
         self.services = services.ServiceCalls(self.tracer, self.metrics)
+        self.routes = routes.Routes(
+            self.config,
+            router.Options(
+                settings.routing.policy,
+                settings.routing.demand,
+                settings.routing.limits,
+            ),
+        )
+        self.door = door.Door(self.routes, self.metrics, settings.routing.queue)
         self.generations = generations.Generations(
-            self.config, self.tracer, self.metrics
+            self.config, self.tracer, self.metrics, self.routes
         )
         self.watch = watch.ConfigWatch(
             store,
@@ -89,6 +102,12 @@
             self.watch,
             lambda: len(self.ledger.in_flight),
         )
+        self.usage = usage.UsageExchange(
+            settings.instance.name,
+            self.door.admission.limits,
+            self.fleet.transport,
+            self.fleet.members,
+        )
         self.control = control.Control(
             settings.instance.name, store, self.config, self._live_names
         )
@@ -128,6 +147,7 @@
             ]
             self.spawn(self.watch.run())
             self.fleet.start()
+            self.spawn(self.usage.run())
             self.spawn(self.control.run(self.session))
             self.drain.listeners = listeners[:1]
             self.spawn(self.trails.run())
@@ -152,6 +172,7 @@
     def finish(self, request: str, outcome: outcomes.Outcome) -> None:
         """Records the outcome of a request."""
         ended = self.ledger.finish(request, outcome)
+        self.door.leave(request)
         elapsed_s = time.monotonic() - ended.accepted_at
         self.metrics.observe("request", elapsed_s)
         with self.span("outcome", request, outcome=str(outcome)):
