--- a/src/yuccatally/core/requests/trail.py
+++ b/src/yuccatally/core/requests/trail.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 from typing import TYPE_CHECKING
+from typing import ClassVar
 
 import msgspec
 import xxhash
@@ -77,6 +78,10 @@
         return own + sum(r.length for r in self.records)
 
 
+class TrailKept(msgspec.Struct, frozen=True, tag="trail-kept"):
+    """Confirmation that records were kept."""
+
+
 class TrailCopy(msgspec.Struct, frozen=True, tag="trail-copy"):
     """Records for a peer to keep.
 
@@ -88,11 +93,7 @@
     sender: str
     entries: tuple[Entry, ...]
 
-
-class TrailQuery(msgspec.Struct, frozen=True, tag="trail-query"):
-    """Question for the records of a request."""
-
-    request: str
+    reply: ClassVar[type] = TrailKept
 
 
 class TrailReply(msgspec.Struct, frozen=True, tag="trail-reply"):
@@ -109,6 +110,14 @@
     records: tuple[Record, ...] = ()
 
 
+class TrailQuery(msgspec.Struct, frozen=True, tag="trail-query"):
+    """Question for the records of a request."""
+
+    request: str
+
+    reply: ClassVar[type] = TrailReply
+
+
 @dataclasses.dataclass(frozen=True)
 class Batch:
     """A message for one peer."""
@@ -228,10 +237,11 @@
         for request, records in later.requests.items():
             self.pending.add(request, records)
 
-    def on_copy(self, message: TrailCopy) -> None:
+    def on_copy(self, message: TrailCopy) -> TrailKept:
         """Keeps the records of another instance."""
         for entry in message.entries:
             self.copies.add(entry.request, entry.records)
+        return TrailKept()
 
     def on_query(self, query: TrailQuery) -> TrailReply:
         """Returns what is known here of a request."""
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -108,6 +108,7 @@
             self.fleet.transport,
             self.fleet.members,
         )
+        self.trails.peers = trails.FleetPeers(self.fleet, self.trail)
         self.control = control.Control(
             settings.instance.name, store, self.config, self._live_names
         )
--- a/src/yuccatally/instance/trails.py
+++ b/src/yuccatally/instance/trails.py
@@ -10,8 +10,10 @@
 import structlog
 
 from yuccatally.core.requests import trail
+from yuccatally.peers import transport
 
 if TYPE_CHECKING:
+    from yuccatally.instance import fleet
     from yuccatally.telemetry import metrics
 
 COPY_INTERVAL_S = 0.5
@@ -65,6 +67,48 @@
         raise ConnectionError(f"no transport to {peer}")
 
 
+class FleetPeers:
+    """The transport between the instances of the fleet."""
+
+    def __init__(self, joined: fleet.Fleet, kept: trail.Trail) -> None:
+        self.fleet = joined
+        joined.transport.register(trail.TrailCopy, kept.on_copy)
+        joined.transport.register(trail.TrailQuery, kept.on_query)
+
+    def trail_peers(self) -> tuple[str, ...]:
+        """See ``TrailPeers.trail_peers``."""
+        return tuple(self._addresses())
+
+    async def copy_trail(self, peer: str, message: trail.TrailCopy) -> None:
+        """See ``TrailPeers.copy_trail``."""
+        await self._exchange(peer, message)
+
+    async def query_trail(
+        self, peer: str, message: trail.TrailQuery
+    ) -> trail.TrailReply:
+        """See ``TrailPeers.query_trail``."""
+        return await self._exchange(peer, message)
+
+    async def _exchange(self, peer: str, message: Any) -> Any:
+        address = self._addresses().get(peer)
+        if address is None:
+            raise ConnectionError(f"{peer} is not a member")
+        try:
+            return await self.fleet.transport.exchange(
+                address, message, EXCHANGE_TIMEOUT_S
+            )
+        except transport.PeerError as error:
+            raise ConnectionError(f"{peer}: {error}") from error
+
+    def _addresses(self) -> dict[str, str]:
+        own = self.fleet.settings.instance.name
+        return {
+            m.name: m.peers_address
+            for m in self.fleet.members()
+            if m.name != own
+        }
+
+
 class Trails:
     """Keeps the copies of one instance's trail up to date.
 
