--- a/src/yuccatally/cli/site.py
+++ b/src/yuccatally/cli/site.py
@@ -113,10 +113,19 @@
         ]
         columns = ["AT-MS", "TOOK-MS", "INSTANCE", "HOP", "DETAILS"]
         shown.show(output, found, shown.table(columns, rows))
+    records = found.get("records", [])
+    if records and not spans and output != "json":
+        rows = [
+            [f"{(at - records[0][1]) * 1e3:.1f}", step, detail]
+            for step, at, detail in records
+        ]
+        click.echo(f"taken by {found['taken_by']}; from the copies of peers:")
+        columns = ["AT-MS", "HOP", "DETAILS"]
+        shown.show(output, found, shown.table(columns, rows))
     if found["unreachable"]:
         names = ", ".join(found["unreachable"])
         click.echo(f"warning: no answer from {names}", err=True)
-    if not spans:
+    if not spans and not records:
         raise exits.failure(
             exits.Exit.REFUSED,
             f"request {request!r} is not known: an instance keeps the last "
