Shift only suspicions from before a pause

Cause: news that a paused process reads before its first tick started a suspicion that the pause then prolonged; repairs could also revive a dead member in turns. Change: only suspicions from before the pause are shifted; a member revived by a repair is not passed on until there is evidence of its life. Conclusion: test_resumed_instance_notices_a_death failed before and passes.

--- a/src/yuccatally/core/membership/membership.py
+++ b/src/yuccatally/core/membership/membership.py
@@ -136,7 +136,7 @@
                 self.sync_credit + elapsed_s * self.timing.sync_bytes_s,
             )
             if elapsed_s > 4 * self.timing.period_s:
-                self._shift_suspicions(elapsed_s)
+                self._shift_suspicions(elapsed_s, now)
         done = self._expire(now)
         self.table.drop_tombstones(now)
         target = self._next_target()
@@ -275,7 +275,9 @@
         wanted = tuple(d for d in reply.digests if d not in own)
         theirs = set(reply.digests)
         updates = self._within_credit(
-            u for d, u in own.items() if d not in theirs
+            u
+            for d, u in own.items()
+            if d not in theirs and self.table.records[u.member.name].confirmed
         )
         if wanted or updates:
             message = messages.Repair(self.standing(), updates, wanted)
@@ -345,10 +347,14 @@
                 done += self._believe(dead, now, "dead", announce=False)
         return done
 
-    def _shift_suspicions(self, elapsed_s: float) -> None:
+    def _shift_suspicions(self, elapsed_s: float, now: float) -> None:
         # After a pause of this process nothing is known of that time.
         for name in self.table.suspects:
-            self.table.records[name].suspect_until += elapsed_s
+            record = self.table.records[name]
+            if record.suspected_at <= now - elapsed_s:
+                record.suspect_until += elapsed_s
+        for record in self.others():
+            record.confirmed = False
 
     def _hear(
         self, standing: messages.Standing, now: float
@@ -360,6 +366,7 @@
         ):
             return done
         record.heard_at = now
+        record.confirmed = True
         record.load = standing.load
         # Replies may overtake each other; a revision never goes back.
         if standing.revision >= record.revision:
@@ -407,7 +414,15 @@
             and before.update.member.boot == update.member.boot
         )
         was_suspect = name in self.table.suspects
+        hearsay = (
+            before is not None
+            and before.state is messages.State.DEAD
+            and before.update.incarnation == update.incarnation
+            and reason == "told"
+        )
         record = self.table.set(update, now, announce)
+        if hearsay:
+            record.confirmed = False
         if update.state is messages.State.SUSPECT and not was_suspect:
             size = math.log2(len(self.table) + 1)
             record.suspect_until = now + self.timing.suspicion_s * (
--- a/src/yuccatally/core/membership/table.py
+++ b/src/yuccatally/core/membership/table.py
@@ -33,6 +33,9 @@
         revision: Revision of its configuration when last heard.
         content: Hash of its configuration when last heard.
         load: Requests in flight when last heard.
+        confirmed: Whether there is evidence of life that this instance may
+            pass on. A member revived by a repair is not passed on, or two
+            instances could revive a dead member in turns for ever.
     """
 
     update: messages.Update
@@ -42,6 +45,7 @@
     revision: int = 0
     content: int = 0
     load: int = 0
+    confirmed: bool = True
 
     @property
     def state(self) -> messages.State:
@@ -112,6 +116,8 @@
                 record.revision = record.content = record.load = 0
             if record.update.state is not update.state:
                 record.suspected_at = now
+            if record.update.incarnation != update.incarnation:
+                record.confirmed = True
             record.update = update
         change = before ^ _counted(update)
         if change:
--- a/tests/core/membership/test_agents.py
+++ b/tests/core/membership/test_agents.py
@@ -153,3 +153,20 @@
 TestAgents.settings = settings(
     max_examples=25, stateful_step_count=20, deadline=None, derandomize=True
 )
+
+
+def test_resumed_instance_notices_a_death() -> None:
+    """Guards against suspicions that a pause prolongs, or a death undone.
+
+    Found by the state machine: news from the time of the pause arrives before
+    the first tick after it.
+    """
+    links = carrier.Carrier(NAMES, seed=1)
+    links.run(3)
+    links.kill("i1")
+    links.pause("i2")
+    links.run(18)
+    links.resume("i2")
+    links.run(CONVERGENCE_S)
+    for node in links.running().values():
+        assert believed_alive(node) == set(NAMES) - {"i1"}
--- a/tests/instance/test_fleet.py
+++ b/tests/instance/test_fleet.py
@@ -222,6 +222,7 @@
     """Guards against a change that is missed, or taken back by old data."""
     fleet.set_faults("platform", **faults)
     revision = change(fleet, "faulty")
+    await_in_force(fleet, revision, running(fleet))
     replaced = running(fleet)[2]
     before = {p.name: state(fleet, p)["revision"] for p in running(fleet)}
     replaced.kill()
@@ -253,7 +254,13 @@
     replaced = running(fleet)[3]
     replaced.kill()
     replace(fleet, replaced)
-    await_true(lambda: all_see(fleet, running(fleet)))
+
+    def all_but_the_dead() -> bool:
+        named = [addresses(p) for p in running(fleet)]
+        assert not any("i99" in names for names in named)
+        return all_see(fleet, running(fleet))
+
+    await_true(all_but_the_dead)
     fleet.publish_instances()
 
 
