--- a/src/yuccatally/callers/application.py
+++ b/src/yuccatally/callers/application.py
@@ -86,7 +86,7 @@
 
     async def instances(self, request: requests.Request) -> http.Response:
         """Serves ``GET /v1/instances``."""
-        account = access.account_of(request, self.node.config)
+        account = self.accounts.account_of(request)
         name = account.name if account is not None else ""
         return self._plain(request, self.node.fleet.directory(name))
 
--- a/tests/instance/test_protocol.py
+++ b/tests/instance/test_protocol.py
@@ -119,8 +119,8 @@
     task = asyncio.create_task(found.listener.serve())
     await until(lambda: found.listener.server.started)
     yield found
-    found.listener.stop()
     found.listener.server.force_exit = True
+    await found.listener.stop()
     await task
 
 
