--- a/tests/operators/test_tls.py
+++ b/tests/operators/test_tls.py
@@ -39,7 +39,7 @@
     for section in ("callers", "operators"):
         extra = tls
         if section == "operators":
-            extra += f'authority_file = "{files.certificate}"\n'
+            extra += f'authority_file = "{files.authority}"\n'
         text = text.replace(f"[{section}]\n", f"[{section}]\n{extra}")
     return text
 
@@ -70,7 +70,7 @@
             members.append({"name": name, "data_centre": "north", **announced})
         site.fetch("PUT", f"{platform.url}/admin/instances", members)
         address = f"https://{members[0]['operators_address']}"
-        authority = ("--authority", str(files.certificate))
+        authority = ("--authority", str(files.authority))
         deadline = time.monotonic() + 20
         while time.monotonic() < deadline:
             shown = run(address, "status", *authority)
@@ -84,7 +84,7 @@
         assert "CERTIFICATE_VERIFY_FAILED" in unverified.stderr
         plain = run(members[0]["operators_address"], "status")
         assert plain.exit_code != 0
-        context = ssl.create_default_context(cafile=files.certificate)
+        context = ssl.create_default_context(cafile=files.authority)
         url = f"https://{members[0]['callers_address']}/v1/models"
         request = urllib.request.Request(
             url, headers={"Authorization": f"Bearer {site.ACCOUNT_KEY}"}
@@ -109,7 +109,7 @@
     }
     text = site.settings_text("i1", "north", addresses, "127.0.0.1:9")
     file = tmp_path / "settings.toml"
-    mixed = certificates.Files(one.certificate, other.key)
+    mixed = certificates.Files(one.certificate, other.key, one.authority)
     for files, status in ((one, 0), (mixed, 2)):
         file.write_text(secured(text, files))
         checked = testing.CliRunner().invoke(main.main, ["check", str(file)])
