Measure control of one placement

Cause: nothing said how many calls control makes or how long a roll takes. Conclusion: two reports a second from each engine would be 6,600/s at 3,300 engines; they have to follow what there is to do.

--- a/src/yuccatally_standins/engine.py
+++ b/src/yuccatally_standins/engine.py
@@ -85,6 +85,7 @@
         self.arrived = asyncio.Event()
         self.order = 0
         self.steps = 0
+        self.reports = 0
         self.tokens = 0
         self.holdings = holdings.Holdings(
             config.capacity_layers,
@@ -125,10 +126,12 @@
         app["worker"] = asyncio.create_task(self._work())
 
     async def _describe(self, request: web.Request) -> web.Response:
+        self.reports += 1
         return web.json_response(
             {
                 **dataclasses.asdict(self.config),
                 **self.holdings.describe(),
+                "reports": self.reports,
                 "steps": self.steps,
                 "tokens": self.tokens,
                 "token_layers": self.token_layers,
