Name admission and its messages by their usual terms

Cause: a read-through met names that need explaining (door, wish, hearsay), and the handlers of both completion endpoints repeated the same steps. Conclusion: behaviour is unchanged.

--- a/src/yuccatally/callers/application.py
+++ b/src/yuccatally/callers/application.py
@@ -139,11 +139,7 @@
         body: bytes,
     ) -> http.Response:
         asked = completions.parse_completion(body)
-        wish = urgency.wish_of(request.headers)
-        self.node.ledger.life_of(identity).delegate()
-        return await completions.serve(
-            self.node, identity, account, asked, wish, request.receive
-        )
+        return await self._generate(identity, account, request, asked)
 
     async def _chat(
         self,
@@ -153,10 +149,19 @@
         body: bytes,
     ) -> http.Response:
         asked = completions.parse_chat(body)
-        wish = urgency.wish_of(request.headers)
+        return await self._generate(identity, account, request, asked)
+
+    async def _generate(
+        self,
+        identity: str,
+        account: kinds.Object,
+        request: requests.Request,
+        asked: completions.Asked,
+    ) -> http.Response:
+        preferences = urgency.preferences_of(request.headers)
         self.node.ledger.life_of(identity).delegate()
         return await completions.serve(
-            self.node, identity, account, asked, wish, request.receive
+            self.node, identity, account, asked, preferences, request.receive
         )
 
     async def _service(
--- a/src/yuccatally/callers/completions.py
+++ b/src/yuccatally/callers/completions.py
@@ -110,7 +110,7 @@
     request: str,
     account: kinds.Object,
     asked: Asked,
-    wish: urgency.Wish,
+    preferences: urgency.Preferences,
     receive: types.Receive,
 ) -> http.Response:
     """Generates an answer for an accepted request.
@@ -120,7 +120,7 @@
         request: Request id.
         account: Client account of the caller.
         asked: What to generate.
-        wish: Class and deadline that the caller stated.
+        preferences: Class and deadline that the caller stated.
         receive: Tells when the caller closes the connection.
 
     Returns:
@@ -141,17 +141,15 @@
             f"prompt and max_tokens exceed {model.spec.context_tokens} tokens",
         )
         return node.refuse(request, refusal)
-    job = _job(node, request, account, asked, model, wish)
+    job = _job(node, request, account, asked, model, preferences)
     try:
-        turned_away = await streams.unless_gone(
-            receive, node.door.enter(job, account)
+        refusal = await streams.unless_gone(
+            receive, node.admissions.enter(job, account)
         )
     except streams.CallerGoneError:
-        turned_away = dataclasses.replace(
-            _gone(), outcome=outcomes.Outcome.NOT_RUN
-        )
-    if turned_away is not None:
-        return node.refuse(request, turned_away)
+        refusal = dataclasses.replace(_gone(), outcome=outcomes.Outcome.NOT_RUN)
+    if refusal is not None:
+        return node.refuse(request, refusal)
     emitted = node.generations.generate(job)
     if asked.stream:
         stream = streams.EventStream(node, request)
@@ -305,7 +303,7 @@
     account: kinds.Object,
     asked: Asked,
     model: kinds.Object,
-    wish: urgency.Wish,
+    preferences: urgency.Preferences,
 ) -> actions.Job:
     return actions.Job(
         request=request,
@@ -314,9 +312,9 @@
         prompt=asked.prompt,
         max_tokens=asked.max_tokens,
         end_token=model.spec.end_token,
-        priority=wish.priority(account),
+        priority=preferences.priority(account),
         deadline=time.monotonic()
-        + wish.timeout_s(node.settings.limits.request_timeout_s),
+        + preferences.timeout_s(node.settings.limits.request_timeout_s),
         account=account.name,
     )
 
--- a/src/yuccatally/callers/urgency.py
+++ b/src/yuccatally/callers/urgency.py
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Wish:
+class Preferences:
     """What the headers of a request state.
 
     Attributes:
@@ -42,13 +42,13 @@
         return min(longest_s, self.deadline_s)
 
 
-def wish_of(headers: Mapping[str, str]) -> Wish:
+def preferences_of(headers: Mapping[str, str]) -> Preferences:
     """Reads the headers of a request.
 
     Raises:
         MalformedError: A header has a value that is not understood.
 
-    >>> wish_of({"yuccatally-urgency": "batch"}).urgency
+    >>> preferences_of({"yuccatally-urgency": "batch"}).urgency
     <Urgency.BATCH: 2>
     """
     named = headers.get(URGENCY_HEADER)
@@ -62,11 +62,11 @@
             )
     text = headers.get(DEADLINE_HEADER)
     if text is None:
-        return Wish(urgency)
+        return Preferences(urgency)
     allowed = text.isascii() and text.isdigit() and len(text) < 10
     if not allowed or not 0 < int(text) <= LONGEST_DEADLINE_MS:
         raise responses.MalformedError(
             "Yuccatally-Deadline-Ms: expected milliseconds from 1 to "
             f"{LONGEST_DEADLINE_MS}, found {text!r}"
         )
-    return Wish(urgency, int(text) / 1e3)
+    return Preferences(urgency, int(text) / 1e3)
--- a/src/yuccatally/core/admission/admission.py
+++ b/src/yuccatally/core/admission/admission.py
@@ -1,4 +1,4 @@
-"""Decides at the door which requests run, wait or are refused."""
+"""Decides at admission which requests run, wait or are refused."""
 
 from __future__ import annotations
 
--- a/src/yuccatally/core/admission/limits.py
+++ b/src/yuccatally/core/admission/limits.py
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Wish:
+class LoanRequest:
     """Use of one limit that an instance tells a peer.
 
     Attributes:
@@ -141,7 +141,7 @@
         self._decay(now)
         return self.asked * math.log(2) / DEMAND_HALF_LIFE_S
 
-    def wish(self, now: float) -> float:
+    def wanted_rate(self, now: float) -> float:
         """Returns the demand above what may be used, to tell peers."""
         self._update(now)
         return max(0.0, self.demand(now) - self._rate(now))
@@ -259,33 +259,33 @@
         if shared is not None and tokens > 0:
             shared.bucket.give_back(tokens)
 
-    def wishes(self, now: float) -> dict[str, tuple[Wish, ...]]:
+    def loan_requests(self, now: float) -> dict[str, tuple[LoanRequest, ...]]:
         """Returns what this instance would borrow, by unit."""
-        found: dict[str, list[Wish]] = {"requests": [], "tokens": []}
+        found: dict[str, list[LoanRequest]] = {"requests": [], "tokens": []}
         for (account, unit), shared in self.shared.items():
-            wanted = shared.wish(now)
+            wanted = shared.wanted_rate(now)
             if wanted > 0:
-                found[unit].append(Wish(account, wanted))
+                found[unit].append(LoanRequest(account, wanted))
         return {unit: tuple(listed) for unit, listed in found.items()}
 
     def lend(
-        self, unit: str, wishes: Iterable[Wish], now: float
+        self, unit: str, loan_requests: Iterable[LoanRequest], now: float
     ) -> tuple[Loan, ...]:
-        """Answers a peer's wishes, also for accounts not seen here yet."""
+        """Answers a peer's requests, also for accounts not seen yet."""
         loans = []
-        for wish in wishes:
-            limit = self.limit_of(wish.account, unit)
+        for loan_request in loan_requests:
+            limit = self.limit_of(loan_request.account, unit)
             if limit > 0:
-                shared = self._of(wish.account, unit, limit, now)
-                given = shared.lend(wish.demand, now)
+                shared = self._of(loan_request.account, unit, limit, now)
+                given = shared.lend(loan_request.demand, now)
                 if given > 0:
-                    loans.append(Loan(wish.account, given))
+                    loans.append(Loan(loan_request.account, given))
         return tuple(loans)
 
     def borrow(
         self, unit: str, loans: Iterable[Loan], asked_at: float, now: float
     ) -> None:
-        """Records the answer to wishes that were sent at a time."""
+        """Records the answer to loan_requests that were sent at a time."""
         for loan in loans:
             shared = self.shared.get((loan.account, unit))
             if shared is not None:
--- a/src/yuccatally/core/generation/actions.py
+++ b/src/yuccatally/core/generation/actions.py
@@ -59,7 +59,7 @@
     def step_priority(self) -> int:
         """Priority of steps on engines.
 
-        Classes below urgent are served in order at the door. Once let in they
+        Classes below urgent are served in order at admission. Once let in they
         are equal, since an answer that is overtaken on the engines may come
         too late after most of its cost.
         """
--- a/src/yuccatally/core/membership/membership.py
+++ b/src/yuccatally/core/membership/membership.py
@@ -414,14 +414,14 @@
             and before.update.member.boot == update.member.boot
         )
         was_suspect = name in self.table.suspects
-        hearsay = (
+        indirect = (
             before is not None
             and before.state is messages.State.DEAD
             and before.update.incarnation == update.incarnation
             and reason == "told"
         )
         record = self.table.set(update, now, announce)
-        if hearsay:
+        if indirect:
             record.confirmed = False
         if update.state is messages.State.SUSPECT and not was_suspect:
             size = math.log2(len(self.table) + 1)
--- a/src/yuccatally/core/membership/table.py
+++ b/src/yuccatally/core/membership/table.py
@@ -225,8 +225,9 @@
 ) -> messages.Update:
     """Returns the belief after an update from another instance.
 
-    Nobody is declared dead on hearsay: a reported death starts a suspicion,
-    which the member can refute. ``leaving`` is never taken back within a life.
+    Nobody is declared dead on an indirect report: a reported death starts a
+    suspicion, which the member can refute. ``leaving`` is never taken back
+    within a life.
 
     Args:
         held: Belief so far.
--- a/src/yuccatally/instance/door.py
+++ b/src/yuccatally/instance/admissions.py
@@ -1,4 +1,4 @@
-"""Holds model requests at the door until engines have room."""
+"""Holds model requests until engines have room."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
     answer: asyncio.Future[Answer]
 
 
-class Door:
+class Admissions:
     """Admission of model requests, over futures of the waiting callers."""
 
     def __init__(
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -21,9 +21,9 @@
 from yuccatally.core.requests import outcomes
 from yuccatally.core.requests import trail
 from yuccatally.core.routing import router
+from yuccatally.instance import admissions
 from yuccatally.instance import claims
 from yuccatally.instance import control
-from yuccatally.instance import door
 from yuccatally.instance import drain
 from yuccatally.instance import fleet
 from yuccatally.instance import generations
@@ -83,7 +83,9 @@
                 settings.routing.limits,
             ),
         )
-        self.door = door.Door(self.routes, self.metrics, settings.routing.queue)
+        self.admissions = admissions.Admissions(
+            self.routes, self.metrics, settings.routing.queue
+        )
         self.generations = generations.Generations(
             self.config, self.tracer, self.metrics, self.routes
         )
@@ -104,7 +106,7 @@
         )
         self.usage = usage.UsageExchange(
             settings.instance.name,
-            self.door.admission.limits,
+            self.admissions.admission.limits,
             self.fleet.transport,
             self.fleet.members,
         )
@@ -173,7 +175,7 @@
     def finish(self, request: str, outcome: outcomes.Outcome) -> None:
         """Records the outcome of a request."""
         ended = self.ledger.finish(request, outcome)
-        self.door.leave(request)
+        self.admissions.leave(request)
         elapsed_s = time.monotonic() - ended.accepted_at
         self.metrics.observe("request", elapsed_s)
         with self.span("outcome", request, outcome=str(outcome)):
--- a/src/yuccatally/instance/usage.py
+++ b/src/yuccatally/instance/usage.py
@@ -25,7 +25,7 @@
 TIMEOUT_S = 0.5
 # Peers asked in one round; the cost does not grow with the fleet.
 FANOUT = 2
-MAX_WISHES = 256
+MAX_LOAN_REQUESTS = 256
 
 _log = structlog.get_logger()
 
@@ -50,7 +50,7 @@
     reply: ClassVar[type] = UsageReply
 
     sender: str
-    wishes: list[Part]
+    loan_requests: list[Part]
 
 
 class UsageExchange:
@@ -89,24 +89,26 @@
         return UsageReply(
             [
                 Part(loan.account, part.unit, loan.rate)
-                for part in message.wishes[:MAX_WISHES]
+                for part in message.loan_requests[:MAX_LOAN_REQUESTS]
                 if part.unit in limits.UNITS
                 for loan in self.limits.lend(
-                    part.unit, [limits.Wish(part.account, part.rate)], now
+                    part.unit,
+                    [limits.LoanRequest(part.account, part.rate)],
+                    now,
                 )
             ]
         )
 
     async def _ask(self, peer: client.Member) -> None:
         asked_at = time.monotonic()
-        wishes = [
-            Part(wish.account, unit, wish.demand)
-            for unit, listed in self.limits.wishes(asked_at).items()
-            for wish in listed
+        loan_requests = [
+            Part(loan_request.account, unit, loan_request.demand)
+            for unit, listed in self.limits.loan_requests(asked_at).items()
+            for loan_request in listed
         ]
-        if not wishes:
+        if not loan_requests:
             return
-        message = Usage(self.name, wishes[:MAX_WISHES])
+        message = Usage(self.name, loan_requests[:MAX_LOAN_REQUESTS])
         try:
             reply = await self.transport.exchange(
                 peer.peers_address, message, TIMEOUT_S
@@ -115,6 +117,6 @@
             _log.debug("usage_not_exchanged", peer=peer.name, error=str(error))
             return
         now = time.monotonic()
-        for part in reply.loans[:MAX_WISHES]:
+        for part in reply.loans[:MAX_LOAN_REQUESTS]:
             loan = limits.Loan(part.account, part.rate)
             self.limits.borrow(part.unit, [loan], asked_at, now)
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -240,7 +240,7 @@
         demand: Whether the queued work of a request is estimated from what
             its account used so far instead of from its token limit.
         limits: Whether the sequences on an engine are limited, so that other
-            requests wait at the door in the order of their class. Without,
+            requests wait at admission in the order of their class. Without,
             every request starts at once; for comparison.
         queue: Greatest number of requests that wait for an engine.
     """
--- a/src/yuccatally_bench/model.py
+++ b/src/yuccatally_bench/model.py
@@ -115,7 +115,7 @@
     Attributes:
         now: Time in seconds.
         runs: All requests.
-        longest_queue: Greatest number of requests that waited at one door.
+        longest_queue: Greatest number of requests that waited at one gate.
     """
 
     def __init__(
@@ -139,7 +139,7 @@
         self.routers = [
             router.Router(options, seed * 1000 + i) for i in range(instances)
         ]
-        self.doors = [admission.Admission(queue) for _ in self.routers]
+        self.gates = [admission.Admission(queue) for _ in self.routers]
         self.waiting: list[dict[str, Run]] = [{} for _ in self.routers]
         for each in self.routers:
             each.use(config)
@@ -232,7 +232,7 @@
 
     def _arrive(self, run: Run) -> None:
         self.runs.append(run)
-        door, each = self.doors[run.instance], self.routers[run.instance]
+        gate, each = self.gates[run.instance], self.routers[run.instance]
         expected = each.demand.expected(run.account, MODEL[0], run.max_tokens)
         item = fairqueue.Waiting(
             run.request,
@@ -244,7 +244,7 @@
             run.deadline,
             self.now,
         )
-        answer = door.offer(item, UNLIMITED, run.max_tokens, self.now)
+        answer = gate.offer(item, UNLIMITED, run.max_tokens, self.now)
         if isinstance(answer, outcomes.Refusal):
             self._end(run, "not-run")
             return
@@ -259,12 +259,12 @@
             self._end(self.waiting[instance].pop(each.request), "not-run")
 
     def _pump(self, instance: int) -> None:
-        door, each = self.doors[instance], self.routers[instance]
+        gate, each = self.gates[instance], self.routers[instance]
         for highest in (False, True):
-            while (u := door.next_urgency(MODEL, highest)) is not None:
+            while (u := gate.next_urgency(MODEL, highest)) is not None:
                 if not each.room(*MODEL, u == 0, self.now):
                     break
-                item = door.grant(MODEL, u, self.now)
+                item = gate.grant(MODEL, u, self.now)
                 run = self.waiting[instance].pop(item.request)
                 self._start(run, frozenset())
 
@@ -281,7 +281,7 @@
         route = each.choose(ask, self.now, excluded)
         if route is None or self.now > run.deadline:
             each.on_end(run.request)
-            self.doors[run.instance].release(
+            self.gates[run.instance].release(
                 run.request, run.max_tokens, run.done, self.now
             )
             self._end(run, "unknown")
@@ -290,7 +290,7 @@
             run.attempts == 0
             and self.now + each.expected_s(ask, route, self.now) > run.deadline
         ):
-            self.doors[run.instance].take_back(
+            self.gates[run.instance].take_back(
                 run.request, run.max_tokens, self.now
             )
             self._end(run, "not-run")
@@ -368,7 +368,7 @@
             )
             for name in run.route:
                 self.engines[name].held.discard(run.request)
-            self.doors[run.instance].release(
+            self.gates[run.instance].release(
                 run.request, run.max_tokens, run.tokens, self.now
             )
             self._end(run, "answered")
@@ -398,8 +398,8 @@
         self._later(REPORT_INTERVAL_S, lambda: self._report(name))
 
     def _tick(self) -> None:
-        for instance, door in enumerate(self.doors):
-            self._shed(instance, door.expire(self.now))
+        for instance, gate in enumerate(self.gates):
+            self._shed(instance, gate.expire(self.now))
             self._pump(instance)
         self._later(TICK_S, self._tick)
 
--- a/src/yuccatally_bench/throughput.py
+++ b/src/yuccatally_bench/throughput.py
@@ -38,29 +38,29 @@
 
     policy: str
     planned: bool
-    door: bool
+    limits: bool
 
     @property
     def name(self) -> str:
         """Name for tables."""
         split = "planned" if self.planned else "even"
-        waiting = ", limits" if self.door else ""
+        waiting = ", limits" if self.limits else ""
         return f"{self.policy}, {split}{waiting}"
 
     @property
     def settings(self) -> str:
         """Text for the settings of the instances."""
-        limits = str(self.door).lower()
+        limits = str(self.limits).lower()
         return f'\n[routing]\npolicy = "{self.policy}"\nlimits = {limits}\n'
 
 
 VARIANTS = (
-    Variant("round-robin", planned=False, door=False),
-    Variant("least-outstanding", planned=False, door=False),
-    Variant("round-robin", planned=True, door=False),
-    Variant("least-outstanding", planned=True, door=False),
-    Variant("least-outstanding", planned=True, door=True),
-    Variant("work", planned=True, door=True),
+    Variant("round-robin", planned=False, limits=False),
+    Variant("least-outstanding", planned=False, limits=False),
+    Variant("round-robin", planned=True, limits=False),
+    Variant("least-outstanding", planned=True, limits=False),
+    Variant("least-outstanding", planned=True, limits=True),
+    Variant("work", planned=True, limits=True),
 )
 
 
--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -1,4 +1,4 @@
-"""Order, fairness, limits and refusals at the door."""
+"""Order, fairness, limits and refusals at admission."""
 
 from __future__ import annotations
 
@@ -32,13 +32,13 @@
     )
 
 
-def drain(door: admission.Admission, count: int) -> list[fairqueue.Waiting]:
+def drain(gate: admission.Admission, count: int) -> list[fairqueue.Waiting]:
     found = []
     for _ in range(count):
-        urgency = door.next_urgency(KEY)
+        urgency = gate.next_urgency(KEY)
         if urgency is None:
             break
-        found.append(door.grant(KEY, urgency, 0.0))
+        found.append(gate.grant(KEY, urgency, 0.0))
     return found
 
 
@@ -52,16 +52,16 @@
 )
 def test_no_class_starves(sizes: list[tuple[int, float]]) -> None:
     """Guards against lower classes that never run while higher ones wait."""
-    door = admission.Admission()
+    gate = admission.Admission()
     for urgency in (0, 1, 2):
         for i in range(100):
             item = waiting(f"{urgency}-{i}", urgency=urgency, work=100.0)
-            door.offer(item, NO_LIMIT, 1, 0.0)
+            gate.offer(item, NO_LIMIT, 1, 0.0)
     work: collections.Counter[int] = collections.Counter()
     for i, (urgency, size) in enumerate(sizes):
         item = waiting(f"new-{i}", urgency=urgency, work=size)
-        door.offer(item, NO_LIMIT, 1, 0.0)
-        for granted in drain(door, 1):
+        gate.offer(item, NO_LIMIT, 1, 0.0)
+        for granted in drain(gate, 1):
             work[granted.urgency] += granted.work
     total = sum(work.values())
     # One request of each lower class may be due but not let in yet.
@@ -85,22 +85,22 @@
     offers: list[tuple[int, int, bool]],
 ) -> None:
     """Guards against a queue without bound and requests without an answer."""
-    door = admission.Admission(length=10)
+    gate = admission.Admission(length=10)
     fates: collections.Counter[str] = collections.Counter()
     for i, (urgency, account, let_in) in enumerate(offers):
         item = waiting(f"r{i}", f"a{account}", urgency)
-        answer = door.offer(item, NO_LIMIT, 1, 0.0)
+        answer = gate.offer(item, NO_LIMIT, 1, 0.0)
         if isinstance(answer, outcomes.Refusal):
             assert answer.outcome is outcomes.Outcome.NOT_RUN
             assert answer.retry_after_s >= 1
             fates[item.request] += 1
         else:
             fates.update(s.request for s in answer.shed)
-        assert len(door.places) <= 10
-        assert len(door.places) == sum(len(q) for q in door.queues.values())
+        assert len(gate.places) <= 10
+        assert len(gate.places) == sum(len(q) for q in gate.queues.values())
         if let_in:
-            fates.update(g.request for g in drain(door, 1))
-    fates.update(g.request for g in drain(door, 1000))
+            fates.update(g.request for g in drain(gate, 1))
+    fates.update(g.request for g in drain(gate, 1000))
     assert fates == {f"r{i}": 1 for i in range(len(offers))}
 
 
@@ -117,13 +117,13 @@
     weights: dict[str, int], works: dict[str, float]
 ) -> None:
     """Guards against accounts that gain by long or by many requests."""
-    door = admission.Admission(length=10_000)
+    gate = admission.Admission(length=10_000)
     for i in range(1000):
         for account, weight in weights.items():
             item = waiting(f"{account}{i}", account, 1, works[account], weight)
-            door.offer(item, NO_LIMIT, 1, 0.0)
+            gate.offer(item, NO_LIMIT, 1, 0.0)
     got: collections.Counter[str] = collections.Counter()
-    for granted in drain(door, 300):
+    for granted in drain(gate, 300):
         got[granted.account] += granted.work
     shares = [got[a] / w for a, w in weights.items()]
     assert max(shares) - min(shares) <= 2 * max(works.values())
@@ -155,10 +155,10 @@
     queued: list[tuple[str, int]], new: tuple[str, int], shed: str | None
 ) -> None:
     """Guards against work of a high rank that is refused for a lower one."""
-    door = admission.Admission(length=len(queued))
+    gate = admission.Admission(length=len(queued))
     for i, (account, urgency) in enumerate(queued):
-        door.offer(waiting(f"r{i}", account, urgency), NO_LIMIT, 1, 0.0)
-    answer = door.offer(waiting("new", *new), NO_LIMIT, 1, 0.0)
+        gate.offer(waiting(f"r{i}", account, urgency), NO_LIMIT, 1, 0.0)
+    answer = gate.offer(waiting("new", *new), NO_LIMIT, 1, 0.0)
     if shed is None:
         assert isinstance(answer, outcomes.Refusal)
         assert answer.reason is outcomes.Reason.OVERLOADED
@@ -169,43 +169,43 @@
 
 def test_deadline_that_cannot_be_met_is_refused_early() -> None:
     """Guards against work on answers that come too late."""
-    door = admission.Admission()
+    gate = admission.Admission()
     for i in range(20):
-        door.offer(waiting(f"r{i}"), NO_LIMIT, 1, 0.0)
-        assert door.next_urgency(KEY) == 1
-        door.grant(KEY, 1, 0.0)
-        door.release(f"r{i}", 1, 1, 2.0)
+        gate.offer(waiting(f"r{i}"), NO_LIMIT, 1, 0.0)
+        assert gate.next_urgency(KEY) == 1
+        gate.grant(KEY, 1, 0.0)
+        gate.release(f"r{i}", 1, 1, 2.0)
     now = 2.0
-    answer = door.offer(waiting("late", deadline=now + 1), NO_LIMIT, 1, now)
+    answer = gate.offer(waiting("late", deadline=now + 1), NO_LIMIT, 1, now)
     assert isinstance(answer, outcomes.Refusal)
     assert answer.outcome is outcomes.Outcome.NOT_RUN
-    on_time = door.offer(waiting("ok", deadline=now + 4), NO_LIMIT, 1, now)
+    on_time = gate.offer(waiting("ok", deadline=now + 4), NO_LIMIT, 1, now)
     assert isinstance(on_time, admission.Queued)
-    assert [s.request for s in door.expire(now + 3)] == ["ok"]
+    assert [s.request for s in gate.expire(now + 3)] == ["ok"]
     # The estimate fades, or nothing would ever be let in again.
     again = waiting("again", deadline=101.0, now=100.0)
-    assert isinstance(door.offer(again, NO_LIMIT, 1, 100.0), admission.Queued)
+    assert isinstance(gate.offer(again, NO_LIMIT, 1, 100.0), admission.Queued)
 
 
 class Fleet:
     """Instances that share one limit over messages that may be lost."""
 
     def __init__(self, limit: float, count: int) -> None:
-        self.doors = [limits.Limits(count) for _ in range(count)]
+        self.gates = [limits.Limits(count) for _ in range(count)]
         self.limits = limits.AccountLimits(0.0, limit)
         self.taken: list[tuple[float, float]] = []
 
     def offer(self, instance: int, cost: float, now: float) -> bool:
-        door = self.doors[instance]
-        taken = door.wait_s("desk", self.limits, cost, now) == 0
+        gate = self.gates[instance]
+        taken = gate.wait_s("desk", self.limits, cost, now) == 0
         if taken:
             self.taken.append((now, cost))
         return taken
 
     def exchange(self, asker: int, peer: int, now: float, lost: bool) -> None:
-        asking, lender = self.doors[asker], self.doors[peer]
-        for unit, wishes in asking.wishes(now).items():
-            loans = lender.lend(unit, wishes, now)
+        asking, lender = self.gates[asker], self.gates[peer]
+        for unit, loan_requests in asking.loan_requests(now).items():
+            loans = lender.lend(unit, loan_requests, now)
             if not lost:
                 asking.borrow(unit, loans, asked_at=now - 0.1, now=now)
 
@@ -269,14 +269,14 @@
 
 def test_unused_tokens_are_given_back() -> None:
     """Guards against answers that are charged for their token limit."""
-    door = admission.Admission()
+    gate = admission.Admission()
     allowed = limits.AccountLimits(0.0, 10.0)
-    first = door.offer(waiting("r0"), allowed, 10, 0.0)
+    first = gate.offer(waiting("r0"), allowed, 10, 0.0)
     assert isinstance(first, admission.Queued)
-    refused = door.offer(waiting("r1"), allowed, 5, 0.0)
+    refused = gate.offer(waiting("r1"), allowed, 5, 0.0)
     assert isinstance(refused, outcomes.Refusal)
     assert refused.reason is outcomes.Reason.LIMITED
-    drain(door, 1)
-    door.release("r0", 10, 2, 0.0)
-    second = door.offer(waiting("r2"), allowed, 5, 0.0)
+    drain(gate, 1)
+    gate.release("r0", 10, 2, 0.0)
+    second = gate.offer(waiting("r2"), allowed, 5, 0.0)
     assert isinstance(second, admission.Queued)
--- a/tests/core/membership/test_table.py
+++ b/tests/core/membership/test_table.py
@@ -23,7 +23,7 @@
 
 
 @given(UPDATES, UPDATES, st.booleans())
-def test_hearsay_is_limited(
+def test_indirect_reports_are_limited(
     held: messages.Update, told: messages.Update, repair: bool
 ) -> None:
     """Guards against old or second-hand news that overrules newer news."""
