Keep the records of engines that are killed during a fault injection

Cause: 5 of 514 whole answers disagreed with the engines' records. The record of an engine ends with its process; when all engines of a final attempt had been killed later, an earlier attempt on a live engine was taken for the last one and did not cover the answer. Ruled out: a layer that was not applied. Change: an engine finishes its step and its record is read before it is killed. The check is otherwise as it was and now covers killed engines as well.

--- a/src/yuccatally_bench/injection.py
+++ b/src/yuccatally_bench/injection.py
@@ -31,6 +31,7 @@
 RESTART_S = 0.4
 SETTLE_S = 1.0
 STOP_S = 1.2
+STEP_END_S = 0.05
 LIMIT_S = 170.0
 # Engines expire an import that no step has used after 10 s.
 LEAK_WAIT_S = 13.0
@@ -57,6 +58,7 @@
         default_factory=collections.Counter
     )
     down: set[str] = dataclasses.field(default_factory=set)
+    kept: list[streams.Executed] = dataclasses.field(default_factory=list)
     done: bool = False
 
 
@@ -122,6 +124,7 @@
         run.down.add(name)
         process = run.site.processes[name]
         if kind < KILL_SHARE:
+            await _keep_record(run, name)
             process.kill()
             run.injected["kill"] += 1
             repairs.append(asyncio.create_task(_restart(run, name)))
@@ -138,6 +141,18 @@
         run.injected[str(fault)] += 1
 
 
+async def _keep_record(run: _Run, name: str) -> None:
+    """Reads what an engine computed, just before it is killed.
+
+    A step under way is let finish, so that nothing is computed unrecorded.
+    """
+    url = f"{run.site.processes[name].url}/faults"
+    async with run.session.post(url, json={"frozen": True}):
+        await asyncio.sleep(STEP_END_S)
+    plan = next(p for p in PLAN.engines if p.name == name)
+    run.kept.append(await asyncio.to_thread(streams.executed, run.site, plan))
+
+
 async def _pending(run: _Run, url: str) -> bool:
     """Returns whether the engine has not met its latest fault yet.
 
@@ -165,7 +180,7 @@
 def _summary(run: _Run, seed: int, elapsed_s: float) -> str:
     outcomes = collections.Counter(a.outcome or "none" for a in run.answers)
     statuses = [run.site.status(p) for p in run.site.of_role("instance")]
-    wrong = streams.disagreements(run.site, run.answers)
+    wrong = streams.disagreements(run.site, run.answers, run.kept)
     refused = collections.Counter(a.error for a in run.answers if a.error)
     lines = [
         f"injected faults: {run.injected.total()} in {elapsed_s:.0f} s, "
--- a/src/yuccatally_standins/streams.py
+++ b/src/yuccatally_standins/streams.py
@@ -108,26 +108,53 @@
             await asyncio.sleep(0.005)
 
 
-def disagreements(started: site.Site, answers: list[Answer]) -> list[str]:
-    """Compares what callers saw with what the live engines executed.
+@dataclasses.dataclass(frozen=True)
+class Executed:
+    """What one process of an engine computed.
+
+    Attributes:
+        plan: The engine.
+        rows: Request, attempt and ranges of positions.
+    """
+
+    plan: site.EnginePlan
+    rows: list[tuple[str, int, list[tuple[int, int]]]]
+
+
+def executed(started: site.Site, plan: site.EnginePlan) -> Executed:
+    """Reads what a running engine has computed since its start."""
+    url = f"{started.processes[plan.name].url}/executed"
+    return Executed(plan, site.fetch("GET", url).json())
+
+
+def disagreements(
+    started: site.Site, answers: list[Answer], kept: Iterable[Executed] = ()
+) -> list[str]:
+    """Compares what callers saw with what the engines executed.
 
     Every attempt must have been computed as one range of positions from 0 by
     each engine, and the last attempt of a whole answer must cover its prompt
-    and tokens in every layer exactly once. A killed engine has no record; its
-    layers are not compared.
+    and tokens in every layer exactly once. Without a kept record, the layers of
+    an engine that was killed are not compared.
+
+    Args:
+        started: The site; its live engines are asked.
+        answers: What callers saw.
+        kept: Records read from engines before they were killed.
 
     Returns:
         One line for each difference.
     """
     found = []
     layers: dict[tuple[str, int], dict[int, int]] = {}
-    for plan in started.plan.engines:
-        process = started.processes[plan.name]
-        if process.popen.poll() is not None:
-            continue
-        for request, attempt, ranges in site.fetch(
-            "GET", f"{process.url}/executed"
-        ).json():
+    live = [
+        executed(started, plan)
+        for plan in started.plan.engines
+        if started.processes[plan.name].popen.poll() is None
+    ]
+    for record in (*live, *kept):
+        plan = record.plan
+        for request, attempt, ranges in record.rows:
             if len(ranges) != 1 or ranges[0][0] != 0:
                 found.append(f"{plan.name} {request} {attempt}: {ranges}")
             seen = layers.setdefault((request, attempt), {})
