--- /dev/null
+++ b/tests/upstreams/test_engine_contract.py
@@ -0,0 +1,149 @@
+"""Contract of the engines' protocol, for every kind of engine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import test_utils
+import msgspec
+import pytest
+import pytest_asyncio
+
+from yuccatally.core.control import states
+from yuccatally.core.stages import messages
+from yuccatally.upstreams import orders
+from yuccatally_standins import engine
+from yuccatally_standins import reference
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MODEL, VERSION, LAYERS = "m", "v1", 4
+PROMPT = [72, 105, 33]
+
+
+class Peer:
+    """One WebSocket to an engine."""
+
+    def __init__(
+        self, socket: aiohttp.ClientWebSocketResponse, address: str
+    ) -> None:
+        self.socket = socket
+        self.address = address
+        self.frame = 0
+
+    async def step(self, **changes: object) -> messages.StepResult:
+        """Sends one item in a frame and returns the frame's result."""
+        self.frame += 1
+        item = messages.StepItem(
+            "r", 1, 0, 0, LAYERS, MODEL, VERSION, PROMPT, final=True
+        )
+        item = msgspec.structs.replace(item, **changes)
+        await self.send(messages.Step(self.frame, [item]))
+        while True:
+            received = await self.receive()
+            if isinstance(received, messages.StepResult):
+                assert received.frame == self.frame
+                return received
+
+    async def send(self, message: messages.ToEngine) -> None:
+        """Sends a message."""
+        await self.socket.send_bytes(msgspec.msgpack.encode(message))
+
+    async def receive(self) -> messages.FromEngine:
+        """Returns the next message."""
+        payload = await self.socket.receive_bytes(timeout=10)
+        return msgspec.msgpack.decode(payload, type=messages.FromEngine)
+
+
+@pytest_asyncio.fixture(params=[True, False], ids=["fenced", "unfenced"])
+async def peer(request: pytest.FixtureRequest) -> AsyncIterator[Peer]:
+    """An engine that holds a whole model; add other engines to ``params``."""
+    config = engine.EngineConfig(
+        "e", 0, LAYERS, MODEL, VERSION, checks_fencing=request.param
+    )
+    server = test_utils.TestServer(engine.Engine(config).application())
+    await server.start_server()
+    address = f"127.0.0.1:{server.port}"
+    async with aiohttp.ClientSession() as session:
+        socket = await session.ws_connect(f"http://{address}/v1/steps")
+        yield Peer(socket, address)
+        await socket.close()
+    await server.close()
+
+
+async def test_steps_give_the_model_s_tokens(peer: Peer) -> None:
+    """Guards against an engine that applies layers in another way."""
+    expected = reference.answer(MODEL, VERSION, LAYERS, PROMPT, 2)
+    first = await peer.step()
+    assert first.outputs[0].values == expected[:1]
+    second = await peer.step(position=len(PROMPT), values=expected[:1])
+    assert second.outputs[0].values == expected[1:]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"position": 1},
+        {"position": 0},
+        {"position": len(PROMPT) + 1},
+        {"version": "v0"},
+        {"last_layer": LAYERS + 1},
+        {"attempt": 2, "position": len(PROMPT)},
+    ],
+)
+async def test_wrong_steps_are_refused_and_not_applied(
+    peer: Peer, changes: dict[str, object]
+) -> None:
+    """Guards against a layer that is applied twice or out of order."""
+    expected = reference.answer(MODEL, VERSION, LAYERS, PROMPT, 2)
+    await peer.step()
+    refused = await peer.step(**changes)
+    assert refused.outputs == []
+    assert refused.refusals[0].reason
+    second = await peer.step(position=len(PROMPT), values=expected[:1])
+    assert second.outputs[0].values == expected[1:]
+
+
+async def test_released_attempt_starts_anew(peer: Peer) -> None:
+    """Guards against KV state that outlives its attempt."""
+    await peer.step()
+    await peer.send(messages.Cancel("r", 1))
+    again = await peer.step(attempt=2)
+    expected = reference.answer(MODEL, VERSION, LAYERS, PROMPT, 1)
+    assert again.outputs[0].values == expected
+
+
+async def test_heartbeat_names_its_nonce(peer: Peer) -> None:
+    """Guards against an old heartbeat that passes for a new one."""
+    await peer.send(messages.Ping(7))
+    pong = await peer.receive()
+    assert isinstance(pong, messages.Pong)
+    assert pong.nonce == 7
+
+
+async def test_orders_are_idempotent_and_fenced(
+    peer: Peer, request: pytest.FixtureRequest
+) -> None:
+    """Guards against orders that act twice or come from an old holder."""
+    fenced = "unfenced" not in request.node.name
+    wanted = states.Range(MODEL, "v2", 0, LAYERS)
+    async with aiohttp.ClientSession() as session:
+        for _ in range(2):
+            load = states.Load("e", wanted)
+            await orders.send(session, peer.address, load, 2)
+        described = await orders.describe(session, "e", peer.address)
+        assert described is not None
+        held = [h for h in described.holdings if h.range == wanted]
+        assert len(held) == 1
+        unload = states.Unload("e", wanted)
+        if fenced:
+            with pytest.raises(orders.OrderError) as refused:
+                await orders.send(session, peer.address, unload, 1)
+            assert refused.value.stale_fence
+        for _ in range(2):
+            await orders.send(session, peer.address, unload, 2)
+        described = await orders.describe(session, "e", peer.address)
+    assert described is not None
+    assert described.holding(wanted) is None
