Expect urgent answers at the pace of urgent work

Cause: the expected time of an answer used the mean time of items of all classes. Engines serve urgent items first, so under overload urgent requests were refused as late for the queue of the others. Change: the time of urgent items is followed on its own and used for urgent requests.

--- a/src/yuccatally/core/routing/load.py
+++ b/src/yuccatally/core/routing/load.py
@@ -68,6 +68,8 @@
         sequences: Own sequences routed over it.
         speed: Token-layers per second that it does for all instances.
         item_s: Recent mean time of a single-token item, queueing included.
+        urgent_item_s: The same for urgent items, which engines serve first;
+            0 while none was seen.
         limit: Bound on own sequences.
     """
 
@@ -82,6 +84,7 @@
         self.speed = declared.speed(layers) if known else UNKNOWN_SPEED
         self.measured = False
         self.item_s = 0.0
+        self.urgent_item_s = 0.0
         self.limit = concurrency.Limit(declared.batch)
         self.window = _Window(0.0)
         self.reported_sequences = 0
@@ -100,7 +103,12 @@
         self.own_when_reported = self.sequences
 
     def on_result(
-        self, work: float, single: bool, latency_s: float, now: float
+        self,
+        work: float,
+        single: bool,
+        latency_s: float,
+        now: float,
+        urgent: bool = False,
     ) -> None:
         """Records a finished item.
 
@@ -109,6 +117,7 @@
             single: Whether it was a single token.
             latency_s: Time since it was queued, in seconds.
             now: Monotonic time in seconds.
+            urgent: Whether it was of the highest class.
         """
         self.work = max(0.0, self.work - work)
         self.failures = 0
@@ -118,12 +127,17 @@
         if single:
             window.singles += 1
             window.latency_s += latency_s
-            weight = LATENCY_WEIGHT if self.item_s else 1.0
-            self.item_s += weight * (latency_s - self.item_s)
+            self.item_s = _follow(self.item_s, latency_s)
+            if urgent:
+                self.urgent_item_s = _follow(self.urgent_item_s, latency_s)
             self.limit.on_latency(latency_s, now)
         if now - window.started >= WINDOW_S:
             self._close_window(now)
 
+    def expected_item_s(self, urgent: bool) -> float:
+        """Returns the expected time of a single-token item of a class."""
+        return (urgent and self.urgent_item_s) or self.item_s
+
     def on_failure(self, now: float) -> None:
         """Records a refusal; an engine that only refuses is left out.
 
@@ -143,6 +157,7 @@
         self.connected = True
         self.window = _Window(now)
         self.item_s = 0.0
+        self.urgent_item_s = 0.0
         self.limit.restart()
 
     def on_disconnected(self) -> None:
@@ -238,3 +253,8 @@
     items: int = 0
     singles: int = 0
     latency_s: float = 0.0
+
+
+def _follow(mean_s: float, latest_s: float) -> float:
+    weight = LATENCY_WEIGHT if mean_s else 1.0
+    return mean_s + weight * (latest_s - mean_s)
--- a/src/yuccatally/core/routing/router.py
+++ b/src/yuccatally/core/routing/router.py
@@ -229,7 +229,8 @@
             known = self.engines.get(hop.engine)
             if known is not None:
                 prefill_s = ask.prefill * known.layers / known.speed
-                total_s += known.item_s * self._tokens(ask) + prefill_s
+                item_s = known.expected_item_s(ask.urgent)
+                total_s += item_s * self._tokens(ask) + prefill_s
         return EXPECTED_MARGIN * total_s
 
     def on_queued(self, item: messages.StepItem, now: float) -> None:
@@ -253,7 +254,7 @@
         known.work += work - counted
         single = len(item.values) == 1
         queued_at = running.queued_at.get(item.first_layer, now)
-        known.on_result(work, single, now - queued_at, now)
+        known.on_result(work, single, now - queued_at, now, running.ask.urgent)
 
     def on_refusal(self, engine: str, now: float) -> None:
         """Records that an engine refused or failed a step."""
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from yuccatally.core.routing import prefixes
@@ -139,3 +141,35 @@
     chosen.on_connected("b", 100.2)
     assert chosen.engines["b"].limit.value < chosen.engines["b"].declared.batch
     assert chosen.engines["a"].usable(100.9)
+
+
+def test_expected_time_of_urgent_work_is_its_own() -> None:
+    """Guards against urgent requests refused for the queue of others.
+
+    Engines serve urgent items first, so that the mean over all classes says
+    how long the others wait.
+    """
+    chosen = two_engines()
+    route = chosen.choose(ask(), 100.0)
+    assert route is not None
+    engine = route.hops[0].engine
+    normal = ask("normal", 200)
+    urgent = dataclasses.replace(ask("urgent", 200), urgent=True)
+    now = 100.0
+    for wanted in (normal, urgent):
+        chosen.start(wanted, route)
+    for position in range(100):
+        for request, priority, latency_s in (
+            ("normal", 1, 0.5),
+            ("urgent", 0, 0.05),
+        ):
+            item = messages.StepItem(
+                request, 1, position, 0, 8, *model.MODEL, [1], priority
+            )
+            chosen.on_queued(item, now)
+            chosen.on_result(engine, item, now + latency_s)
+        now += 0.01
+    own_s = router.EXPECTED_MARGIN * 200 * 0.05
+    prefill_s = 1.0
+    assert chosen.expected_s(urgent, route, now) < own_s + prefill_s
+    assert chosen.expected_s(normal, route, now) > 2 * own_s
