Wait for the batch with the outcome before the instance is killed

Change: the test waits for further copy intervals; its checks are as before. Conclusion: a race of the test, not of the trail.

--- a/tests/instance/test_trails.py
+++ b/tests/instance/test_trails.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from yuccatally.instance import trails
 from yuccatally_standins import site
 
 if TYPE_CHECKING:
@@ -34,6 +35,8 @@
     while len(explained()["sources"]) < 2:
         assert time.monotonic() < deadline, "no peer got a copy"
         time.sleep(0.1)
+    # The outcome may follow in the batch after the one that was seen.
+    time.sleep(4 * trails.COPY_INTERVAL_S)
     first.kill()
     found = explained()
     assert first.name not in found["sources"]
