Use the patterns of the objects in the settings and drop dead code

Change: the settings use the patterns of core/objects; the test of placements checks the translation that control uses, with its assertion on the last layer kept and a count of the pipelines added. Conclusion: behaviour is unchanged.

--- a/src/yuccatally/core/control/targets.py
+++ b/src/yuccatally/core/control/targets.py
@@ -19,7 +19,6 @@
     from yuccatally.core.placement import rates
 
 PLACEMENT_LABEL = "placement"
-NUMBER_LABEL = "number"
 _BY_NAME = "name="
 
 
--- a/src/yuccatally/core/generation/generation.py
+++ b/src/yuccatally/core/generation/generation.py
@@ -70,11 +70,6 @@
         """Prompt and tokens so far: what a new attempt has to prefill."""
         return [*self.job.prompt, *self.tokens]
 
-    @property
-    def in_prefill(self) -> bool:
-        """Whether the current attempt has not given a token yet."""
-        return self.current is not None and self.fruitless > 0
-
     def prefer_kept(
         self, route: actions.Route, usable: Collection[str]
     ) -> actions.Route:
--- a/src/yuccatally/core/placement/objects.py
+++ b/src/yuccatally/core/placement/objects.py
@@ -1,11 +1,10 @@
-"""Plans from declared objects, and the objects that a plan stands for."""
+"""Plans from declared objects."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from yuccatally.core.config import configuration
-from yuccatally.core.objects import specs
 from yuccatally.core.placement import groups
 from yuccatally.core.placement import planner
 from yuccatally.core.placement import rates
@@ -14,6 +13,7 @@
     from collections.abc import Iterator
 
     from yuccatally.core.objects import kinds
+    from yuccatally.core.objects import specs
 
 # Used until requests were counted: a prompt of some paragraphs and an answer
 # of one.
@@ -74,20 +74,3 @@
             max_layers=declared.max_layers,
             site=declared.data_centre,
         )
-
-
-def pipeline_specs(
-    placement: kinds.Object, plan: planner.Plan
-) -> dict[str, specs.PipelineSpec]:
-    """Returns the pipeline objects of a plan by name."""
-    return {
-        f"{placement.name}-{pipeline.number}": specs.PipelineSpec(
-            model=placement.spec.model,
-            version=placement.spec.version,
-            stages=tuple(
-                specs.StageSpec(s.first_layer, s.last_layer, f"name={s.engine}")
-                for s in pipeline.stages
-            ),
-        )
-        for pipeline in plan.pipelines
-    }
--- a/src/yuccatally/instance/control.py
+++ b/src/yuccatally/instance/control.py
@@ -206,7 +206,9 @@
         ]
         found = [e.declared for e in events if e.declared is not None]
         declared = targets.declared_pipelines(placement.name, found)
-        target = targets.desired(placement, self.config, _links(), declared)
+        target = targets.desired(
+            placement, self.config, rates.Links(), declared
+        )
         if target is None:
             return
         desired, plan = target
@@ -346,7 +348,3 @@
 def now_s() -> float:
     """Returns seconds of a clock that also runs while the host sleeps."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-def _links() -> rates.Links:
-    return rates.Links()
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -5,7 +5,6 @@
 import dataclasses
 import ipaddress
 import pathlib
-import re
 import ssl
 from typing import TYPE_CHECKING
 from typing import Any
@@ -13,14 +12,13 @@
 import expression
 
 from yuccatally.core import strict
+from yuccatally.core.objects import kinds
+from yuccatally.core.objects import specs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
 
-ADDRESS_PATTERN = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}")
-SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
-NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MIN_SECRET_LENGTH = 16
 SETTINGS_BYTES = 65_536
@@ -37,7 +35,7 @@
     >>> split_address("127.0.0.1:80")
     ('127.0.0.1', 80)
     """
-    if not ADDRESS_PATTERN.fullmatch(address):
+    if not specs.ADDRESS_PATTERN.fullmatch(address):
         raise ValueError(f"expected IP:PORT, found {address!r}")
     host, _, port = address.rpartition(":")
     if not 0 < int(port) < 65_536:
@@ -66,7 +64,7 @@
 
 
 def _name(value: str) -> str:
-    if NAME_PATTERN.fullmatch(value):
+    if kinds.NAME_PATTERN.fullmatch(value):
         return ""
     return "expected 1 to 63 lower-case letters, digits and hyphens"
 
@@ -77,7 +75,7 @@
 
 
 def _digest(value: str) -> str:
-    if not value or SHA256_PATTERN.fullmatch(value):
+    if not value or specs.SHA256_PATTERN.fullmatch(value):
         return ""
     return "expected 64 lower-case hexadecimal digits"
 
--- a/tests/core/placement/test_planner.py
+++ b/tests/core/placement/test_planner.py
@@ -10,6 +10,7 @@
 import pytest
 
 from yuccatally.core.config import configuration
+from yuccatally.core.control import targets
 from yuccatally.core.objects import kinds
 from yuccatally.core.placement import groups
 from yuccatally.core.placement import objects
@@ -191,5 +192,12 @@
     assert plan is not None
     assert len(plan.pipelines) == pipelines
     assert {e for p in plan.pipelines for e in p.engines} <= allowed
-    declared = objects.pipeline_specs(placement, plan)
-    assert all(s.stages[-1].last_layer == 12 for s in declared.values())
+    found = targets.desired(placement, config, rates.Links(), ())
+    assert found is not None
+    raw = [
+        {"kind": "pipeline", "name": p.name, "spec": targets.pipeline_spec(p)}
+        for p in found[0].pipelines
+    ]
+    declared = [kinds.decode(r).ok.spec for r in raw]
+    assert len(declared) == pipelines
+    assert all(s.stages[-1].last_layer == 12 for s in declared)
