--- a/src/yuccatally/cli/main.py
+++ b/src/yuccatally/cli/main.py
@@ -5,6 +5,8 @@
 import asyncio
 import pathlib
 import signal
+import sys
+from typing import TYPE_CHECKING
 
 import click
 import uvloop
@@ -12,10 +14,15 @@
 from yuccatally.cli import exits
 from yuccatally.cli import objects
 from yuccatally.cli import site
+from yuccatally.forwarding import node as forwarding_node
 from yuccatally.instance import instance
+from yuccatally.platform import settings as platform_settings
 from yuccatally.settings import settings as settings_module
 from yuccatally.telemetry import logs
 
+if TYPE_CHECKING:
+    from yuccatally.core.forwarding import node as node_settings
+
 _SETTINGS = click.argument(
     "settings_file", type=click.Path(path_type=pathlib.Path)
 )
@@ -61,6 +68,28 @@
     uvloop.run(_run(settings))
 
 
+@main.command()
+@click.argument(
+    "settings_file",
+    type=click.Path(path_type=pathlib.Path),
+    required=False,
+)
+@click.option(
+    "--log-level",
+    type=click.Choice(settings_module.LOG_LEVELS),
+    default="info",
+    help="Lowest level that is logged.",
+)
+def node(settings_file: pathlib.Path | None, log_level: str) -> None:
+    """Runs an instance on the users' platform until it is drained.
+
+    Without SETTINGS_FILE, the platform's settings file is read.
+    """
+    settings = _load_platform(settings_file or platform_settings.path())
+    logs.configure(settings.name, log_level, sys.stdout)
+    uvloop.run(_run_node(settings))
+
+
 for _command in (
     objects.apply,
     objects.get,
@@ -87,6 +116,23 @@
     await node.run()
 
 
+async def _run_node(settings: node_settings.Node) -> None:
+    found = forwarding_node.Node.from_config(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, found.start_drain)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    await found.run()
+
+
+def _load_platform(settings_file: pathlib.Path) -> node_settings.Node:
+    loaded = platform_settings.load(settings_file)
+    if loaded.is_error():
+        lines = (f"{settings_file}: {problem}" for problem in loaded.error)
+        raise exits.failure(exits.Exit.USAGE, *lines)
+    return loaded.ok
+
+
 def _load(settings_file: pathlib.Path) -> settings_module.Settings:
     loaded = settings_module.Settings.from_file(settings_file)
     if loaded.is_error():
--- /dev/null
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -0,0 +1,251 @@
+"""Choice of a pipeline or an upstream for one request."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    import random
+
+    from yuccatally.core.forwarding import rules
+    from yuccatally.core.forwarding import upstreams
+
+# Share of a stage's memory that is given out; the rest absorbs answers that
+# get longer than expected, before engines have to preempt.
+MEMORY_SHARE = 0.92
+# Another data centre is chosen only if it is faster by this factor.
+DISTANCE_FACTOR = 1.05
+# What another instance last said of its load counts for this long.
+REMOTE_LOAD_S = 3.0
+# A pipeline on which no stream has moved for this long is passed over: events
+# of a loaded pipeline are some 50 ms apart.
+STALL_S = 0.4
+# One quiet stream may just be waiting for its prompt to be read.
+STALL_STREAMS = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Path:
+    """A pipeline as it can be used now.
+
+    Attributes:
+        name: Name of the pipeline.
+        hops: Engines in order.
+        ranges: First layer and the one after the last, for each hop.
+        step_s: Time of a decode step without load, over all stages.
+        sequence_s: What each request adds to it.
+        tokens: Tokens for which its weakest stage has memory.
+        slots: Requests that its first engine takes at once.
+        data_centre: Where its first engine stands.
+    """
+
+    name: str
+    hops: tuple[upstreams.Upstream, ...]
+    ranges: tuple[tuple[int, int], ...]
+    step_s: float
+    sequence_s: float
+    tokens: float
+    slots: int
+    data_centre: str
+
+
+@dataclasses.dataclass
+class Load:
+    """Requests that an instance has under way on one path or upstream."""
+
+    requests: int = 0
+    tokens: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Full:
+    """Every path is full."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Nothing:
+    """There is no path to choose from."""
+
+
+class Dispatcher:
+    """Chooses by outstanding work of all instances.
+
+    Load pattern: all instances see the same fastest pipeline. Each counts the
+    work that the others say they have on it, so it fills up once and not eight
+    times over.
+
+    Attributes:
+        own: Work of this instance by path or upstream.
+        moved_at: Time of the last event of any stream, by path.
+        avoided: Time until which a path that failed is passed over.
+    """
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self.data_centre = data_centre
+        self.rng = rng
+        self.own: dict[str, Load] = {}
+        self.remote: dict[str, tuple[float, dict[str, Load]]] = {}
+        self.moved_at: dict[str, float] = {}
+        self.avoided: dict[str, float] = {}
+
+    def on_remote(
+        self, instance: str, loads: dict[str, Load], now: float
+    ) -> None:
+        """Takes in the work of another instance."""
+        self.remote[instance] = (now, loads)
+
+    def forget(self, instance: str) -> None:
+        """Drops the work of an instance that has ended."""
+        self.remote.pop(instance, None)
+
+    def load(self, name: str, now: float) -> Load:
+        """Returns the work of all instances on a path or upstream."""
+        own = self.own.get(name)
+        total = Load(own.requests, own.tokens) if own else Load()
+        for heard_at, loads in self.remote.values():
+            found = loads.get(name)
+            if found is not None and now - heard_at < REMOTE_LOAD_S:
+                total.requests += found.requests
+                total.tokens += found.tokens
+        return total
+
+    def path(
+        self,
+        paths: Iterable[Path],
+        tokens: float,
+        excluded: frozenset[str],
+        now: float,
+    ) -> Path | Full | Nothing:
+        """Returns the path with the shortest expected decode step.
+
+        Args:
+            paths: Paths that are whole.
+            tokens: Memory that the request is expected to need.
+            excluded: Names of paths that failed for this request.
+            now: Monotonic time in seconds.
+        """
+        usable = [p for p in paths if p.name not in excluded]
+        if not usable:
+            return Nothing()
+        moving = [
+            p
+            for p in usable
+            if not self.is_stalled(p.name, now)
+            and self.avoided.get(p.name, now) <= now
+        ]
+        best: Path | None = None
+        best_cost = 0.0
+        for candidate in moving or usable:
+            load = self.load(candidate.name, now)
+            if not _fits(candidate, load, tokens):
+                continue
+            cost = self._cost(candidate, load)
+            if best is None or cost < best_cost:
+                best, best_cost = candidate, cost
+        return best if best is not None else Full()
+
+    def upstream(
+        self,
+        candidates: list[upstreams.Upstream],
+        excluded: frozenset[str],
+        now: float,
+    ) -> upstreams.Upstream | Nothing:
+        """Returns the upstream of a plain service with the least work."""
+        usable = [u for u in candidates if u.name not in excluded]
+        if not usable:
+            return Nothing()
+
+        def cost(found: upstreams.Upstream) -> tuple[float, bool, float]:
+            load = self.load(found.name, now)
+            share = load.requests / max(1, found.slots)
+            far = found.data_centre != self.data_centre
+            return (share, far, self.rng.random())
+
+        return min(usable, key=cost)
+
+    def is_stalled(self, name: str, now: float) -> bool:
+        """Returns whether streams of this instance wait on a path."""
+        own = self.own.get(name)
+        if own is None or own.requests < STALL_STREAMS:
+            return False
+        return now - self.moved_at.get(name, now) > STALL_S
+
+    def avoid(self, name: str, until: float) -> None:
+        """Passes over a path until a time unless there is no other."""
+        self.avoided[name] = until
+
+    def start(self, name: str, tokens: float, now: float) -> None:
+        """Counts a request that is about to be sent."""
+        own = self.own.setdefault(name, Load())
+        if own.requests == 0:
+            self.moved_at[name] = now
+        own.requests += 1
+        own.tokens += tokens
+
+    def moved(self, name: str, now: float) -> None:
+        """Notes that an event came over a path."""
+        self.moved_at[name] = now
+
+    def finish(self, name: str, tokens: float) -> None:
+        """Counts the end of a request."""
+        own = self.own[name]
+        own.requests -= 1
+        own.tokens -= tokens
+        if own.requests == 0:
+            del self.own[name]
+            self.moved_at.pop(name, None)
+
+    def _cost(self, path: Path, load: Load) -> float:
+        step_s = path.step_s + path.sequence_s * (load.requests + 1)
+        near = path.data_centre == self.data_centre
+        return step_s * (1.0 if near else DISTANCE_FACTOR)
+
+
+def paths_of(
+    model: rules.Model, found: Iterable[tuple[str, tuple[Hop, ...]]]
+) -> list[Path]:
+    """Returns the paths of pipelines whose stages are all usable."""
+    return [_path(model, name, hops) for name, hops in found]
+
+
+@dataclasses.dataclass(frozen=True)
+class Hop:
+    """A stage on an engine that may be used."""
+
+    engine: upstreams.Upstream
+    first: int
+    last: int
+
+
+def _path(model: rules.Model, name: str, hops: tuple[Hop, ...]) -> Path:
+    step_s = sequence_s = 0.0
+    tokens = float("inf")
+    context = (model.prompt_tokens + model.answer_tokens / 2) / 1e3
+    for hop in hops:
+        card = model.cards[hop.engine.card]
+        share = (hop.last - hop.first) / model.layers
+        step_s += share * card.step_factor * model.step_s
+        sequence_s += (
+            share
+            * card.step_factor
+            * (model.step_sequence_s + context * model.step_context_s)
+        )
+        tokens = min(tokens, model.tokens(card, hop.last - hop.first))
+    return Path(
+        name=name,
+        hops=tuple(h.engine for h in hops),
+        ranges=tuple((h.first, h.last) for h in hops),
+        step_s=step_s,
+        sequence_s=sequence_s,
+        tokens=tokens,
+        slots=model.slots,
+        data_centre=hops[0].engine.data_centre,
+    )
+
+
+def _fits(path: Path, load: Load, tokens: float) -> bool:
+    if load.requests >= path.slots:
+        return False
+    return load.tokens + tokens <= path.tokens * MEMORY_SHARE
--- /dev/null
+++ b/src/yuccatally/core/forwarding/pipelines.py
@@ -0,0 +1,258 @@
+"""Placement of a model on engines that pass requests on by themselves."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from yuccatally.core.forwarding import upstreams
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from yuccatally.core.forwarding import rules
+
+# Tokens of requests that each stage is to have memory for, best first. A
+# pipeline of today's sites runs some 40 requests of 900 tokens at its peak.
+TOKEN_STEPS = (75e3, 60e3, 50e3, 40e3, 30e3, 20e3, 12e3)
+# A stage that replaces a lost one may hold as few tokens as this.
+REPAIR_TOKEN_STEPS = (*TOKEN_STEPS, 8e3, 4e3)
+# Below this many pipelines, engines of several data centres are joined: each
+# crossing costs tens of milliseconds a prompt on a shared link.
+LEAST_PIPELINES = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Stage:
+    """A range of layers on one incarnation of an engine.
+
+    Attributes:
+        engine: Name of the engine.
+        born_ms: Its start, milliseconds since 1970.
+        first: First layer.
+        last: Layer after the last one.
+    """
+
+    engine: str
+    born_ms: int
+    first: int
+    last: int
+
+    @property
+    def layers(self) -> upstreams.Layers:
+        """The range as engines report it."""
+        return upstreams.Layers(self.first, self.last)
+
+
+@dataclasses.dataclass(frozen=True)
+class Pipeline:
+    """Stages that together hold every layer once, in order."""
+
+    name: str
+    stages: tuple[Stage, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """The pipelines of one service.
+
+    Attributes:
+        generation: Number of the plan; it grows with each change.
+        pipelines: Pipelines by the order of their names.
+    """
+
+    generation: int = 0
+    pipelines: tuple[Pipeline, ...] = ()
+
+    @property
+    def stages(self) -> dict[str, Stage]:
+        """Stages by engine."""
+        return {s.engine: s for p in self.pipelines for s in p.stages}
+
+
+def plan(
+    model: rules.Model,
+    engines: Iterable[upstreams.Upstream],
+    previous: Plan,
+) -> Plan:
+    """Returns the plan for the engines that may be used.
+
+    Load pattern: an engine is lost at the peak. Its pipeline is repaired with
+    spare engines, and all other stages stay as they are, so that nothing that
+    serves is moved. Engines that no pipeline needs are kept as spares.
+
+    Args:
+        model: How the engines run the model.
+        engines: Engines that may be used.
+        previous: Plan in force.
+
+    Returns:
+        The previous plan if nothing has to change.
+    """
+    planner = _Planner(model, engines)
+    kept = [planner.repair(p) for p in previous.pipelines]
+    pipelines = [p for p in kept if p is not None]
+    pipelines.extend(planner.build(pipelines))
+    found = tuple(sorted(pipelines, key=lambda p: p.name))
+    if found == previous.pipelines:
+        return previous
+    return Plan(previous.generation + 1, found)
+
+
+class _Planner:
+    def __init__(
+        self, model: rules.Model, engines: Iterable[upstreams.Upstream]
+    ) -> None:
+        self.model = model
+        self.free = {
+            e.name: e
+            for e in sorted(engines, key=self._speed)
+            if e.card in model.cards
+        }
+        self.all = dict(self.free)
+
+    def repair(self, pipeline: Pipeline) -> Pipeline | None:
+        """Returns a pipeline with its lost stages replaced, if it can be."""
+        kept = [s for s in pipeline.stages if self._is_there(s)]
+        for stage in kept:
+            self.free.pop(stage.engine, None)
+        if len(kept) == len(pipeline.stages):
+            return pipeline
+        homes = {self.all[s.engine].data_centre for s in kept}
+        stages = list(kept)
+        for lost in _gaps(kept, self.model.layers):
+            cover = self._cover(lost, homes)
+            if cover is None:
+                self._release(stages)
+                return None
+            stages.extend(cover)
+        ordered = tuple(sorted(stages, key=lambda s: s.first))
+        return Pipeline(pipeline.name, ordered)
+
+    def build(self, existing: Sequence[Pipeline]) -> list[Pipeline]:
+        """Returns new pipelines on engines that are free."""
+        built: list[Pipeline] = []
+        taken = {p.name for p in existing}
+        homes = sorted({e.data_centre for e in self.free.values()})
+        for home in homes:
+            local = [e for e in self.free.values() if e.data_centre == home]
+            stages = self._spread(local)
+            if stages is not None:
+                built.append(Pipeline(_name(taken, home), stages))
+        if len(existing) + len(built) < LEAST_PIPELINES:
+            by_home = sorted(
+                self.free.values(), key=lambda e: (e.data_centre, e.name)
+            )
+            stages = self._spread(by_home, keep_order=True)
+            if stages is not None:
+                built.append(Pipeline(_name(taken, "all"), stages))
+        return built
+
+    def _cover(
+        self, lost: upstreams.Layers, homes: set[str]
+    ) -> list[Stage] | None:
+        local = [e for e in self.free.values() if e.data_centre in homes]
+        remote = [e for e in self.free.values() if e.data_centre not in homes]
+        for candidates in (local, [*local, *remote]):
+            for tokens in REPAIR_TOKEN_STEPS:
+                stages = self._fill(candidates, lost, tokens)
+                if stages is not None:
+                    return stages
+        return None
+
+    def _spread(
+        self, engines: list[upstreams.Upstream], keep_order: bool = False
+    ) -> tuple[Stage, ...] | None:
+        """Returns stages for a whole model with as much memory as possible."""
+        whole = upstreams.Layers(0, self.model.layers)
+        for spare in (True, False):
+            for tokens in TOKEN_STEPS:
+                rooms = [self._room(e, tokens) for e in engines]
+                # Without the largest engine the rest must be able to hold it.
+                reserve = max(rooms, default=0) if spare else 0
+                if sum(rooms) - reserve < self.model.layers:
+                    continue
+                chosen = engines
+                if keep_order:
+                    # Neighbours in the path share a data centre.
+                    chosen = [e for e in engines if self._room(e, tokens)]
+                stages = self._fill(chosen, whole, tokens)
+                if stages is not None:
+                    return tuple(stages)
+        return None
+
+    def _fill(
+        self,
+        engines: list[upstreams.Upstream],
+        layers: upstreams.Layers,
+        tokens: float,
+    ) -> list[Stage] | None:
+        """Gives a range to engines in order; takes none if it does not fit."""
+        stages: list[Stage] = []
+        first = layers.first
+        for engine in engines:
+            if first == layers.last:
+                break
+            size = min(self._room(engine, tokens), layers.last - first)
+            if size <= 0:
+                continue
+            stages.append(
+                Stage(engine.name, engine.born_ms, first, first + size)
+            )
+            first += size
+        if first < layers.last:
+            return None
+        for stage in stages:
+            del self.free[stage.engine]
+        return stages
+
+    def _room(self, engine: upstreams.Upstream, tokens: float) -> int:
+        """Returns the layers beside which a number of tokens fits."""
+        card = self.model.cards[engine.card]
+        per_layer_mb = (
+            self.model.layer_mb + tokens * self.model.token_layer_bytes / 1e6
+        )
+        most = self.model.most_layers(card)
+        return min(most, int(card.memory_mb // per_layer_mb))
+
+    def _speed(self, engine: upstreams.Upstream) -> tuple[float, str]:
+        card = self.model.cards.get(engine.card)
+        if card is None:
+            return (0.0, engine.name)
+        return (card.step_factor + card.read_factor, engine.name)
+
+    def _is_there(self, stage: Stage) -> bool:
+        found = self.all.get(stage.engine)
+        return found is not None and found.born_ms == stage.born_ms
+
+    def _release(self, stages: Iterable[Stage]) -> None:
+        for stage in stages:
+            self.free[stage.engine] = self.all[stage.engine]
+        self.free = {n: e for n, e in self.all.items() if n in self.free}
+
+
+def _gaps(stages: Iterable[Stage], layers: int) -> list[upstreams.Layers]:
+    """Returns the ranges that no stage holds.
+
+    >>> _gaps([Stage("a", 0, 0, 4), Stage("b", 0, 6, 8)], 9)
+    [Layers(first=4, last=6), Layers(first=8, last=9)]
+    """
+    gaps = []
+    reached = 0
+    for stage in sorted(stages, key=lambda s: s.first):
+        if stage.first > reached:
+            gaps.append(upstreams.Layers(reached, stage.first))
+        reached = stage.last
+    if reached < layers:
+        gaps.append(upstreams.Layers(reached, layers))
+    return gaps
+
+
+def _name(taken: set[str], home: str) -> str:
+    number = 1
+    while f"{home}-{number}" in taken:
+        number += 1
+    name = f"{home}-{number}"
+    taken.add(name)
+    return name
--- /dev/null
+++ b/src/yuccatally/core/forwarding/reports.py
@@ -0,0 +1,54 @@
+"""What engines report and what they are ordered to do."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccatally.core.forwarding import upstreams
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """State of an engine some hundred milliseconds ago.
+
+    Attributes:
+        orders: Orders accepted since its start.
+        busy: Whether an order is being carried out.
+        born_ms: Time of its start, milliseconds since 1970.
+        waiting: Requests that wait.
+        running: Requests that run.
+        used_token_layers: Memory taken by requests, in tokens x layers.
+        total_token_layers: Memory for requests, in tokens x layers.
+        pace: Slowness against the declared figures; 1 is as declared.
+        layers: Layers that it holds; None for none.
+        stalled: Address of the engine that a request waits for, by request.
+    """
+
+    orders: int
+    busy: bool
+    born_ms: int
+    waiting: int
+    running: int
+    used_token_layers: float
+    total_token_layers: float
+    pace: float
+    layers: upstreams.Layers | None
+    stalled: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class LayersOrder:
+    """Order to hold exactly a range of layers.
+
+    Attributes:
+        layers: The range.
+        fence: Fencing number of the lease under which it is given.
+        expected_orders: Orders that the engine must have accepted before, so
+            that a delayed order cannot undo a later one.
+    """
+
+    layers: upstreams.Layers
+    fence: int
+    expected_orders: int
--- /dev/null
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -0,0 +1,168 @@
+"""Beliefs about upstreams, from their entries and from what requests see."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# A suspicion that nothing has confirmed ends after this time; an engine that
+# is really gone loses its entry within three heartbeats.
+SUSPECT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Layers:
+    """Layers that an engine holds; ``last`` is exclusive."""
+
+    first: int
+    last: int
+
+    def covers(self, first: int, last: int) -> bool:
+        """Returns whether a range is held."""
+        return self.first <= first and last <= self.last
+
+
+@dataclasses.dataclass(frozen=True)
+class Upstream:
+    """An upstream as it announces itself.
+
+    Attributes:
+        name: Id of the incarnation; it may be used again after a restart.
+        born_ms: Time of its start, milliseconds since 1970; 0 if unknown.
+        service: Service that it belongs to.
+        address: ``IP:PORT``.
+        data_centre: Where it stands.
+        slots: Requests that it runs at once.
+        draining: Whether it is leaving.
+        card: Kind of its accelerator; empty for a plain service.
+        model: Name of its model; empty if none is announced.
+        layers: Layers that it holds; None for none.
+    """
+
+    name: str
+    born_ms: int
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    card: str = ""
+    model: str = ""
+    layers: Layers | None = None
+
+
+class Registry:
+    """Upstreams that may be used.
+
+    Attributes:
+        known: Upstreams by name.
+        missing: Time at which an entry was found missing after an outage of
+            the store, by name.
+        suspects: End of the suspicion by name and birth.
+    """
+
+    def __init__(self, rejoin_s: float) -> None:
+        """Creates an empty registry.
+
+        Args:
+            rejoin_s: Time in which entries that lapsed during an outage of the
+                store are written again by live upstreams.
+        """
+        self.rejoin_s = rejoin_s
+        self.known: dict[str, Upstream] = {}
+        self.missing: dict[str, float] = {}
+        self.suspects: dict[tuple[str, int], float] = {}
+        self.generation = 0
+
+    def announce(self, entry: Upstream) -> bool:
+        """Takes in an entry; returns whether anything changed."""
+        self.missing.pop(entry.name, None)
+        if self.known.get(entry.name) == entry:
+            return False
+        self.known[entry.name] = entry
+        self.generation += 1
+        return True
+
+    def remove(self, name: str, now: float, after_outage: bool) -> None:
+        """Takes in that an entry is gone.
+
+        Args:
+            name: Name of the upstream.
+            now: Monotonic time in seconds.
+            after_outage: Whether the entry may have lapsed only because its
+                upstream could not reach the store.
+        """
+        if name not in self.known:
+            return
+        if after_outage and not self.known[name].draining:
+            self.missing.setdefault(name, now)
+            return
+        self._drop(name)
+
+    def replace(
+        self, entries: Iterable[Upstream], now: float, after_outage: bool
+    ) -> None:
+        """Takes in a complete list of entries."""
+        listed = set()
+        for entry in entries:
+            listed.add(entry.name)
+            self.announce(entry)
+        for name in list(self.known):
+            if name not in listed:
+                self.remove(name, now, after_outage)
+
+    def expire(self, now: float) -> None:
+        """Drops entries that did not come back, and old suspicions."""
+        for name, since in list(self.missing.items()):
+            if now - since >= self.rejoin_s:
+                self._drop(name)
+        for key, until in list(self.suspects.items()):
+            if now >= until:
+                del self.suspects[key]
+                self.generation += 1
+
+    def suspect(self, name: str, born_ms: int, until: float) -> bool:
+        """Marks an incarnation as not to be used; returns whether it is new."""
+        key = (name, born_ms)
+        fresh = key not in self.suspects
+        self.suspects[key] = max(until, self.suspects.get(key, 0.0))
+        if fresh:
+            self.generation += 1
+        return fresh
+
+    def clear(self, name: str, born_ms: int) -> None:
+        """Ends a suspicion."""
+        if self.suspects.pop((name, born_ms), None) is not None:
+            self.generation += 1
+
+    def usable(self, name: str, born_ms: int) -> Upstream | None:
+        """Returns an upstream if this incarnation may get new requests."""
+        found = self.known.get(name)
+        if found is None or found.draining or found.born_ms != born_ms:
+            return None
+        return None if (name, born_ms) in self.suspects else found
+
+    def of(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service that may get new requests."""
+        return [
+            u
+            for u in self.known.values()
+            if u.service == service
+            and not u.draining
+            and (u.name, u.born_ms) not in self.suspects
+        ]
+
+    def at(self, address: str) -> Upstream | None:
+        """Returns the upstream with an address."""
+        for found in self.known.values():
+            if found.address == address:
+                return found
+        return None
+
+    def _drop(self, name: str) -> None:
+        del self.known[name]
+        self.missing.pop(name, None)
+        self.generation += 1
--- /dev/null
+++ b/src/yuccatally/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests to upstreams that answer them whole."""
--- /dev/null
+++ b/src/yuccatally/forwarding/application.py
@@ -0,0 +1,237 @@
+"""The callers' interface: which requests are taken, and by which rules."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from yuccatally.core.forwarding import attempts
+from yuccatally.forwarding import calls
+from yuccatally.forwarding import streams
+from yuccatally.forwarding import ticket as tickets
+from yuccatally.platform import headers as platform_headers
+from yuccatally.upstreams import services
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import MutableMapping
+    from typing import Any
+
+    from yuccatally.core.forwarding import requests
+    from yuccatally.forwarding import state
+    from yuccatally.telemetry import metrics
+
+    Scope = MutableMapping[str, Any]
+    Message = MutableMapping[str, Any]
+    Receive = Callable[[], Awaitable[Message]]
+    Send = Callable[[Message], Awaitable[None]]
+
+_log = structlog.get_logger()
+
+
+class ClientGoneError(Exception):
+    """The client closed its connection."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejection:
+    """Why a request is not forwarded.
+
+    Attributes:
+        status: HTTP status.
+        reason: Short reason for the client and the log.
+        retry_after_s: When to come back; None if there is no use in that.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+class Application:
+    """Takes requests, finds their route and account, and forwards them.
+
+    Attributes:
+        refusing: Whether new requests would outlive the process.
+    """
+
+    def __init__(
+        self,
+        node: state.State,
+        stream_forwarder: streams.StreamForwarder,
+        call_forwarder: calls.CallForwarder,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.node = node
+        self.streams = stream_forwarder
+        self.calls = call_forwarder
+        self.metrics = counters
+        self.refusing = False
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serves one request."""
+        started_at = time.monotonic()
+        reply = tickets.Reply(send, lambda: self.node.leaving)
+        headers = services.end_to_end(scope["headers"])
+        request = platform_headers.read({n.lower(): v for n, v in headers})
+        route = ""
+        self.node.in_flight += 1
+        try:
+            body = await self._body(receive)
+            found = self._admit(scope, headers, request, body, started_at)
+            if isinstance(found, Rejection):
+                await reply.refuse(
+                    found.status, found.reason, found.retry_after_s
+                )
+            else:
+                route = found.route.name
+                await self._forward(found, receive, reply)
+        except ClientGoneError:
+            reply.reason = "client-gone"
+        finally:
+            self.node.in_flight -= 1
+            self._record(request, route, reply, started_at)
+
+    async def _forward(
+        self, found: tickets.Ticket, receive: Receive, reply: tickets.Reply
+    ) -> None:
+        """Forwards a request until it ends or its client leaves."""
+        forwarder = self.calls
+        if found.route.repeat.is_stream and found.service.model is not None:
+            forwarder = self.streams
+        work = asyncio.create_task(forwarder.run(found, reply))
+        gone = asyncio.create_task(_until_gone(receive))
+        try:
+            await asyncio.wait(
+                (work, gone), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                raise ClientGoneError
+            work.result()
+        finally:
+            for task in (work, gone):
+                if not task.done():
+                    task.cancel()
+            await asyncio.wait((work, gone))
+
+    async def _body(self, receive: Receive) -> bytes | None:
+        """Returns the body, None if it is too long."""
+        rules_now = self.node.rules
+        limit = rules_now.limits.body_bytes if rules_now else 1 << 22
+        parts: list[bytes] = []
+        length = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise ClientGoneError
+            part = message.get("body", b"")
+            length += len(part)
+            if length <= limit:
+                parts.append(part)
+            if not message.get("more_body", False):
+                return b"".join(parts) if length <= limit else None
+
+    def _admit(
+        self,
+        scope: Scope,
+        headers: services.Headers,
+        request: requests.Request,
+        body: bytes | None,
+        started_at: float,
+    ) -> tickets.Ticket | Rejection:
+        in_force = self.node.rules
+        if in_force is None:
+            return Rejection(503, "no-configuration", attempts.RETRY_AFTER_S)
+        if body is None:
+            return Rejection(413, "body-too-long")
+        if self.refusing:
+            return Rejection(503, "leaving", 0.0)
+        host = _host(scope)
+        path = scope["raw_path"].decode("latin-1")
+        route = in_force.match(host, path)
+        if route is None:
+            return self._unknown(404, "no-route")
+        account = in_force.by_key.get(request.key)
+        if account is None and in_force.accounts is not None:
+            if not route.anonymous:
+                return self._unknown(401, "unknown-key")
+        service = in_force.services.get(route.pick(self.node.rng))
+        if service is None:
+            return Rejection(503, "no-service", attempts.RETRY_AFTER_S)
+        query = scope["query_string"].decode("latin-1")
+        wait_s = route.timeout_s
+        if request.wait_s is not None:
+            wait_s = min(wait_s, request.wait_s)
+        return tickets.Ticket(
+            request=request,
+            method=scope["method"],
+            target=f"{path}?{query}" if query else path,
+            headers=(("Host", host), *headers),
+            body=body,
+            route=route,
+            service=service,
+            account=account.name if account else "",
+            started_at=started_at,
+            deadline=started_at + wait_s,
+        )
+
+    def _unknown(self, status: int, reason: str) -> Rejection:
+        """Rejects what a newer configuration might allow.
+
+        An instance that may be behind does not say that a route or key does
+        not exist.
+        """
+        if self.node.is_current():
+            return Rejection(status, reason)
+        return Rejection(503, "configuration-old", attempts.RETRY_AFTER_S)
+
+    def _record(
+        self,
+        request: requests.Request,
+        route: str,
+        reply: tickets.Reply,
+        started_at: float,
+    ) -> None:
+        now = time.monotonic()
+        outcome = "complete" if reply.complete else "broken-off"
+        self.metrics.count("forwarded", f"{reply.status} {outcome}")
+        self.metrics.observe("request", now - started_at)
+        if reply.first_at:
+            self.metrics.observe("first_byte", reply.first_at - started_at)
+        _log.info(
+            "request",
+            request=request.id,
+            route=route,
+            status=reply.status,
+            outcome=outcome,
+            reason=reply.reason,
+            attempts=reply.attempts,
+            upstream=reply.upstream,
+            events=reply.events,
+            first_ms=_ms(reply.first_at - started_at) if reply.first_at else "",
+            gap_ms=_ms(reply.longest_gap_s),
+            total_ms=_ms(now - started_at),
+        )
+
+
+async def _until_gone(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+def _host(scope: Scope) -> str:
+    for name, value in scope["headers"]:
+        if name == b"host":
+            return value.decode("latin-1")
+    return ""
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1e3)
--- /dev/null
+++ b/src/yuccatally/forwarding/control.py
@@ -0,0 +1,331 @@
+"""Control of the engines: who leads, which plan holds, which orders go out."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from yuccatally.core.control import lease
+from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import plans
+from yuccatally.core.forwarding import reports
+from yuccatally.peers import beats
+from yuccatally.platform import engines
+from yuccatally.store import client
+from yuccatally.store import leases
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from yuccatally.core.forwarding import rules
+    from yuccatally.core.forwarding import upstreams
+    from yuccatally.forwarding import fleet
+    from yuccatally.forwarding import state
+
+LEASE_NAME = "control"
+PLAN_KIND = plans.KIND
+# A dead leader is replaced after this time; a renewal each second is a call.
+LEASE_TERM_S = 3.0
+TICK_S = 0.1
+CANDIDATES = 2
+# The first plan waits until the list of engines has not grown for this long:
+# instances see half of the engines at first, and the rest seconds later.
+SETTLE_S = 1.5
+SETTLE_MOST_S = 6.0
+# An engine that did not answer a report is left out of plans for this long.
+LOST_S = 6.0
+# Engines in doubt are asked for a report this often.
+VERIFY_S = 0.8
+# An order whose engine has not shown the layers is looked at this often.
+ORDER_POLL_S = 0.5
+ORDER_TRIES = 40
+
+_log = structlog.get_logger()
+
+
+class Control:
+    """Plans pipelines and gives orders while the lease is held."""
+
+    def __init__(
+        self,
+        node: state.State,
+        others: fleet.Fleet,
+        store: client.StoreClient,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.node = node
+        self.fleet = others
+        self.store = store
+        self.session = session
+        name = node.settings.name
+        # A restarted instance must not take its earlier lease for its own.
+        self.lease = lease.Lease(f"{name}-{os.urandom(4).hex()}", LEASE_TERM_S)
+        self.versions: dict[str, int] = {}
+        self.plans_listed = False
+        self.grew_at = 0.0
+        self.engines_seen = 0
+        self.first_seen_at = 0.0
+        self.orders: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.accepted: dict[tuple[str, int], int] = {}
+        self.verified_at: dict[beats.Engine, float] = {}
+
+    @property
+    def leads(self) -> bool:
+        """Whether orders may be given now."""
+        return self.lease.valid(leases.now_s())
+
+    def on_plans(self, items: tuple[client.Stored, ...], _: bool) -> None:
+        """Takes in the plans of all services."""
+        self.plans_listed = True
+        for item in items:
+            self.on_plan(item, False)
+
+    def on_plan(self, item: client.Stored, _: bool) -> None:
+        """Takes in the plan of a service."""
+        if item.deleted:
+            self.versions.pop(item.name, None)
+            return
+        if item.version < self.versions.get(item.name, 0):
+            return
+        self.versions[item.name] = item.version
+        try:
+            plan = plans.from_spec(item.spec)
+        except plans.PlanFormatError as error:
+            _log.warning("plan_ignored", service=item.name, reason=str(error))
+            return
+        self._put_in_force(item.name, plan)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            try:
+                await self._tick()
+            except client.StoreError as error:
+                _log.warning("control_delayed", error=str(error))
+            self.fleet.leads = self.leads
+            await asyncio.sleep(TICK_S)
+
+    async def give_up(self) -> None:
+        """Gives the lease up, so that another instance leads at once."""
+        try:
+            await leases.give_up(self.store, LEASE_NAME, self.lease)
+        except client.StoreError as error:
+            _log.info("lease_not_given_up", error=str(error))
+
+    async def _tick(self) -> None:
+        self.node.registry.expire(time.monotonic())
+        wanted = self._is_candidate()
+        if not wanted and not self.leads:
+            return
+        led = self.leads
+        await leases.step(self.store, LEASE_NAME, self.lease, wanted)
+        if self.leads and not led:
+            _log.info("control_acquired", fence=self.lease.fence)
+        if led and not self.leads:
+            _log.info("control_lost", fence=self.lease.fence)
+        if not self.leads or not self.plans_listed or self.node.rules is None:
+            return
+        self._verify_doubts()
+        for service in self.node.rules.services.values():
+            if service.model is not None:
+                await self._advance(service, service.model)
+
+    def _is_candidate(self) -> bool:
+        """Returns whether this instance is among the first that can lead."""
+        if self.node.leaving or not self.node.watch_up:
+            return False
+        names = [
+            c.name
+            for c in self.fleet.live()
+            if not c.leaving and self.fleet.store_up.get(c.name)
+        ]
+        names.append(self.node.settings.name)
+        return self.node.settings.name in sorted(names)[:CANDIDATES]
+
+    async def _advance(
+        self, service: rules.Service, model: rules.Model
+    ) -> None:
+        usable = [
+            u
+            for u in self.node.registry.known.values()
+            if u.service == service.name
+            and not u.draining
+            and beats.Engine(u.name, u.born_ms) not in self.fleet.lost
+        ]
+        previous = self.node.plans.get(service.name, pipelines.Plan())
+        if not previous.pipelines and not self._settled(len(usable)):
+            return
+        plan = pipelines.plan(model, usable, previous)
+        if plan is not previous:
+            await self._write(service.name, plan)
+        by_name = {u.name: u for u in usable}
+        for pipeline in plan.pipelines:
+            for stage in pipeline.stages:
+                if not self.node.holds(stage):
+                    self._order(by_name[stage.engine], stage, model)
+
+    def _settled(self, engines_now: int) -> bool:
+        now = time.monotonic()
+        if engines_now and not self.first_seen_at:
+            self.first_seen_at = now
+        if engines_now > self.engines_seen:
+            self.grew_at = now
+        self.engines_seen = engines_now
+        if not engines_now:
+            return False
+        return (
+            now - self.grew_at >= SETTLE_S
+            or now - self.first_seen_at >= SETTLE_MOST_S
+        )
+
+    async def _write(self, service: str, plan: pipelines.Plan) -> None:
+        try:
+            stored = await self.store.put(
+                plans.KIND,
+                service,
+                plans.to_spec(plan),
+                {},
+                self.versions.get(service, 0),
+            )
+        except (client.ConflictError, client.UncertainError):
+            # Another holder's plan, or this one: the store's version decides.
+            self.on_plan(await self.store.get(plans.KIND, service), False)
+            return
+        self.versions[service] = max(
+            stored.version, self.versions.get(service, 0)
+        )
+        self._put_in_force(service, plan)
+
+    def _put_in_force(self, service: str, plan: pipelines.Plan) -> None:
+        known = self.node.plans.get(service)
+        if known is not None and known.generation >= plan.generation:
+            return
+        self.node.plans[service] = plan
+        self.node.changed.set()
+        _log.info(
+            "plan_in_force",
+            service=service,
+            generation=plan.generation,
+            pipelines=",".join(
+                f"{p.name}:{len(p.stages)}" for p in plan.pipelines
+            ),
+        )
+
+    def _order(
+        self,
+        engine: upstreams.Upstream,
+        stage: pipelines.Stage,
+        model: rules.Model,
+    ) -> None:
+        key = (engine.name, engine.born_ms)
+        running = self.orders.get(key)
+        if running is not None and not running.done():
+            return
+        self.orders[key] = asyncio.create_task(
+            self._carry_out(engine, stage, model)
+        )
+
+    async def _carry_out(
+        self,
+        engine: upstreams.Upstream,
+        stage: pipelines.Stage,
+        model: rules.Model,
+    ) -> None:
+        """Orders an engine to hold a range and waits until it does."""
+        key = (engine.name, engine.born_ms)
+        share = (stage.last - stage.first) / model.layers
+        for number in range(ORDER_TRIES):
+            if not self.leads or not self._is_planned(stage):
+                return
+            wanted = reports.LayersOrder(
+                stage.layers, self.lease.fence, self.accepted.get(key, 0)
+            )
+            outcome = await engines.order(self.session, engine, wanted)
+            _log.info(
+                "order",
+                engine=engine.name,
+                first=stage.first,
+                last=stage.last,
+                fence=wanted.fence,
+                expected=wanted.expected_orders,
+                outcome=outcome.name,
+            )
+            if outcome is engines.Outcome.STALE_FENCE:
+                self.lease.on_conflict()
+                return
+            if outcome is engines.Outcome.HOLDS_ALREADY:
+                self.node.set_held(key, stage.layers)
+                return
+            if outcome is engines.Outcome.BEGUN:
+                self.accepted[key] = wanted.expected_orders + 1
+            wait_s = model.load_s * share if number else 0.0
+            await asyncio.sleep(min(ORDER_POLL_S, max(wait_s / 2, 0.2)))
+            if await self._shows(engine, stage):
+                return
+
+    async def _shows(
+        self, engine: upstreams.Upstream, stage: pipelines.Stage
+    ) -> bool:
+        """Waits while an order is carried out; returns whether layers hold."""
+        key = (engine.name, engine.born_ms)
+        while self._is_planned(stage) and self.leads:
+            if self.node.holds(stage):
+                return True
+            try:
+                report = await engines.report(self.session, engine)
+            except engines.ReportError as error:
+                _log.info(
+                    "report_missing", engine=engine.name, error=str(error)
+                )
+                return False
+            self.accepted[key] = report.orders
+            if report.layers and report.layers.covers(stage.first, stage.last):
+                self.node.set_held(key, stage.layers)
+                return True
+            if not report.busy:
+                return False
+            await asyncio.sleep(ORDER_POLL_S)
+        return False
+
+    def _is_planned(self, stage: pipelines.Stage) -> bool:
+        known = self.node.registry.known.get(stage.engine)
+        if known is None or known.born_ms != stage.born_ms or known.draining:
+            return False
+        return any(
+            p.stages.get(stage.engine) == stage
+            for p in self.node.plans.values()
+        )
+
+    def _verify_doubts(self) -> None:
+        now = time.monotonic()
+        for engine in list(self.fleet.doubts):
+            if now - self.verified_at.get(engine, -VERIFY_S) < VERIFY_S:
+                continue
+            self.verified_at[engine] = now
+            self.fleet.spawn(self._verify(engine))
+
+    async def _verify(self, doubted: beats.Engine) -> None:
+        """Asks an engine in doubt for a report; plans without it if silent."""
+        engine = self.node.registry.known.get(doubted.name)
+        if engine is None or engine.born_ms != doubted.born_ms:
+            return
+        key = (engine.name, engine.born_ms)
+        try:
+            report = await engines.report(self.session, engine)
+        except engines.ReportError as error:
+            if doubted not in self.fleet.lost:
+                _log.warning(
+                    "engine_lost", engine=engine.name, error=str(error)
+                )
+            self.fleet.lost[doubted] = time.monotonic() + LOST_S
+            self.node.avoid(engine, LOST_S, "no report")
+            return
+        self.accepted[key] = report.orders
+        held = self.node.held.get(key)
+        if held is not None and report.layers != held:
+            self.node.set_held(key, None)
+        self.fleet.lost.pop(doubted, None)
--- /dev/null
+++ b/src/yuccatally/forwarding/fleet.py
@@ -0,0 +1,326 @@
+"""Other instances: who they are, what they carry and what they know."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+import zlib
+
+import msgspec
+import structlog
+
+from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import upstreams
+from yuccatally.peers import beats
+from yuccatally.peers import transport
+from yuccatally.platform import documents
+from yuccatally.store import client
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from yuccatally.forwarding import state
+
+KIND = "instances"
+PERIOD_S = 0.25
+# Exchanges a period; with eight instances each pair meets every 0.3 s.
+FANOUT = 3
+EXCHANGE_TIMEOUT_S = 0.5
+# An instance that was not heard of for this long is taken for gone.
+LIVE_S = 1.5
+# Entries of instances that were silent for this long are deleted.
+FORGET_S = 20.0
+PULL_TIMEOUT_S = 1.0
+# Decompressed size up to which a configuration of a peer is taken.
+RULES_LIMIT_BYTES = 16 * 1024 * 1024
+REGISTER_RETRY_S = 0.5
+
+_log = structlog.get_logger()
+
+
+class Fleet:
+    """Exchanges beats with the other instances.
+
+    Attributes:
+        contacts: Known instances by name, without this one.
+        heard_at: Time at which each was last heard of.
+        doubts: Engines that requests found at fault, with the time.
+        peers_up: Whether the store's watch is up, by instance.
+    """
+
+    def __init__(self, node: state.State, store: client.StoreClient) -> None:
+        self.node = node
+        self.store = store
+        self.transport = transport.PeerTransport(node.settings.listen.peers)
+        self.born_ms = int(time.time() * 1e3)
+        self.contacts: dict[str, beats.Contact] = {}
+        self.heard_at: dict[str, float] = {}
+        self.store_up: dict[str, bool] = {}
+        self.doubts: dict[beats.Engine, float] = {}
+        self.leads = False
+        self.lost: dict[beats.Engine, float] = {}
+        self.pulling = False
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def open(self) -> None:
+        """Starts to answer other instances."""
+        self.transport.register(beats.Beat, self._on_beat)
+        self.transport.register(beats.RulesPull, self._on_pull)
+        self.transport.open()
+
+    async def close(self) -> None:
+        """Closes all sockets."""
+        await self.transport.close()
+
+    @property
+    def me(self) -> beats.Contact:
+        """This instance."""
+        settings = self.node.settings
+        return beats.Contact(
+            name=settings.name,
+            born_ms=self.born_ms,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            callers=settings.listen.callers,
+            peers=settings.listen.peers,
+            leaving=self.node.leaving,
+        )
+
+    def live(self) -> list[beats.Contact]:
+        """Returns instances that were heard of a short time ago."""
+        now = time.monotonic()
+        return [
+            c
+            for n, c in self.contacts.items()
+            if now - self.heard_at.get(n, -LIVE_S) < LIVE_S
+        ]
+
+    def directory(self, data_centre: str, region: str) -> list[str]:
+        """Returns caller addresses that take new connections, nearest only.
+
+        Args:
+            data_centre: Where the caller stands.
+            region: Region of the caller.
+        """
+        serving = [c for c in (self.me, *self.live()) if not c.leaving]
+        for near in (
+            [c for c in serving if c.data_centre == data_centre],
+            [c for c in serving if c.region == region],
+        ):
+            # One address would leave callers nothing when it fails.
+            if len(near) >= 2:
+                return [c.callers for c in near]
+        return [c.callers for c in serving]
+
+    def doubt(self, engine: upstreams.Upstream | None) -> None:
+        """Notes an engine that a request found at fault."""
+        if engine is not None:
+            key = beats.Engine(engine.name, engine.born_ms)
+            self.doubts[key] = time.monotonic()
+
+    async def run(self) -> None:
+        """Exchanges beats until cancelled."""
+        while True:
+            self._forget()
+            others = list(self.contacts.values())
+            chosen = self.node.rng.sample(others, min(FANOUT, len(others)))
+            addresses = [c.peers for c in chosen]
+            if len(self.live()) == 0:
+                addresses.extend(
+                    a
+                    for a in self.node.settings.seeds
+                    if a != self.node.settings.listen.peers
+                )
+            for address in set(addresses):
+                self.spawn(self._exchange(address))
+            await asyncio.sleep(PERIOD_S * self.node.rng.uniform(0.8, 1.2))
+
+    async def announce(self) -> None:
+        """Tells every known instance at once, for example of leaving."""
+        addresses = [c.peers for c in self.contacts.values()]
+        await asyncio.gather(*(self._exchange(a) for a in addresses))
+
+    async def register(self) -> None:
+        """Writes this instance's entry; tries until it succeeds."""
+        spec = msgspec.to_builtins(self.me)
+        version = 0
+        while True:
+            try:
+                await self.store.put(
+                    KIND,
+                    self.node.settings.name,
+                    {"contact": spec},
+                    {},
+                    version,
+                )
+                return
+            except (client.ConflictError, client.UncertainError):
+                version = await self._version()
+            except client.StoreError as error:
+                _log.info("registration_delayed", error=str(error))
+            await asyncio.sleep(
+                REGISTER_RETRY_S * self.node.rng.uniform(0.5, 1.5)
+            )
+
+    def on_list(self, items: tuple[client.Stored, ...], _: bool) -> None:
+        """Takes in the entries of all instances."""
+        for item in items:
+            self.on_change(item, False)
+
+    def on_change(self, item: client.Stored, _: bool) -> None:
+        """Takes in the entry of an instance."""
+        if item.deleted or item.name == self.node.settings.name:
+            return
+        try:
+            contact = msgspec.convert(item.spec["contact"], beats.Contact)
+        except (msgspec.MsgspecError, KeyError, TypeError) as error:
+            _log.warning("entry_ignored", name=item.name, reason=str(error))
+            return
+        self._learn(contact)
+
+    async def silent_entries(self) -> list[str]:
+        """Returns instances whose entries can be deleted."""
+        now = time.monotonic()
+        return [n for n in self.contacts if now - self.heard_at[n] > FORGET_S]
+
+    async def _version(self) -> int:
+        try:
+            stored = await self.store.get(KIND, self.node.settings.name)
+        except client.StoreError:
+            return 0
+        return stored.version
+
+    async def _exchange(self, address: str) -> None:
+        try:
+            reply = await self.transport.exchange(
+                address, self._beat(), EXCHANGE_TIMEOUT_S
+            )
+        except transport.PeerError:
+            return  # silence shows in ``heard_at``
+        self._take(reply)
+
+    def _beat(self) -> beats.Beat:
+        now = time.monotonic()
+        own = self.node.dispatcher.own
+        in_force = self.node.rules
+        self.lost = {e: t for e, t in self.lost.items() if t > now}
+        held: tuple[beats.Held, ...] = ()
+        if self.leads:
+            held = tuple(
+                beats.Held(name, born_ms, layers.first, layers.last)
+                for (name, born_ms), layers in self.node.held.items()
+            )
+        return beats.Beat(
+            sender=self.me,
+            rules_version=in_force.version if in_force else 0,
+            store_up=self.node.watch_up,
+            loads={n: beats.Load(v.requests, v.tokens) for n, v in own.items()},
+            doubts=tuple(self.doubts),
+            leads=self.leads,
+            lost=tuple(self.lost) if self.leads else (),
+            held=held,
+            others=tuple(self.live()),
+        )
+
+    def _on_beat(self, beat: beats.Beat) -> beats.Beat:
+        self._take(beat)
+        return self._beat()
+
+    def _take(self, beat: beats.Beat) -> None:
+        now = time.monotonic()
+        name = beat.sender.name
+        if name == self.node.settings.name:
+            return
+        self._learn(beat.sender)
+        self.heard_at[name] = now
+        self.store_up[name] = beat.store_up
+        loads = {
+            n: dispatch.Load(v.requests, v.tokens)
+            for n, v in beat.loads.items()
+        }
+        self.node.dispatcher.on_remote(name, loads, now)
+        for contact in beat.others:
+            if contact.name != self.node.settings.name:
+                self._learn(contact)
+        for engine in beat.doubts:
+            self.doubts.setdefault(engine, now)
+        if beat.leads:
+            self._take_lead(beat)
+        self._compare_rules(beat, now)
+        self.node.instances = 1 + len(self.contacts)
+
+    def _take_lead(self, beat: beats.Beat) -> None:
+        for engine in beat.lost:
+            known = self.node.registry.known.get(engine.name)
+            if known is not None and known.born_ms == engine.born_ms:
+                self.node.avoid(known, LIVE_S, "reported by control")
+        for held in beat.held:
+            layers = upstreams.Layers(held.first, held.last)
+            self.node.set_held((held.name, held.born_ms), layers)
+
+    def _compare_rules(self, beat: beats.Beat, now: float) -> None:
+        in_force = self.node.rules
+        version = in_force.version if in_force else 0
+        if beat.store_up and beat.rules_version <= version:
+            self.node.confirmed_at = now
+        if beat.rules_version > version and not self.pulling:
+            self.pulling = True
+            self.spawn(self._pull(beat.sender.peers, version))
+
+    async def _pull(self, address: str, known: int) -> None:
+        try:
+            reply = await self.transport.exchange(
+                address, beats.RulesPull(known), PULL_TIMEOUT_S
+            )
+            if reply.version <= known:
+                return
+            raw = zlib.decompressobj().decompress(reply.spec, RULES_LIMIT_BYTES)
+            spec = msgspec.json.decode(raw)
+            self.node.apply_rules(documents.rules_from(spec), spec, "peer")
+        except (
+            transport.PeerError,
+            documents.FormatError,
+            msgspec.MsgspecError,
+            zlib.error,
+        ) as error:
+            _log.warning("configuration_pull_failed", error=str(error))
+        finally:
+            self.pulling = False
+
+    def _on_pull(self, pull: beats.RulesPull) -> beats.RulesReply:
+        in_force = self.node.rules
+        if in_force is None or in_force.version <= pull.known:
+            return beats.RulesReply(0, b"")
+        raw = msgspec.json.encode(self.node.rules_spec)
+        return beats.RulesReply(in_force.version, zlib.compress(raw))
+
+    def _learn(self, contact: beats.Contact) -> None:
+        known = self.contacts.get(contact.name)
+        if known is not None and known.born_ms > contact.born_ms:
+            return
+        if known is not None and known.born_ms == contact.born_ms:
+            # Leaving is never taken back by the same process.
+            if known.leaving and not contact.leaving:
+                return
+        elif known is None:
+            self.heard_at.setdefault(contact.name, time.monotonic() - LIVE_S)
+            _log.info("instance_known", name=contact.name, peers=contact.peers)
+        self.contacts[contact.name] = contact
+
+    def _forget(self) -> None:
+        now = time.monotonic()
+        for name, heard_at in list(self.heard_at.items()):
+            if now - heard_at > FORGET_S:
+                self.contacts.pop(name, None)
+                self.heard_at.pop(name, None)
+                self.store_up.pop(name, None)
+                self.node.dispatcher.forget(name)
+        self.doubts = {e: t for e, t in self.doubts.items() if now - t < LIVE_S}
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs work in the background."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/src/yuccatally/forwarding/node.py
@@ -0,0 +1,274 @@
+"""One instance on the users' platform: its parts, start, drain and end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import aiohttp
+import structlog
+
+from yuccatally.core.requests import ledger
+from yuccatally.forwarding import application
+from yuccatally.forwarding import calls
+from yuccatally.forwarding import control
+from yuccatally.forwarding import fleet
+from yuccatally.forwarding import state
+from yuccatally.forwarding import streams
+from yuccatally.forwarding import troubles
+from yuccatally.forwarding import watches
+from yuccatally.instance import protocol
+from yuccatally.instance import servers
+from yuccatally.platform import documents
+from yuccatally.platform import endpoints
+from yuccatally.platform import store as platform_store
+from yuccatally.settings import settings as settings_module
+from yuccatally.store import once
+from yuccatally.telemetry import metrics
+from yuccatally.upstreams import exchange
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from yuccatally.core.forwarding import node as node_settings
+    from yuccatally.core.forwarding import rules
+    from yuccatally.store import client
+
+# Callers keep addresses for this long, and some three times as long.
+DIRECTORY_KEEP_S = 1.0
+# Requests that come later than this after the start of a drain come from
+# callers that could not ask for addresses; a long answer would be cut off.
+REFUSE_AFTER_S = 3.2
+# Time before the forced end in which the process ends by itself.
+END_MARGIN_S = 0.3
+POLL_S = 0.05
+# Connections are kept well beyond the idle time that clients are told, so
+# that none is closed while a request is on its way.
+IDLE_FACTOR = 2.0
+BODY_TIMEOUT_S = 30.0
+WRITE_TIMEOUT_S = 10.0
+CONNECTIONS = 3000
+# Changes of many upstreams at once come with one call.
+UPSTREAM_GATHER_S = 0.15
+
+_log = structlog.get_logger()
+
+
+class Node:
+    """Parts of an instance and their tasks."""
+
+    def __init__(self, settings: node_settings.Node) -> None:
+        self.settings = settings
+        self.state = state.State(settings)
+        self.store = platform_store.PlatformStore(settings.store)
+        self.fleet = fleet.Fleet(self.state, self.store)
+        self.metrics = metrics.Metrics()
+        self.ledger = ledger.Ledger()
+        self.stopping = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_config(cls, settings: node_settings.Node) -> Node:
+        """Returns an instance for settings; nothing is opened yet."""
+        return cls(settings)
+
+    def start_drain(self) -> None:
+        """Starts the shutdown; a second call has no effect."""
+        if not self.state.leaving:
+            self.state.leaving = True
+            _log.info("draining", in_flight=self.state.in_flight)
+            self.stopping.set()
+
+    async def run(self) -> None:
+        """Runs until a drain has ended."""
+        # Answers that are broken off on purpose are logged with the request.
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+        _log.info("starting", name=self.settings.name)
+        client = exchange.ExchangeClient()
+        async with aiohttp.ClientSession(
+            middlewares=(once.send_once,)
+        ) as session:
+            self.control = control.Control(
+                self.state, self.fleet, self.store, session
+            )
+            finder = troubles.Troubles(self.state, self.fleet, session)
+            self.application = application.Application(
+                self.state,
+                streams.StreamForwarder(self.state, client, finder.on_failure),
+                calls.CallForwarder(self.state, client),
+                self.metrics,
+            )
+            listeners = self._listeners()
+            self.fleet.open()
+            self._start(self.fleet.run())
+            self._start(self.fleet.register())
+            self._start(self.control.run())
+            for watch in self._watches():
+                self._start(watch.run())
+            for listener in listeners:
+                self._start(listener.serve())
+            await self.stopping.wait()
+            await self._drain()
+            for listener in listeners:
+                listener.close_idle()
+            await client.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.fleet.close()
+        await self.store.close()
+        _log.info("stopped", in_flight=self.state.in_flight)
+
+    async def _drain(self) -> None:
+        """Serves until nobody is expected and nothing is in flight."""
+        started_at = time.monotonic()
+        await asyncio.gather(self.fleet.announce(), self.control.give_up())
+        await asyncio.sleep(REFUSE_AFTER_S)
+        self.application.refusing = True
+        ends_at = started_at + self.settings.bounds.grace_s - END_MARGIN_S
+        # A poll keeps the count of requests free of I/O.
+        while self.state.in_flight and time.monotonic() < ends_at:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+
+    def _listeners(self) -> list[servers.Listener]:
+        listen = self.settings.listen
+        callers = self._listener(self.application, listen.callers)
+
+        def apply(found: rules.Rules) -> None:
+            callers.apply(
+                _limits(found.limits), found.limits.idle_s * IDLE_FACTOR
+            )
+
+        self.state.on_rules.append(apply)
+        directory = endpoints.directory(
+            self.fleet.directory,
+            min(DIRECTORY_KEEP_S, self.settings.bounds.directory_ttl_s),
+        )
+        readiness = endpoints.readiness(
+            lambda: self.state.rules is not None and not self.state.leaving
+        )
+        return [
+            callers,
+            self._listener(directory, listen.directory),
+            self._listener(readiness, listen.readiness),
+        ]
+
+    def _listener(
+        self, app: Callable[..., Any], address: str
+    ) -> servers.Listener:
+        return servers.Listener(
+            app,
+            settings_module.ListenerSettings(address),
+            settings_module.LimitsSettings(),
+            settings_module.LimitsSettings().body_bytes,
+            self._on_connection_refused,
+        )
+
+    def _watches(self) -> list[watches.KindWatch]:
+        rng = self.state.rng
+        configuration = watches.KindWatch(
+            self.store,
+            documents.CONFIGURATION_KIND,
+            self._on_configurations,
+            self._on_configuration,
+            rng,
+            on_up=self._on_watch_up,
+        )
+        upstreams = watches.KindWatch(
+            self.store,
+            documents.UPSTREAM_KIND,
+            self._on_upstreams,
+            self._on_upstream,
+            rng,
+            gather_s=UPSTREAM_GATHER_S,
+        )
+        instances = watches.KindWatch(
+            self.store,
+            fleet.KIND,
+            self.fleet.on_list,
+            self.fleet.on_change,
+            rng,
+            gather_s=UPSTREAM_GATHER_S,
+        )
+        plans = watches.KindWatch(
+            self.store,
+            control.PLAN_KIND,
+            self.control.on_plans,
+            self.control.on_plan,
+            rng,
+        )
+        return [configuration, upstreams, instances, plans]
+
+    def _on_watch_up(self, up: bool) -> None:
+        self.state.watch_up = up
+
+    def _on_configurations(
+        self, items: tuple[client.Stored, ...], _: bool
+    ) -> None:
+        for item in items:
+            self._on_configuration(item, False)
+
+    def _on_configuration(self, item: client.Stored, _: bool) -> None:
+        if item.name != documents.CONFIGURATION_NAME or item.deleted:
+            return
+        try:
+            found = documents.rules_from(item.spec)
+        except documents.FormatError as error:
+            _log.error("configuration_rejected", reason=str(error))
+            return
+        self.state.apply_rules(found, item.spec, "store")
+
+    def _on_upstreams(
+        self, items: tuple[client.Stored, ...], after_outage: bool
+    ) -> None:
+        entries = [e for e in map(_upstream, items) if e is not None]
+        self.state.registry.replace(entries, time.monotonic(), after_outage)
+        self.state.changed.set()
+
+    def _on_upstream(self, item: client.Stored, after_outage: bool) -> None:
+        registry = self.state.registry
+        entry = None if item.deleted else _upstream(item)
+        if entry is None:
+            registry.remove(item.name, time.monotonic(), after_outage)
+        else:
+            registry.announce(entry)
+        self.state.changed.set()
+
+    def _on_connection_refused(self, reason: str) -> None:
+        self.metrics.count("connections_refused", reason)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_report_end)
+        self.tasks.append(task)
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        _log.error("task_failed", task=task.get_name(), exc_info=error)
+
+
+def _upstream(item: client.Stored) -> Any:
+    try:
+        return documents.upstream_from(item.name, item.spec)
+    except documents.FormatError as error:
+        _log.warning("entry_ignored", name=item.name, reason=str(error))
+        return None
+
+
+def _limits(limits: rules.Limits) -> protocol.ConnectionLimits:
+    return protocol.ConnectionLimits(
+        header_bytes=limits.header_bytes,
+        header_timeout_s=limits.header_timeout_s,
+        body_bytes=limits.body_bytes,
+        body_timeout_s=BODY_TIMEOUT_S,
+        write_timeout_s=WRITE_TIMEOUT_S,
+        connections=CONNECTIONS,
+    )
--- /dev/null
+++ b/src/yuccatally/forwarding/state.py
@@ -0,0 +1,174 @@
+"""What the parts of a forwarding instance share."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import retries
+from yuccatally.core.forwarding import upstreams
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccatally.core.forwarding import node
+    from yuccatally.core.forwarding import rules
+
+# A configuration that neither store nor peers have confirmed for this long may
+# be out of date: unknown routes and keys are then refused as not run.
+CONFIRMED_S = 2.5
+
+_log = structlog.get_logger()
+
+
+class State:
+    """Rules, upstreams, plans and load as this instance believes them.
+
+    Attributes:
+        rules: Configuration in force; None before the first.
+        rules_spec: The same as the platform holds it, for other instances.
+        watch_up: Whether the watch of the configuration is up.
+        confirmed_at: Time at which a peer last confirmed the rules.
+        registry: Upstreams.
+        plans: Pipelines by service.
+        held: Layers that a report has shown, by engine and birth.
+        dispatcher: Choice of paths.
+        instances: Instances that share the retry budget, this one included.
+        changed: Set whenever upstreams or plans change.
+    """
+
+    def __init__(self, settings: node.Node) -> None:
+        self.settings = settings
+        self.rng = random.Random()
+        self.rules: rules.Rules | None = None
+        self.rules_spec: object = None
+        self.watch_up = False
+        self.confirmed_at = 0.0
+        self.registry = upstreams.Registry(settings.bounds.rejoin_s)
+        self.plans: dict[str, pipelines.Plan] = {}
+        self.held: dict[tuple[str, int], upstreams.Layers] = {}
+        self.held_generation = 0
+        self.dispatcher = dispatch.Dispatcher(settings.data_centre, self.rng)
+        self.budgets: dict[str, retries.RetryBudget] = {}
+        self.instances = 1
+        self.changed = asyncio.Event()
+        self.leaving = False
+        self.in_flight = 0
+        self.on_rules: list[Callable[[rules.Rules], None]] = []
+        self._paths: dict[str, tuple[object, list[dispatch.Path]]] = {}
+
+    def apply_rules(
+        self, found: rules.Rules, spec: object, source: str
+    ) -> None:
+        """Puts a configuration in force unless it is older."""
+        if self.rules is not None and found.version <= self.rules.version:
+            return
+        self.rules = found
+        self.rules_spec = spec
+        _log.info(
+            "configuration_applied",
+            version=found.version,
+            routes=len(found.routes),
+            source=source,
+        )
+        for call in self.on_rules:
+            call(found)
+        self.changed.set()
+
+    def is_current(self) -> bool:
+        """Returns whether no newer rules than those in force are known of.
+
+        That is so while the store's watch is up, or while instances whose
+        watch is up state that they have no newer ones.
+        """
+        if self.watch_up:
+            return True
+        return time.monotonic() - self.confirmed_at < CONFIRMED_S
+
+    def budget(self, service: str) -> retries.RetryBudget:
+        """Returns the retry budget of a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            bounds = self.settings.bounds
+            found = retries.RetryBudget(
+                bounds.retry_share, bounds.retry_reserve, bounds.retry_window_s
+            )
+            self.budgets[service] = found
+        return found
+
+    def paths(self, service: rules.Service) -> list[dispatch.Path]:
+        """Returns the pipelines of a service that are whole now."""
+        plan = self.plans.get(service.name)
+        if plan is None or service.model is None:
+            return []
+        key = (
+            plan.generation,
+            self.registry.generation,
+            self.held_generation,
+            id(service),
+        )
+        known = self._paths.get(service.name)
+        if known is not None and known[0] == key:
+            return known[1]
+        whole = []
+        for pipeline in plan.pipelines:
+            hops = self._hops(pipeline)
+            if hops is not None:
+                whole.append((pipeline.name, hops))
+        found = dispatch.paths_of(service.model, whole)
+        self._paths[service.name] = (key, found)
+        return found
+
+    def holds(self, stage: pipelines.Stage) -> bool:
+        """Returns whether an engine is known to hold its range."""
+        found = self.registry.known.get(stage.engine)
+        if found is None or found.born_ms != stage.born_ms:
+            return False
+        if found.layers and found.layers.covers(stage.first, stage.last):
+            return True
+        held = self.held.get((stage.engine, stage.born_ms))
+        return held is not None and held.covers(stage.first, stage.last)
+
+    def set_held(
+        self, engine: tuple[str, int], layers: upstreams.Layers | None
+    ) -> None:
+        """Notes the layers that an incarnation was seen to hold."""
+        if self.held.get(engine) == layers:
+            return
+        if layers is None:
+            del self.held[engine]
+        else:
+            self.held[engine] = layers
+        self.held_generation += 1
+        self.changed.set()
+
+    def avoid(
+        self, engine: upstreams.Upstream, seconds: float, reason: str
+    ) -> None:
+        """Stops the use of an upstream for a while."""
+        until = time.monotonic() + seconds
+        if self.registry.suspect(engine.name, engine.born_ms, until):
+            _log.warning(
+                "upstream_suspected",
+                upstream=engine.name,
+                address=engine.address,
+                reason=reason,
+            )
+        self.changed.set()
+
+    def _hops(
+        self, pipeline: pipelines.Pipeline
+    ) -> tuple[dispatch.Hop, ...] | None:
+        hops = []
+        for stage in pipeline.stages:
+            engine = self.registry.usable(stage.engine, stage.born_ms)
+            if engine is None or not self.holds(stage):
+                return None
+            hops.append(dispatch.Hop(engine, stage.first, stage.last))
+        return tuple(hops)
--- /dev/null
+++ b/src/yuccatally/forwarding/streams.py
@@ -0,0 +1,216 @@
+"""Streams of events from pipelines whose engines pass the work on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from yuccatally.core.forwarding import attempts
+from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import events
+from yuccatally.forwarding import answers
+from yuccatally.upstreams import exchange
+from yuccatally.upstreams import services
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccatally.forwarding import state
+    from yuccatally.forwarding import ticket as tickets
+
+    OnTrouble = Callable[[dispatch.Path, str, answers.Unusable], None]
+
+# A stream without an event for this long goes on elsewhere. Clients leave
+# after a pause of two seconds, and a new engine first reads the prompt again.
+SILENCE_S = 0.9
+# Longest wait for room on a pipeline, as a share of the objective. A refusal
+# that comes later is worth less to a caller than one at once.
+ROOM_WAIT_SHARE = 0.1
+ROOM_POLL_S = 0.02
+ERROR_LIMIT_BYTES = 1024 * 1024
+
+
+class StreamForwarder:
+    """Forwards requests to pipelines and resumes streams that break off."""
+
+    def __init__(
+        self,
+        node: state.State,
+        client: exchange.ExchangeClient,
+        on_trouble: OnTrouble,
+    ) -> None:
+        """Creates a forwarder.
+
+        Args:
+            node: Shared state.
+            client: Client of the engines.
+            on_trouble: Called with the path, the request and what happened
+                when an attempt fails.
+        """
+        self.node = node
+        self.client = client
+        self.on_trouble = on_trouble
+
+    async def run(self, ticket: tickets.Ticket, reply: tickets.Reply) -> None:
+        """Forwards a request until its stream is whole or must end."""
+        progress = attempts.Progress()
+        try:
+            async with asyncio.timeout(ticket.left_s()):
+                await self._attempts(ticket, reply, progress)
+        except TimeoutError:
+            step = attempts.not_run(progress)
+            if progress.ran:
+                step = attempts.GiveUp(504)
+            await answers.end(reply, step, "deadline")
+
+    async def _attempts(
+        self,
+        ticket: tickets.Ticket,
+        reply: tickets.Reply,
+        progress: attempts.Progress,
+    ) -> None:
+        budget = self.node.budget(ticket.service.name)
+        budget.on_request(time.monotonic())
+        splitter = events.EventSplitter(ticket.request.last_event_id)
+        tried: frozenset[str] = frozenset()
+        while True:
+            path = await self._path(ticket, tried)
+            if not isinstance(path, dispatch.Path):
+                why = "full" if isinstance(path, dispatch.Full) else "no-path"
+                await answers.end(reply, attempts.not_run(progress), why)
+                return
+            tried |= {path.name}
+            reply.attempts += 1
+            reply.upstream = path.name
+            result = await self._attempt(
+                ticket, reply, path, splitter, progress
+            )
+            reply.events = splitter.events
+            if result is None:
+                return
+            self.on_trouble(path, ticket.request.id, result)
+            step = attempts.after(
+                result.failure,
+                progress,
+                ticket.route,
+                ticket.left_s(),
+                lambda: budget.withdraw(time.monotonic(), self.node.instances),
+            )
+            answers.log_failure(ticket, path.name, result.failure, step)
+            if isinstance(step, attempts.SendAgain):
+                splitter.restart()
+                continue
+            if (
+                isinstance(step, attempts.PassOn)
+                and result.answer is not None
+                and not reply.started
+            ):
+                answer = result.answer
+                await reply.whole(answer.status, answer.headers, answer.body)
+                return
+            await answers.end(reply, step, answers.reason(result.failure))
+            return
+
+    async def _path(
+        self, ticket: tickets.Ticket, tried: frozenset[str]
+    ) -> dispatch.Path | dispatch.Full | dispatch.Nothing:
+        """Chooses a path; waits a short time while all are full."""
+        tokens = self._tokens(ticket)
+        until = time.monotonic() + ROOM_WAIT_SHARE * ticket.route.objective_s
+        while True:
+            now = time.monotonic()
+            paths = self.node.paths(ticket.service)
+            found = self.node.dispatcher.path(paths, tokens, tried, now)
+            if isinstance(found, dispatch.Nothing) and tried and paths:
+                # The same path may serve again where no other is left.
+                found = self.node.dispatcher.path(
+                    paths, tokens, frozenset(), now
+                )
+            if isinstance(found, dispatch.Path) or now >= until:
+                return found
+            await asyncio.sleep(ROOM_POLL_S)
+
+    async def _attempt(
+        self,
+        ticket: tickets.Ticket,
+        reply: tickets.Reply,
+        path: dispatch.Path,
+        splitter: events.EventSplitter,
+        progress: attempts.Progress,
+    ) -> answers.Unusable | None:
+        """Returns None once the stream is whole, else what went wrong."""
+        tokens = self._tokens(ticket)
+        self.node.dispatcher.start(path.name, tokens, time.monotonic())
+        answer: exchange.Answer | None = None
+        progress.ran += 1
+        try:
+            answer = await self.client.open(
+                self._exchange(ticket, path, splitter)
+            )
+            unusable = answers.judge_head(ticket, answer)
+            if unusable is not None:
+                if isinstance(unusable.failure, attempts.Refused):
+                    progress.ran -= 1
+                return unusable
+            if answer.status >= 300:
+                body = await answer.body(ERROR_LIMIT_BYTES)
+                whole = answers.Whole(answer.status, answer.headers, body)
+                return answers.Unusable(attempts.Failed(answer.status), whole)
+            await self._relay(answer, reply, path, splitter)
+        except services.NotSentError as error:
+            progress.ran -= 1
+            return answers.Unusable(attempts.NotSent(str(error)))
+        except exchange.LostError as error:
+            return answers.Unusable(attempts.Lost(str(error), error.timed_out))
+        except events.EventTooLongError as error:
+            return answers.Unusable(attempts.Lost(str(error)))
+        finally:
+            if answer is not None:
+                answer.close()
+            self.node.dispatcher.finish(path.name, tokens)
+        return None
+
+    async def _relay(
+        self,
+        answer: exchange.Answer,
+        reply: tickets.Reply,
+        path: dispatch.Path,
+        splitter: events.EventSplitter,
+    ) -> None:
+        async for chunk in answer.chunks():
+            self.node.dispatcher.moved(path.name, time.monotonic())
+            whole = splitter.feed(chunk)
+            if not whole:
+                continue
+            if not reply.started:
+                # Until the first event is there, another engine can take over
+                # with its own headers.
+                await reply.begin(answer.status, answer.headers)
+            await reply.write(whole)
+        if not reply.started:
+            await reply.begin(answer.status, answer.headers)
+        await reply.end(splitter.pending)
+
+    def _exchange(
+        self,
+        ticket: tickets.Ticket,
+        path: dispatch.Path,
+        splitter: events.EventSplitter,
+    ) -> exchange.Exchange:
+        first = path.hops[0]
+        resumable = ticket.route.repeat.may_run_again
+        return exchange.Exchange(
+            method=ticket.method,
+            address=first.address,
+            target=ticket.target,
+            headers=ticket.outgoing(first.name, splitter.last_id, path),
+            body=ticket.body,
+            silence_s=SILENCE_S if resumable else ticket.left_s(),
+            fresh=not resumable,
+        )
+
+    def _tokens(self, ticket: tickets.Ticket) -> float:
+        model = ticket.service.model
+        usual = model.answer_tokens if model else 0.0
+        return ticket.request.memory_tokens(usual)
--- /dev/null
+++ b/src/yuccatally/forwarding/ticket.py
@@ -0,0 +1,163 @@
+"""An admitted request and the answer to its client."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+
+from yuccatally.platform import headers as platform_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import MutableMapping
+    from typing import Any
+
+    from yuccatally.core.forwarding import dispatch
+    from yuccatally.core.forwarding import requests
+    from yuccatally.core.forwarding import rules
+
+    Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Ticket:
+    """A request that is to be forwarded.
+
+    Attributes:
+        request: What its headers say.
+        method: HTTP method.
+        target: Path and query, encoded as received.
+        headers: End-to-end headers in order, with the host.
+        body: Whole body.
+        route: Route that it matched.
+        service: Service that was drawn for it.
+        account: Name of the client account; empty for none.
+        started_at: Monotonic time of its arrival, in seconds.
+        deadline: Monotonic time at which nobody waits any more.
+    """
+
+    request: requests.Request
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    route: rules.Route
+    service: rules.Service
+    account: str
+    started_at: float
+    deadline: float
+
+    def left_s(self) -> float:
+        """Returns the time left, in seconds."""
+        return self.deadline - time.monotonic()
+
+    def outgoing(
+        self, upstream: str, last_event_id: str, path: dispatch.Path | None
+    ) -> Headers:
+        """Returns the headers for an upstream; see the adapter."""
+        return platform_headers.outgoing(
+            self.headers,
+            self.account,
+            self.left_s(),
+            upstream,
+            last_event_id,
+            path,
+        )
+
+
+class Reply:
+    """Sends the answer to a client.
+
+    Attributes:
+        status: Status that was sent; 0 before.
+        complete: Whether the answer is whole.
+        reason: Why the request ended as it did.
+        first_at: Monotonic time of the first byte of the body.
+        closing: Whether the connection ends with this answer.
+        attempts: Upstreams that were tried.
+        upstream: Path or upstream that answered last.
+        events: Events of a stream.
+        longest_gap_s: Longest pause between two writes.
+    """
+
+    def __init__(self, send: Send, closing: Callable[[], bool]) -> None:
+        self.send = send
+        self.closing = closing
+        self.status = 0
+        self.complete = False
+        self.reason = ""
+        self.first_at = 0.0
+        self.last_at = 0.0
+        self.attempts = 0
+        self.upstream = ""
+        self.events = 0
+        self.longest_gap_s = 0.0
+
+    @property
+    def started(self) -> bool:
+        """Whether the status was sent."""
+        return self.status != 0
+
+    async def begin(
+        self, status: int, headers: Iterable[tuple[str, str]]
+    ) -> None:
+        """Sends status and headers."""
+        self.status = status
+        encoded = [
+            (n.lower().encode("latin-1"), v.encode("latin-1"))
+            for n, v in headers
+        ]
+        if self.closing():
+            encoded.append((b"connection", b"close"))
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": encoded,
+            }
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body; waits while the client does not read."""
+        now = time.monotonic()
+        if self.first_at:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_at)
+        else:
+            self.first_at = now
+        self.last_at = now
+        await self.send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def end(self, data: bytes = b"") -> None:
+        """Sends the last part of the body."""
+        if data and not self.first_at:
+            self.first_at = time.monotonic()
+        await self.send({"type": "http.response.body", "body": data})
+        self.complete = True
+
+    async def whole(
+        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        sized = [*headers, ("content-length", str(len(body)))]
+        if status == 204 or status == 304:
+            sized = list(headers)
+        await self.begin(status, sized)
+        await self.end(body)
+
+    async def refuse(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        """Sends a failure of this instance's own."""
+        self.reason = reason
+        headers = [("content-type", "application/json")]
+        if retry_after_s is not None:
+            headers.append(("retry-after", f"{retry_after_s:g}"))
+        body = b'{"error":"%s"}' % reason.encode()
+        await self.whole(status, headers, body)
--- a/src/yuccatally/instance/control.py
+++ b/src/yuccatally/instance/control.py
@@ -5,11 +5,9 @@
 import asyncio
 import dataclasses
 import os
-import time
 from typing import TYPE_CHECKING
 from typing import Any
 
-import msgspec
 import structlog
 
 from yuccatally.core import rendezvous
@@ -21,6 +19,7 @@
 from yuccatally.core.placement import rates
 from yuccatally.instance import watch
 from yuccatally.store import client
+from yuccatally.store import leases
 from yuccatally.upstreams import orders
 
 if TYPE_CHECKING:
@@ -37,7 +36,6 @@
 IDLE_INTERVAL_S = 5.0
 CANDIDATES = 2
 REPORTS_AT_ONCE = 32
-UNAVAILABLE_DELAY_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -117,9 +115,7 @@
     async def give_up(self) -> None:
         """Gives held leases up, so that others need not wait for a term."""
         for name, held in self.leases.items():
-            step = held.step(now_s(), candidate=False)
-            if isinstance(step, lease.Write):
-                await self._write_lease(name, held, step)
+            await leases.give_up(self.store, name, held)
 
     async def _advance(self, placement: kinds.Object) -> None:
         name = placement.name
@@ -127,8 +123,8 @@
         if not wanted and name not in self.leases:
             return
         held = self.leases.setdefault(name, lease.Lease(self.holder))
-        await self._step_lease(name, held, wanted)
-        if held.valid(now_s()):
+        await leases.step(self.store, name, held, wanted)
+        if held.valid(leases.now_s()):
             if self._is_due(placement, held):
                 await self._reconcile(placement, held)
         else:
@@ -138,7 +134,7 @@
         idle = self.idle.get(placement.name)
         return (
             idle is None
-            or now_s() >= idle.until
+            or leases.now_s() >= idle.until
             or idle.fence != held.fence
             or idle.revision != self._relevant_revision(placement)
         )
@@ -151,49 +147,6 @@
         )
         return max(placement.revision, *revisions, 0)
 
-    async def _step_lease(
-        self, name: str, held: lease.Lease, wanted: bool
-    ) -> None:
-        match held.step(now_s(), wanted):
-            case lease.Read():
-                await self._read_lease(name, held)
-            case lease.Write() as write:
-                await self._write_lease(name, held, write)
-            case None:
-                pass
-
-    async def _read_lease(self, name: str, held: lease.Lease) -> None:
-        try:
-            stored = await self.store.get("lease", name)
-        except client.NotFoundError:
-            held.on_read(None, 0, now_s())
-        except client.StoreError:
-            held.on_unavailable(now_s(), UNAVAILABLE_DELAY_S)
-            raise
-        else:
-            record = msgspec.convert(stored.spec, lease.Record)
-            held.on_read(record, stored.version, now_s())
-
-    async def _write_lease(
-        self, name: str, held: lease.Lease, write: lease.Write
-    ) -> None:
-        started_at = now_s()
-        spec = dataclasses.asdict(write.record)
-        try:
-            stored = await self.store.put(
-                "lease", name, spec, {}, write.version
-            )
-        except client.ConflictError:
-            held.on_conflict()
-        except client.UncertainError:
-            held.on_uncertain(write.record, started_at)
-            raise
-        except client.StoreError:
-            held.on_unavailable(now_s(), UNAVAILABLE_DELAY_S)
-            raise
-        else:
-            held.on_written(write.record, stored.version, started_at)
-
     async def _reconcile(
         self, placement: kinds.Object, held: lease.Lease
     ) -> None:
@@ -226,13 +179,13 @@
             self.idle.pop(placement.name, None)
         else:
             self.idle[placement.name] = _Idle(
-                now_s() + IDLE_INTERVAL_S,
+                leases.now_s() + IDLE_INTERVAL_S,
                 held.fence,
                 self._relevant_revision(placement),
             )
         versions = {o.name: o.version for o in found}
         for step in steps:
-            if not held.valid(now_s()):
+            if not held.valid(leases.now_s()):
                 return
             await self._perform(step, placement, held, versions, model)
 
@@ -343,8 +296,3 @@
         """Returns whether the instance is among the first by hash."""
         names = {*self.live(), self.name}
         return self.name in rendezvous.ranked(placement, names, CANDIDATES)
-
-
-def now_s() -> float:
-    """Returns seconds of a clock that also runs while the host sleeps."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -78,6 +78,15 @@
         )
         self.server = _Server(config)
 
+    def apply(
+        self, limits: protocol.ConnectionLimits, keep_alive_s: float
+    ) -> None:
+        """Changes the limits, also of connections that are open."""
+        self.server.config.http.limits = limits
+        self.server.config.timeout_keep_alive = keep_alive_s
+        for connection in list(self.server.server_state.connections):
+            connection.timeout_keep_alive = keep_alive_s
+
     async def serve(self) -> None:
         """Serves until ``stop`` is called and requests have ended."""
         await self.server.serve(sockets=[self.socket])
--- /dev/null
+++ b/src/yuccatally/peers/beats.py
@@ -0,0 +1,103 @@
+"""Messages between instances that forward requests."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import msgspec
+
+
+class Contact(msgspec.Struct, array_like=True, frozen=True):
+    """How an instance is reached.
+
+    Attributes:
+        name: Name of the instance.
+        born_ms: Start of its process, milliseconds since 1970.
+        data_centre: Where it stands.
+        region: Region of the data centre.
+        callers: ``IP:PORT`` for requests.
+        peers: ``IP:PORT`` for messages of instances.
+        leaving: Whether it is shutting down.
+    """
+
+    name: str
+    born_ms: int
+    data_centre: str
+    region: str
+    callers: str
+    peers: str
+    leaving: bool = False
+
+
+class Engine(msgspec.Struct, array_like=True, frozen=True):
+    """One incarnation of an engine."""
+
+    name: str
+    born_ms: int
+
+
+class Held(msgspec.Struct, array_like=True, frozen=True):
+    """Layers that an engine was seen to hold; ``last`` is exclusive."""
+
+    name: str
+    born_ms: int
+    first: int
+    last: int
+
+
+class Load(msgspec.Struct, array_like=True, frozen=True):
+    """Requests of an instance on a path or upstream."""
+
+    requests: int
+    tokens: float
+
+
+class Beat(msgspec.Struct, array_like=True, frozen=True):
+    """State of the sender; the reply is that of the receiver.
+
+    Attributes:
+        sender: The sender.
+        rules_version: Version of its configuration; 0 for none.
+        store_up: Whether its watch of the configuration is up.
+        loads: Requests under way by path or upstream.
+        doubts: Engines that its requests found at fault.
+        leads: Whether it holds the lease of control.
+        lost: Engines that do not answer; only from the holder of the lease.
+        held: Layers of engines; only from the holder of the lease.
+        others: Instances that it knows.
+    """
+
+    reply: ClassVar[type]
+
+    sender: Contact
+    rules_version: int = 0
+    store_up: bool = False
+    loads: dict[str, Load] = {}
+    doubts: tuple[Engine, ...] = ()
+    leads: bool = False
+    lost: tuple[Engine, ...] = ()
+    held: tuple[Held, ...] = ()
+    others: tuple[Contact, ...] = ()
+
+
+Beat.reply = Beat
+
+
+class RulesReply(msgspec.Struct, array_like=True, frozen=True):
+    """A configuration as the platform holds it.
+
+    Attributes:
+        version: Its version; 0 for none.
+        spec: Its content, JSON compressed with zlib.
+    """
+
+    version: int
+    spec: bytes
+
+
+class RulesPull(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for the configuration in force."""
+
+    reply: ClassVar[type] = RulesReply
+
+    known: int
--- /dev/null
+++ b/src/yuccatally/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls, no decisions."""
--- /dev/null
+++ b/src/yuccatally/platform/documents.py
@@ -0,0 +1,328 @@
+"""Decoding of what the platform's operators and upstreams publish."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+from yuccatally.core.forwarding import reports
+from yuccatally.core.forwarding import rules
+from yuccatally.core.forwarding import upstreams
+
+T = TypeVar("T")
+
+# Kinds of objects in the platform's store.
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+UPSTREAM_KIND = "servers"
+
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
+
+
+class FormatError(Exception):
+    """A document isn't in the platform's format."""
+
+
+class _Split(msgspec.Struct, rename="camel"):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    # What may be repeated, not a kind of route.
+    route_kind: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    # Upstreams that one request may be sent to, the first included.
+    max_attempts: int = 1
+    priority: int = 0
+    service: str = ""
+    split: tuple[_Split, ...] = ()
+    anonymous: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Card(msgspec.Struct, rename="camel"):
+    name: str
+    size_mb: float
+    # Factor on the time of steps and context; a higher pace is slower.
+    pace: float = 1.0
+    read_factor: float = 1.0
+
+
+class _Usual(msgspec.Struct, rename="camel"):
+    prompt: float = 700.0
+    answer: float = 150.0
+
+
+class _ModelTimes(msgspec.Struct, rename="camel"):
+    name: str
+    load_s: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    layers: int = 0
+    layer_mb: float = msgspec.field(default=0.0, name="layerMb")
+    # Bytes of a token over all layers.
+    kv_bytes: float = msgspec.field(default=0.0, name="kvBytes")
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 1.0
+    activation_bytes: float = msgspec.field(default=0.0, name="activationBytes")
+    link_mbps: float = msgspec.field(default=0.0, name="linkMbps")
+    pipe_mbps: float = msgspec.field(default=0.0, name="pipeMbps")
+    loads_at_once: int = 1
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+    kinds: tuple[_Card, ...] = ()
+    models: tuple[_ModelTimes, ...] = ()
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_connections: int = 64
+    engine: _Engine | None = None
+
+
+class _Account(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Account, ...] | None = None
+
+
+class _Layers(msgspec.Struct):
+    first: int = msgspec.field(name="from")
+    # The first layer that is not held.
+    last: int = msgspec.field(name="target")
+
+
+class _HeldModel(msgspec.Struct):
+    name: str
+
+
+class _Entry(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    born: int = 0
+    # The kind of accelerator, not that of a route.
+    route_kind: str = ""
+    models: tuple[_HeldModel, ...] = ()
+    layers: _Layers | None = None
+
+
+class _Stalled(msgspec.Struct):
+    id: str
+    address: str
+
+
+class _Report(msgspec.Struct, rename="camel"):
+    # Orders accepted since the start of the engine.
+    sequence: int
+    busy: bool = False
+    born: int = 0
+    waiting: int = 0
+    running: int = 0
+    kv_used: float = 0.0
+    kv_total: float = 0.0
+    pace: float = 1.0
+    layers: _Layers | None = None
+    stalled: tuple[_Stalled, ...] = ()
+
+
+def rules_from(spec: Any) -> rules.Rules:
+    """Decodes a configuration.
+
+    Args:
+        spec: Content of the object that holds the configuration.
+
+    Raises:
+        FormatError: It isn't a valid configuration.
+    """
+    raw = _convert(spec, _Configuration)
+    accounts = None
+    if raw.tenants is not None:
+        accounts = tuple(
+            rules.Account(a.name, a.api_keys, a.priority) for a in raw.tenants
+        )
+    return rules.Rules(
+        version=raw.version,
+        routes=tuple(_route(r) for r in raw.routes),
+        services={s.name: _service(s) for s in raw.services},
+        accounts=accounts,
+        limits=rules.Limits(
+            header_bytes=raw.limits.max_header_bytes,
+            body_bytes=raw.limits.max_body_bytes,
+            header_timeout_s=raw.limits.header_timeout_ms / 1e3,
+            idle_s=raw.limits.idle_timeout_ms / 1e3,
+        ),
+    )
+
+
+def upstream_from(name: str, spec: Any) -> upstreams.Upstream:
+    """Decodes an upstream's entry.
+
+    Args:
+        name: Name of the object.
+        spec: Its content.
+
+    Raises:
+        FormatError: It isn't an entry of an upstream.
+    """
+    raw = _convert(spec, _Entry)
+    if raw.state not in ("ready", "draining"):
+        raise FormatError(f"unknown state {raw.state!r}")
+    host, _, port = raw.address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        raise FormatError(f"address {raw.address!r} is not IP:PORT")
+    return upstreams.Upstream(
+        name=name,
+        born_ms=raw.born,
+        service=raw.service,
+        address=raw.address,
+        data_centre=raw.zone,
+        slots=raw.slots,
+        draining=raw.state == "draining",
+        card=raw.route_kind,
+        model=raw.models[0].name if raw.models else "",
+        layers=_layers(raw.layers),
+    )
+
+
+def report_from(body: bytes) -> reports.Report:
+    """Decodes an engine's report.
+
+    Raises:
+        FormatError: It isn't a report.
+    """
+    try:
+        raw = msgspec.json.decode(body, type=_Report)
+    except DECODE_ERRORS as error:
+        raise FormatError(str(error)) from error
+    return reports.Report(
+        orders=raw.sequence,
+        busy=raw.busy,
+        born_ms=raw.born,
+        waiting=raw.waiting,
+        running=raw.running,
+        used_token_layers=raw.kv_used,
+        total_token_layers=raw.kv_total,
+        pace=raw.pace,
+        layers=_layers(raw.layers),
+        stalled={s.id: s.address for s in raw.stalled},
+    )
+
+
+def order_body(order: reports.LayersOrder) -> bytes:
+    """Encodes an order to hold a range of layers."""
+    return msgspec.json.encode(
+        {
+            "operation": "place",
+            "from": order.layers.first,
+            "target": order.layers.last,
+            # Requests on their way through layers that are given up finish.
+            "drainMode": "queue",
+            "fencingToken": order.fence,
+            "expected": order.expected_orders,
+        }
+    )
+
+
+def _route(raw: _Route) -> rules.Route:
+    if not raw.path_prefix.startswith("/") or not raw.path_prefix.endswith("/"):
+        raise FormatError(f"route {raw.name}: prefix {raw.path_prefix!r}")
+    targets = tuple(rules.Target(s.service, s.weight) for s in raw.split)
+    if not targets:
+        targets = (rules.Target(raw.service, 1.0),)
+    return rules.Route(
+        name=raw.name,
+        host=raw.host.lower(),
+        path_prefix=raw.path_prefix,
+        targets=targets,
+        repeat=_repeat(raw),
+        timeout_s=raw.timeout_ms / 1e3,
+        objective_s=raw.slo_ms / 1e3,
+        pause_objective_s=raw.gap_target_ms / 1e3,
+        attempts=max(1, raw.max_attempts),
+        anonymous=raw.anonymous,
+        priority=raw.priority,
+    )
+
+
+def _repeat(raw: _Route) -> rules.Repeat:
+    match raw.route_kind:
+        case "idempotent":
+            return rules.Repeat.IDEMPOTENT
+        case "streaming" if raw.resumable:
+            return rules.Repeat.RESUMABLE_STREAM
+        case "streaming":
+            return rules.Repeat.STREAM
+        case _:
+            # Kinds that are not known here are never repeated.
+            return rules.Repeat.AT_MOST_ONCE
+
+
+def _service(raw: _Service) -> rules.Service:
+    engine = raw.engine
+    if engine is None or not engine.layers or not engine.kinds:
+        return rules.Service(raw.name, raw.max_connections)
+    cards = {
+        c.name: rules.Card(c.name, c.size_mb, c.pace, c.read_factor)
+        for c in engine.kinds
+    }
+    model = rules.Model(
+        slots=engine.slots,
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        load_s=max((m.load_s for m in engine.models), default=0.0),
+        loads_at_once=max(1, engine.loads_at_once),
+        token_layer_bytes=engine.kv_bytes / engine.layers,
+        step_s=engine.step_ms / 1e3,
+        step_sequence_s=engine.per_seq_ms / 1e3,
+        step_context_s=engine.context_per_k / 1e3,
+        read_tokens_per_s=engine.read_per_s,
+        activation_bytes=engine.activation_bytes,
+        link_mbps=engine.link_mbps,
+        pipe_mbps=engine.pipe_mbps,
+        prompt_tokens=engine.usual.prompt,
+        answer_tokens=engine.usual.answer,
+        cards=cards,
+    )
+    return rules.Service(raw.name, raw.max_connections, model)
+
+
+def _layers(raw: _Layers | None) -> upstreams.Layers | None:
+    if raw is None or raw.first >= raw.last:
+        return None
+    return upstreams.Layers(raw.first, raw.last)
+
+
+def _convert(raw: Any, target: type[T]) -> T:
+    try:
+        return msgspec.convert(raw, target)
+    except DECODE_ERRORS as error:
+        raise FormatError(str(error)) from error
--- /dev/null
+++ b/src/yuccatally/platform/endpoints.py
@@ -0,0 +1,41 @@
+"""What the platform and callers ask an instance: readiness and addresses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from starlette import applications
+from starlette import responses
+from starlette import routing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from starlette import requests
+
+
+def directory(
+    addresses: Callable[[str, str], list[str]], keep_s: float
+) -> applications.Starlette:
+    """Returns the application that tells callers which addresses to use.
+
+    Args:
+        addresses: Returns addresses for a data centre and region.
+        keep_s: Time for which callers may keep them, in seconds.
+    """
+
+    async def resolve(request: requests.Request) -> responses.Response:
+        query = request.query_params
+        found = addresses(query.get("zone", ""), query.get("region", ""))
+        return responses.JSONResponse({"addresses": found, "ttlS": keep_s})
+
+    return applications.Starlette(routes=[routing.Route("/resolve", resolve)])
+
+
+def readiness(is_ready: Callable[[], bool]) -> applications.Starlette:
+    """Returns the application that answers readiness checks."""
+
+    async def ready(request: requests.Request) -> responses.Response:
+        return responses.Response(status_code=200 if is_ready() else 503)
+
+    return applications.Starlette(routes=[routing.Route("/readyz", ready)])
--- /dev/null
+++ b/src/yuccatally/platform/engines.py
@@ -0,0 +1,91 @@
+"""Reports of the platform's engines and orders to them."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from yuccatally.platform import documents
+from yuccatally.platform import headers
+
+if TYPE_CHECKING:
+    from yuccatally.core.forwarding import reports
+    from yuccatally.core.forwarding import upstreams
+
+# Engines answer reports without a slot, within a few milliseconds.
+REPORT_TIMEOUT_S = 0.4
+ORDER_TIMEOUT_S = 1.0
+
+_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
+
+
+class ReportError(Exception):
+    """An engine did not report."""
+
+
+class Outcome(enum.Enum):
+    """What became of an order."""
+
+    BEGUN = enum.auto()
+    HOLDS_ALREADY = enum.auto()
+    STATE_DIFFERS = enum.auto()
+    STALE_FENCE = enum.auto()
+    REFUSED = enum.auto()
+    # It may be carried out at any later time.
+    UNKNOWN = enum.auto()
+
+
+_OUTCOMES = {
+    200: Outcome.HOLDS_ALREADY,
+    202: Outcome.BEGUN,
+    409: Outcome.STATE_DIFFERS,
+    412: Outcome.STALE_FENCE,
+}
+
+
+async def report(
+    session: aiohttp.ClientSession, engine: upstreams.Upstream
+) -> reports.Report:
+    """Returns the report of an engine.
+
+    Raises:
+        ReportError: It did not answer in time, or not with a report.
+    """
+    try:
+        async with session.get(
+            f"http://{engine.address}/report",
+            headers={headers.EXPECTED_UPSTREAM: engine.name},
+            timeout=aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S),
+        ) as response:
+            body = await response.read()
+            if response.status != 200:
+                raise ReportError(f"status {response.status}")
+        return documents.report_from(body)
+    except (*_ERRORS, documents.FormatError) as error:
+        raise ReportError(f"{type(error).__name__}: {error}") from error
+
+
+async def order(
+    session: aiohttp.ClientSession,
+    engine: upstreams.Upstream,
+    wanted: reports.LayersOrder,
+) -> Outcome:
+    """Orders an engine to hold a range of layers."""
+    try:
+        async with session.post(
+            f"http://{engine.address}/order",
+            data=documents.order_body(wanted),
+            headers={
+                headers.EXPECTED_UPSTREAM: engine.name,
+                "Content-Type": "application/json",
+            },
+            timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
+        ) as response:
+            await response.read()
+            return _OUTCOMES.get(response.status, Outcome.REFUSED)
+    except aiohttp.ClientConnectorError:
+        return Outcome.REFUSED
+    except _ERRORS:
+        return Outcome.UNKNOWN
--- /dev/null
+++ b/src/yuccatally/platform/store.py
@@ -0,0 +1,168 @@
+"""The platform's metadata store."""
+
+from __future__ import annotations
+
+from typing import Any
+import urllib.parse
+
+import msgspec
+import structlog
+
+from yuccatally.store import calls
+from yuccatally.store import client
+
+# Answers of the store that promise that the call did nothing.
+_REFUSALS = frozenset({429, 503})
+
+_log = structlog.get_logger()
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    # Any value, since a foreign writer's content may be malformed.
+    spec: Any = None
+
+
+class _Page(msgspec.Struct, rename="camel"):
+    items: tuple[Any, ...]
+    # Revision of the store, not of an object.
+    at: int
+    has_more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: Any
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: tuple[_Event, ...]
+    at: int
+
+
+class PlatformStore:
+    """Client of the platform's store; implements ``client.StoreClient``.
+
+    The store has no labels, and the version of an object is the revision of
+    its last change.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.http = calls.StoreCalls(f"http://{address}", _REFUSALS)
+
+    @property
+    def calls(self) -> int:
+        """Calls made, counted as the platform counts them."""
+        return self.http.calls
+
+    async def list_objects(self, kind: str = "") -> client.Listing:
+        """See ``client.StoreClient.list_objects``; the kind is required."""
+        items: list[client.Stored] = []
+        after, first_revision = "", 0
+        while True:
+            query = f"?{urllib.parse.urlencode({'after': after})}"
+            page = _page(
+                await self.http.call(
+                    "GET", f"/objects/{kind}{query if after else ''}"
+                )
+            )
+            # Changes while the pages are read are seen again by the watch.
+            first_revision = first_revision or page.at
+            found = [_stored(kind, raw) for raw in page.items]
+            items.extend(f for f in found if f is not None)
+            if not page.has_more or not found or found[-1] is None:
+                return client.Listing(first_revision, tuple(items))
+            after = found[-1].name
+
+    async def get(self, kind: str, name: str) -> client.Stored:
+        """See ``client.StoreClient.get``."""
+        raw = await self.http.call("GET", f"/objects/{kind}/{_quote(name)}")
+        return _required(kind, raw)
+
+    async def put(
+        self,
+        kind: str,
+        name: str,
+        spec: dict[str, Any],
+        labels: dict[str, str],
+        version: int,
+    ) -> client.Stored:
+        """See ``client.StoreClient.put``."""
+        if version == 0:
+            body = {"metadata": {"name": name}, "spec": spec}
+            raw = await self.http.call("POST", f"/objects/{kind}", body=body)
+            return _required(kind, raw)
+        metadata = {"name": name, "revision": version}
+        raw = await self.http.call(
+            "PUT",
+            f"/objects/{kind}/{_quote(name)}",
+            body={"metadata": metadata, "spec": spec},
+        )
+        return _required(kind, raw)
+
+    async def delete(self, kind: str, name: str, version: int) -> int:
+        """See ``client.StoreClient.delete``."""
+        await self.http.call(
+            "DELETE", f"/objects/{kind}/{_quote(name)}?revision={version}"
+        )
+        return version
+
+    async def watch(
+        self, since: int, wait_s: float, kind: str = ""
+    ) -> client.Listing:
+        """See ``client.StoreClient.watch``; the kind is required."""
+        wait_ms = max(1, int(wait_s * 1e3))
+        raw = await self.http.call(
+            "GET",
+            f"/objects/{kind}?watch={since}&waitMs={wait_ms}",
+            timeout_s=wait_s + calls.WATCH_MARGIN_S,
+        )
+        try:
+            found = msgspec.convert(raw, _Events)
+        except msgspec.MsgspecError as error:
+            raise client.StoreError(f"watch of {kind}: {error}") from error
+        items = (_stored(kind, e.object, e.deleted) for e in found.events)
+        return client.Listing(found.at, tuple(i for i in items if i))
+
+    async def members(self) -> tuple[client.Member, ...]:
+        """See ``client.StoreClient.members``; the platform has no list."""
+        return ()
+
+    async def close(self) -> None:
+        """See ``client.StoreClient.close``."""
+        await self.http.close()
+
+
+def _page(raw: Any) -> _Page:
+    try:
+        return msgspec.convert(raw, _Page)
+    except msgspec.MsgspecError as error:
+        raise client.StoreError(f"not a list of objects: {error}") from error
+
+
+def _stored(kind: str, raw: Any, deleted: bool = False) -> client.Stored | None:
+    try:
+        found = msgspec.convert(raw, _Object)
+    except msgspec.MsgspecError as error:
+        _log.warning("object_ignored", kind=kind, reason=str(error))
+        return None
+    revision = found.metadata.revision
+    return client.Stored(
+        kind, found.metadata.name, found.spec, {}, revision, revision, deleted
+    )
+
+
+def _required(kind: str, raw: Any) -> client.Stored:
+    found = _stored(kind, raw)
+    if found is None:
+        raise client.StoreError(f"{kind}: the answer holds no object")
+    return found
+
+
+def _quote(name: str) -> str:
+    return urllib.parse.quote(name, safe="")
--- /dev/null
+++ b/src/yuccatally/store/calls.py
@@ -0,0 +1,99 @@
+"""HTTP calls to a platform's object API, with its errors."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from yuccatally.store import client
+from yuccatally.store import once
+
+CALL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+WATCH_MARGIN_S = 1.0
+
+
+class StoreCalls:
+    """Makes calls and turns their failures into errors of the store.
+
+    Attributes:
+        base: ``http://IP:PORT`` of the platform.
+        refusals: Statuses that promise that nothing was done.
+        calls: Calls made, counted as the platform counts them.
+    """
+
+    def __init__(self, base: str, refusals: frozenset[int]) -> None:
+        self.base = base
+        self.refusals = refusals
+        self.calls = 0
+        self.session: aiohttp.ClientSession | None = None
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
+        """Makes one call and returns the decoded answer.
+
+        Raises:
+            client.StoreError: It did not succeed; see the subclasses.
+        """
+        self.calls += 1
+        if self.session is None:
+            self.session = aiohttp.ClientSession(middlewares=(once.send_once,))
+        try:
+            async with self.session.request(
+                method,
+                self.base + path,
+                headers=headers,
+                data=None if body is None else msgspec.json.encode(body),
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
+                ),
+            ) as response:
+                payload = await response.read()
+                self._raise_for(response.status, method, path)
+                return msgspec.json.decode(payload)
+        except aiohttp.ClientConnectorError as error:
+            raise client.StoreError(f"{method} {path}: {error}") from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise client.StoreError(f"{method} {path}: {error}") from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise _lost(method, path, error) from error
+        except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+            raise _lost(method, path, error) from error
+
+    async def close(self) -> None:
+        """Closes connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    def _raise_for(self, status: int, method: str, path: str) -> None:
+        message = f"{method} {path}: status {status}"
+        match status:
+            case 404:
+                raise client.NotFoundError(message)
+            case 409 | 412:
+                raise client.ConflictError(message)
+            case 410:
+                raise client.CompactedError(message)
+            case _ if status in self.refusals:
+                raise client.StoreError(message)
+            case _ if status >= 500:
+                raise _lost(method, path, RuntimeError(message))
+            case _ if status >= 400:
+                raise client.StoreError(message)
+
+
+def _lost(method: str, path: str, error: Exception) -> client.StoreError:
+    message = f"{method} {path}: no answer ({type(error).__name__})"
+    if method == "GET" and isinstance(error, TimeoutError):
+        return client.SilentError(message)
+    if method == "GET":
+        return client.StoreError(message)
+    return client.UncertainError(message)
--- a/src/yuccatally/store/client.py
+++ b/src/yuccatally/store/client.py
@@ -137,8 +137,8 @@
             UncertainError: The reply was lost; read back.
         """
 
-    async def watch(self, since: int, wait_s: float) -> Listing:
-        """Waits for changes after a revision.
+    async def watch(self, since: int, wait_s: float, kind: str = "") -> Listing:
+        """Waits for changes after a revision, of one kind or of all.
 
         Returns:
             Changes in order; empty if none came within ``wait_s`` seconds.
--- a/src/yuccatally/telemetry/logs.py
+++ b/src/yuccatally/telemetry/logs.py
@@ -6,6 +6,7 @@
 import sys
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import TextIO
 
 import structlog
 
@@ -38,14 +39,18 @@
 )
 
 
-def configure(instance: str, level: str = "info") -> None:
+def configure(
+    instance: str, level: str = "info", file: TextIO | None = None
+) -> None:
     """Sets up structlog for the process.
 
     Args:
         instance: Name that each line carries.
         level: Lowest level that is written.
+        file: Where lines go; standard error if none is given.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    file = file or sys.stderr
+    handler = logging.StreamHandler(file)
     handler.setFormatter(LibraryFormatter(instance))
     logging.basicConfig(handlers=[handler], level=logging.WARNING, force=True)
     threshold = logging.getLevelNamesMapping()[level.upper()]
@@ -59,7 +64,7 @@
             render,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(threshold),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=file),
     )
     structlog.contextvars.bind_contextvars(instance=instance)
 
--- /dev/null
+++ b/src/yuccatally/upstreams/exchange.py
@@ -0,0 +1,184 @@
+"""Requests to upstreams whose answers are passed on as they arrive."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from typing import TYPE_CHECKING
+
+import aiohttp
+import yarl
+
+from yuccatally.upstreams import services
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+CONNECT_TIMEOUT_S = 1.0
+# Kept below the idle time after which upstreams close a connection, so that
+# no request meets that close.
+KEEP_ALIVE_S = 2.0
+# Time in which the end of a connection without a stated length is known to be
+# clean.
+CLOSE_WAIT_S = 0.05
+
+LOST_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
+
+
+class LostError(Exception):
+    """The request was sent, and its answer failed or did not come.
+
+    Attributes:
+        timed_out: Whether nothing came for too long.
+    """
+
+    def __init__(self, reason: str, timed_out: bool = False) -> None:
+        super().__init__(reason)
+        self.timed_out = timed_out
+
+
+@dataclasses.dataclass(frozen=True)
+class Exchange:
+    """A request to one upstream.
+
+    Attributes:
+        method: HTTP method.
+        address: ``IP:PORT``.
+        target: Path and query, encoded as received.
+        headers: End-to-end headers in order.
+        body: Request body.
+        silence_s: Longest time without a byte of the answer.
+        fresh: Whether the request needs a connection of its own, because it
+            may not be repeated if a kept one turns out to be dead.
+    """
+
+    method: str
+    address: str
+    target: str
+    headers: services.Headers
+    body: bytes
+    silence_s: float
+    fresh: bool
+
+
+class Answer:
+    """An answer whose headers have arrived.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers in order.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self.response = response
+        self.status = response.status
+        self.headers = services.end_to_end(list(response.raw_headers))
+        length = response.headers.get("Content-Length")
+        encoding = response.headers.get("Transfer-Encoding", "")
+        self.unframed = length is None and "chunked" not in encoding.lower()
+        connection = response.connection
+        self.protocol = connection.protocol if connection else None
+
+    def header(self, name: str) -> str:
+        """Returns a header, empty if it is missing."""
+        return self.response.headers.get(name, "")
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        Raises:
+            LostError: It ended before it was complete.
+        """
+        try:
+            async for chunk in self.response.content.iter_any():
+                yield chunk
+        except TimeoutError as error:
+            raise LostError("silent", timed_out=True) from error
+        except LOST_ERRORS as error:
+            raise LostError(type(error).__name__) from error
+        if self.unframed:
+            await self._check_close()
+
+    async def body(self, limit_bytes: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            LostError: It ended early or is too long.
+        """
+        parts = bytearray()
+        async for chunk in self.chunks():
+            parts += chunk
+            if len(parts) > limit_bytes:
+                raise LostError("too long")
+        return bytes(parts)
+
+    def close(self) -> None:
+        """Ends the exchange; the connection is dropped unless it is done."""
+        self.response.close()
+
+    def discard_connection(self) -> None:
+        """Closes the connection, on which another answer may follow."""
+        self.response.close()
+        if self.protocol is not None:
+            self.protocol.close()
+
+    async def _check_close(self) -> None:
+        """Tells a reset from the end of a body that has no stated length."""
+        closed = self.protocol.closed if self.protocol else None
+        if closed is None:
+            return
+        try:
+            async with asyncio.timeout(CLOSE_WAIT_S):
+                await asyncio.shield(closed)
+        except TimeoutError:
+            return  # half closed: the upstream ended its side in order
+        except LOST_ERRORS as error:
+            raise LostError("reset before its end") from error
+
+
+class ExchangeClient:
+    """Sends requests, each at most once."""
+
+    def __init__(self) -> None:
+        self.kept = services.session(keep_alive_s=KEEP_ALIVE_S)
+        self.fresh = services.session()
+
+    async def open(self, exchange: Exchange) -> Answer:
+        """Sends a request and waits for the headers of its answer.
+
+        Raises:
+            services.NotSentError: The connection could not be made.
+            LostError: The request may have run.
+        """
+        progress = services.Progress()
+        session = self.fresh if exchange.fresh else self.kept
+        try:
+            response = await session.request(
+                exchange.method,
+                yarl.URL(
+                    f"http://{exchange.address}{exchange.target}", encoded=True
+                ),
+                headers=exchange.headers,
+                data=exchange.body or None,
+                timeout=aiohttp.ClientTimeout(
+                    total=None,
+                    sock_connect=CONNECT_TIMEOUT_S,
+                    sock_read=exchange.silence_s,
+                ),
+                allow_redirects=False,
+                trace_request_ctx=progress,
+            )
+        except (*LOST_ERRORS, services.SecondConnectionError) as error:
+            message = f"{exchange.address}: {type(error).__name__}"
+            if not progress.connected:
+                raise services.NotSentError(message) from error
+            timed_out = isinstance(error, TimeoutError)
+            raise LostError(message, timed_out) from error
+        return Answer(response)
+
+    async def close(self) -> None:
+        """Closes connections."""
+        with contextlib.suppress(aiohttp.ClientError):
+            await self.kept.close()
+            await self.fresh.close()
--- a/src/yuccatally/upstreams/services.py
+++ b/src/yuccatally/upstreams/services.py
@@ -7,6 +7,8 @@
 import aiohttp
 import yarl
 
+from yuccatally.store import once
+
 CONNECT_TIMEOUT_S = 1.0
 HOP_BY_HOP = frozenset(
     {
@@ -92,23 +94,41 @@
 
 
 @dataclasses.dataclass
-class _Progress:
+class Progress:
+    """How far a call has got.
+
+    Attributes:
+        connections: Connections that were started.
+        connected: Whether the call has a connection, so that bytes may have
+            been sent.
+    """
+
     connections: int = 0
     connected: bool = False
 
 
-def session() -> aiohttp.ClientSession:
+def session(keep_alive_s: float = 0.0) -> aiohttp.ClientSession:
     """Returns a session for calls of services.
 
-    Every call has a connection of its own, so a reply that arrives late cannot
-    be read as the answer to another call. Nothing is decoded or remembered
-    between calls.
+    Nothing is decoded or remembered between calls.
+
+    Args:
+        keep_alive_s: Time for which a connection is kept for other calls. With
+            0 every call has a connection of its own, so a reply that arrives
+            late cannot be read as the answer to another call.
     """
     progress = aiohttp.TraceConfig()
     progress.on_connection_create_start.append(_on_connecting)
     progress.on_connection_create_end.append(_on_connected)
+    progress.on_connection_reuseconn.append(_on_connected)
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    if keep_alive_s:
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=keep_alive_s
+        )
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=connector,
+        middlewares=(once.send_once,),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_AUTOMATIC,
@@ -132,7 +152,7 @@
         UncertainError: The connection failed or timed out afterwards.
         TooLongError: The answer exceeds the limit.
     """
-    progress = _Progress()
+    progress = Progress()
     try:
         async with client.request(
             request.method,
