Tell resets of unframed bodies, own outages and silent watches apart

The end of the connection is now recorded before the headers are read, and a body counts as whole only if it was closed in order.

The time now runs from the end of the outage, and not at all if other instances reached the store meanwhile.

Watches are restarted when a peer has seen newer changes, or when another call got no answer, instead of after the wait of the watch.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -59,19 +59,12 @@
 
     Attributes:
         known: Upstreams by name.
-        missing: Time at which an entry was found missing after an outage of
-            the store, by name.
+        missing: Time until which an entry that lapsed in an outage of the
+            store may come back, by name.
         suspects: End of the suspicion by name and birth.
     """
 
-    def __init__(self, rejoin_s: float) -> None:
-        """Creates an empty registry.
-
-        Args:
-            rejoin_s: Time in which entries that lapsed during an outage of the
-                store are written again by live upstreams.
-        """
-        self.rejoin_s = rejoin_s
+    def __init__(self) -> None:
         self.known: dict[str, Upstream] = {}
         self.missing: dict[str, float] = {}
         self.suspects: dict[tuple[str, int], float] = {}
@@ -86,38 +79,38 @@
         self.generation += 1
         return True
 
-    def remove(self, name: str, now: float, after_outage: bool) -> None:
+    def remove(self, name: str, rejoin_until: float | None) -> None:
         """Takes in that an entry is gone.
 
         Args:
             name: Name of the upstream.
-            now: Monotonic time in seconds.
-            after_outage: Whether the entry may have lapsed only because its
-                upstream could not reach the store.
+            rejoin_until: Monotonic time until which the entry may come back,
+                because it may have lapsed only in an outage of the store;
+                None if there was no outage.
         """
         if name not in self.known:
             return
-        if after_outage and not self.known[name].draining:
-            self.missing.setdefault(name, now)
+        if rejoin_until is not None and not self.known[name].draining:
+            self.missing.setdefault(name, rejoin_until)
             return
         self._drop(name)
 
     def replace(
-        self, entries: Iterable[Upstream], now: float, after_outage: bool
+        self, entries: Iterable[Upstream], rejoin_until: float | None
     ) -> None:
-        """Takes in a complete list of entries."""
+        """Takes in a complete list of entries; see ``remove``."""
         listed = set()
         for entry in entries:
             listed.add(entry.name)
             self.announce(entry)
         for name in list(self.known):
             if name not in listed:
-                self.remove(name, now, after_outage)
+                self.remove(name, rejoin_until)
 
     def expire(self, now: float) -> None:
         """Drops entries that did not come back, and old suspicions."""
-        for name, since in list(self.missing.items()):
-            if now - since >= self.rejoin_s:
+        for name, until in list(self.missing.items()):
+            if now >= until:
                 self._drop(name)
         for key, until in list(self.suspects.items()):
             if now >= until:
--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -159,9 +159,9 @@
         if route is None:
             return self._unknown(404, "no-route")
         account = in_force.by_key.get(request.key)
-        if account is None and in_force.accounts is not None:
-            if not route.anonymous:
-                return self._unknown(401, "unknown-key")
+        needs_key = in_force.accounts is not None and not route.anonymous
+        if account is None and needs_key:
+            return self._unknown(401, "unknown-key")
         service = in_force.services.get(route.pick(self.node.rng))
         if service is None:
             return Rejection(503, "no-service", attempts.RETRY_AFTER_S)
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -19,12 +19,15 @@
 from yuccatally.store import leases
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import aiohttp
 
     from yuccatally.core.forwarding import rules
     from yuccatally.core.forwarding import upstreams
     from yuccatally.forwarding import fleet
     from yuccatally.forwarding import state
+    from yuccatally.forwarding import watches
 
 LEASE_NAME = "control"
 PLAN_KIND = plans.KIND
@@ -72,19 +75,27 @@
         self.orders: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.accepted: dict[tuple[str, int], int] = {}
         self.verified_at: dict[beats.Engine, float] = {}
+        # Called when a call to the store got no answer.
+        self.on_store_silent: Callable[[], None] = lambda: None
 
     @property
     def leads(self) -> bool:
         """Whether orders may be given now."""
         return self.lease.valid(leases.now_s())
 
-    def on_plans(self, items: tuple[client.Stored, ...], _: bool) -> None:
+    def on_plans(
+        self,
+        items: tuple[client.Stored, ...],
+        outage: watches.Outage | None = None,
+    ) -> None:
         """Takes in the plans of all services."""
         self.plans_listed = True
         for item in items:
-            self.on_plan(item, False)
+            self.on_plan(item, outage)
 
-    def on_plan(self, item: client.Stored, _: bool) -> None:
+    def on_plan(
+        self, item: client.Stored, outage: watches.Outage | None = None
+    ) -> None:
         """Takes in the plan of a service."""
         if item.deleted:
             self.versions.pop(item.name, None)
@@ -106,6 +117,10 @@
                 await self._tick()
             except client.StoreError as error:
                 _log.warning("control_delayed", error=str(error))
+                if isinstance(
+                    error, client.SilentError | client.UncertainError
+                ):
+                    self.on_store_silent()
             self.fleet.leads = self.leads
             await asyncio.sleep(TICK_S)
 
@@ -193,7 +208,7 @@
             )
         except (client.ConflictError, client.UncertainError):
             # Another holder's plan, or this one: the store's version decides.
-            self.on_plan(await self.store.get(plans.KIND, service), False)
+            self.on_plan(await self.store.get(plans.KIND, service))
             return
         self.versions[service] = max(
             stored.version, self.versions.get(service, 0)
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -22,6 +22,7 @@
     from collections.abc import Coroutine
 
     from yuccatally.forwarding import state
+    from yuccatally.forwarding import watches
 
 KIND = "instances"
 PERIOD_S = 0.25
@@ -36,6 +37,8 @@
 # Decompressed size up to which a configuration of a peer is taken.
 RULES_LIMIT_BYTES = 16 * 1024 * 1024
 REGISTER_RETRY_S = 0.5
+# An outage of the whole store is noticed by all instances within this time.
+OUTAGE_NOTICED_S = 2.5
 
 _log = structlog.get_logger()
 
@@ -59,6 +62,8 @@
         self.heard_at: dict[str, float] = {}
         self.store_up: dict[str, bool] = {}
         self.doubts: dict[beats.Engine, float] = {}
+        self.peer_up_at = 0.0
+        self.upstream_watch: watches.KindWatch | None = None
         self.leads = False
         self.lost: dict[beats.Engine, float] = {}
         self.pulling = False
@@ -114,6 +119,10 @@
                 return [c.callers for c in near]
         return [c.callers for c in serving]
 
+    def others_reached_store(self, outage: watches.Outage) -> bool:
+        """Returns whether other instances had the store during an outage."""
+        return self.peer_up_at > outage.started_at + OUTAGE_NOTICED_S
+
     def doubt(self, engine: upstreams.Upstream | None) -> None:
         """Notes an engine that a request found at fault."""
         if engine is not None:
@@ -164,12 +173,18 @@
                 REGISTER_RETRY_S * self.node.rng.uniform(0.5, 1.5)
             )
 
-    def on_list(self, items: tuple[client.Stored, ...], _: bool) -> None:
+    def on_list(
+        self,
+        items: tuple[client.Stored, ...],
+        outage: watches.Outage | None,
+    ) -> None:
         """Takes in the entries of all instances."""
         for item in items:
-            self.on_change(item, False)
+            self.on_change(item, outage)
 
-    def on_change(self, item: client.Stored, _: bool) -> None:
+    def on_change(
+        self, item: client.Stored, outage: watches.Outage | None
+    ) -> None:
         """Takes in the entry of an instance."""
         if item.deleted or item.name == self.node.settings.name:
             return
@@ -216,6 +231,9 @@
             sender=self.me,
             rules_version=in_force.version if in_force else 0,
             store_up=self.node.watch_up,
+            upstreams_revision=(
+                self.upstream_watch.newest if self.upstream_watch else 0
+            ),
             loads={n: beats.Load(v.requests, v.tokens) for n, v in own.items()},
             doubts=tuple(self.doubts),
             leads=self.leads,
@@ -236,6 +254,10 @@
         self._learn(beat.sender)
         self.heard_at[name] = now
         self.store_up[name] = beat.store_up
+        if beat.store_up:
+            self.peer_up_at = now
+        if self.upstream_watch is not None:
+            self.upstream_watch.on_peer(beat.upstreams_revision)
         loads = {
             n: dispatch.Load(v.requests, v.tokens)
             for n, v in beat.loads.items()
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -107,7 +107,8 @@
             self._start(self.fleet.run())
             self._start(self.fleet.register())
             self._start(self.control.run())
-            for watch in self._watches():
+            self.watches = self._watches()
+            for watch in self.watches:
                 self._start(watch.run())
             for listener in listeners:
                 self._start(listener.serve())
@@ -201,18 +202,24 @@
             self.control.on_plan,
             rng,
         )
+        self.fleet.upstream_watch = upstreams
+        self.control.on_store_silent = self._restart_watches
         return [configuration, upstreams, instances, plans]
 
     def _on_watch_up(self, up: bool) -> None:
         self.state.watch_up = up
 
     def _on_configurations(
-        self, items: tuple[client.Stored, ...], _: bool
+        self,
+        items: tuple[client.Stored, ...],
+        outage: watches.Outage | None,
     ) -> None:
         for item in items:
-            self._on_configuration(item, False)
+            self._on_configuration(item, outage)
 
-    def _on_configuration(self, item: client.Stored, _: bool) -> None:
+    def _on_configuration(
+        self, item: client.Stored, outage: watches.Outage | None
+    ) -> None:
         if item.name != documents.CONFIGURATION_NAME or item.deleted:
             return
         try:
@@ -223,21 +230,39 @@
         self.state.apply_rules(found, item.spec, "store")
 
     def _on_upstreams(
-        self, items: tuple[client.Stored, ...], after_outage: bool
+        self,
+        items: tuple[client.Stored, ...],
+        outage: watches.Outage | None,
     ) -> None:
         entries = [e for e in map(_upstream, items) if e is not None]
-        self.state.registry.replace(entries, time.monotonic(), after_outage)
+        self.state.registry.replace(entries, self._rejoin_until(outage))
         self.state.changed.set()
 
-    def _on_upstream(self, item: client.Stored, after_outage: bool) -> None:
+    def _on_upstream(
+        self, item: client.Stored, outage: watches.Outage | None
+    ) -> None:
         registry = self.state.registry
         entry = None if item.deleted else _upstream(item)
         if entry is None:
-            registry.remove(item.name, time.monotonic(), after_outage)
+            registry.remove(item.name, self._rejoin_until(outage))
         else:
             registry.announce(entry)
         self.state.changed.set()
 
+    def _rejoin_until(self, outage: watches.Outage | None) -> float | None:
+        """Returns until when entries may come back that lapsed in an outage.
+
+        While other instances reach the store, so do upstreams: what is missing
+        then has left.
+        """
+        if outage is None or self.fleet.others_reached_store(outage):
+            return None
+        return outage.rejoin_until
+
+    def _restart_watches(self) -> None:
+        for watch in self.watches:
+            watch.restart("another call got no answer")
+
     def _on_connection_refused(self, reason: str) -> None:
         self.metrics.count("connections_refused", reason)
 
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -50,7 +50,7 @@
         self.rules_spec: object = None
         self.watch_up = False
         self.confirmed_at = 0.0
-        self.registry = upstreams.Registry(settings.bounds.rejoin_s)
+        self.registry = upstreams.Registry()
         self.plans: dict[str, pipelines.Plan] = {}
         self.held: dict[tuple[str, int], upstreams.Layers] = {}
         self.held_generation = 0
--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import time
 from typing import TYPE_CHECKING
 
@@ -15,27 +16,42 @@
     from collections.abc import Callable
     import random
 
-    Listed = Callable[[tuple[client.Stored, ...], bool], None]
-    Changed = Callable[[client.Stored, bool], None]
+    Listed = Callable[[tuple[client.Stored, ...], "Outage | None"], None]
+    Changed = Callable[[client.Stored, "Outage | None"], None]
 
-WAIT_S = 15.0
+WAIT_S = 10.0
 RETRY_FIRST_S = 0.15
 RETRY_LAST_S = 1.5
 # Changes within this time come with one call instead of one call each.
 GATHER_S = 0.05
 # Entries may still be coming back for this long after a call has succeeded.
-AFTER_OUTAGE_S = 3.0
+REJOIN_S = 2.2
+# A peer may be ahead for this long before the own watch is taken for silent.
+BEHIND_S = 0.6
 
 _log = structlog.get_logger()
 
 
+@dataclasses.dataclass(frozen=True)
+class Outage:
+    """A time in which the store was not reached.
+
+    Attributes:
+        started_at: Monotonic time of the first failed call, in seconds.
+        rejoin_until: Time until which entries that lapsed may come back.
+    """
+
+    started_at: float
+    rejoin_until: float
+
+
 class KindWatch:
     """Keeps up with the objects of one kind.
 
     Attributes:
         cursor: Revision that has been reached.
+        newest: Revision of the newest change that was seen.
         up: Whether the last call succeeded.
-        confirmed_at: Time at which the newest state was last known.
     """
 
     def __init__(
@@ -53,8 +69,8 @@
         Args:
             store: The platform's store.
             kind: Kind of the objects.
-            on_list: Called with a complete list, and whether entries may have
-                lapsed during an outage.
+            on_list: Called with a complete list, and the outage in which
+                entries may have lapsed.
             on_change: Called with each change, and the same.
             rng: Source of jitter.
             gather_s: Pause between two calls, in seconds.
@@ -68,21 +84,23 @@
         self.gather_s = gather_s
         self.notify_up = on_up
         self.cursor = 0
+        self.newest = 0
         self.up = False
-        self.confirmed_at = 0.0
-        self.outage_until = 0.0
         self.listed = False
-        self.was_down = False
+        self.down_since: float | None = None
+        self.last_outage: Outage | None = None
+        self.behind_since: float | None = None
+        self.waiting: asyncio.Task[client.Listing] | None = None
 
     async def run(self) -> None:
         """Watches until cancelled."""
         retry = backoff.Backoff(RETRY_FIRST_S, RETRY_LAST_S)
         while True:
             try:
-                if not self.listed:
-                    await self._list()
-                else:
+                if self.listed:
                     await self._watch()
+                else:
+                    await self._list()
                 self._note_up()
                 retry.failures = 0
                 await asyncio.sleep(self.gather_s)
@@ -93,13 +111,39 @@
                 retry.on_closed(0.0)
                 await asyncio.sleep(retry.delay(self.rng.random()))
 
+    def on_peer(self, newest: int) -> None:
+        """Takes in the newest change that another instance has seen.
+
+        A connection can go silent without an end. The watch on it is given up
+        when others have seen a change for a while that it did not report.
+        """
+        if newest <= self.newest:
+            self.behind_since = None
+            return
+        now = time.monotonic()
+        if self.behind_since is None:
+            self.behind_since = now
+        elif now - self.behind_since > BEHIND_S:
+            self.behind_since = None
+            self.restart("peer is ahead")
+
+    def restart(self, reason: str) -> None:
+        """Gives up a call that waits, and lists again."""
+        if self.waiting is None:
+            return
+        _log.info("watch_restarted", kind=self.kind, reason=reason)
+        self.listed = False
+        self.waiting.cancel()
+
     @property
-    def after_outage(self) -> bool:
-        """Whether objects may have lapsed during an outage."""
-        return self.was_down or time.monotonic() < self.outage_until
+    def outage(self) -> Outage | None:
+        """Outage whose lapsed entries may still come back."""
+        found = self.last_outage
+        if found is None or time.monotonic() >= found.rejoin_until:
+            return None
+        return found
 
     async def _list(self) -> None:
-        started_at = time.monotonic()
         listing = await self.store.list_objects(self.kind)
         if listing.revision < self.cursor:
             raise client.StoreError(
@@ -109,23 +153,38 @@
         self._end_outage()
         self.cursor = listing.revision
         self.listed = True
-        self.confirmed_at = started_at
-        self.on_list(listing.items, self.after_outage)
+        self.on_list(listing.items, self.outage)
+        self._note_newest(listing)
 
     async def _watch(self) -> None:
-        listing = await self.store.watch(self.cursor, WAIT_S, self.kind)
+        self.waiting = asyncio.create_task(
+            self.store.watch(self.cursor, WAIT_S, self.kind)
+        )
+        try:
+            await asyncio.wait((self.waiting,))
+        finally:
+            waiting, self.waiting = self.waiting, None
+            waiting.cancel()
+        if waiting.cancelled():
+            return
+        listing = waiting.result()
         self._end_outage()
         if listing.revision < self.cursor:
             return
         self.cursor = listing.revision
-        self.confirmed_at = time.monotonic()
         for item in listing.items:
-            self.on_change(item, self.after_outage)
+            self.on_change(item, self.outage)
+        self._note_newest(listing)
+
+    def _note_newest(self, listing: client.Listing) -> None:
+        revisions = (i.revision for i in listing.items)
+        self.newest = max(self.newest, *revisions, 0)
 
     def _end_outage(self) -> None:
-        if self.was_down:
-            self.outage_until = time.monotonic() + AFTER_OUTAGE_S
-            self.was_down = False
+        if self.down_since is not None:
+            now = time.monotonic()
+            self.last_outage = Outage(self.down_since, now + REJOIN_S)
+            self.down_since = None
 
     def _note_up(self) -> None:
         if not self.up:
@@ -138,7 +197,8 @@
             _log.warning("store_lost", kind=self.kind, error=str(error))
             self.notify_up(False)
         self.up = False
-        self.was_down = self.cursor > 0
+        if self.cursor and self.down_since is None:
+            self.down_since = time.monotonic()
         if isinstance(error, client.SilentError):
             # Changes may have been lost with the watch that fell silent.
             self.listed = False
--- a/src/yuccatally/peers/beats.py
+++ b/src/yuccatally/peers/beats.py
@@ -59,6 +59,7 @@
         sender: The sender.
         rules_version: Version of its configuration; 0 for none.
         store_up: Whether its watch of the configuration is up.
+        upstreams_revision: Newest change of an upstream's entry that it saw.
         loads: Requests under way by path or upstream.
         doubts: Engines that its requests found at fault.
         leads: Whether it holds the lease of control.
@@ -72,6 +73,7 @@
     sender: Contact
     rules_version: int = 0
     store_up: bool = False
+    upstreams_revision: int = 0
     loads: dict[str, Load] = {}
     doubts: tuple[Engine, ...] = ()
     leads: bool = False
--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -14,14 +14,18 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from typing import Self
+
+    from aiohttp import client_proto
+    from aiohttp import connector
 
 CONNECT_TIMEOUT_S = 1.0
 # Kept below the idle time after which upstreams close a connection, so that
 # no request meets that close.
 KEEP_ALIVE_S = 2.0
-# Time in which the end of a connection without a stated length is known to be
-# clean.
-CLOSE_WAIT_S = 0.05
+# Time in which a connection is closed after the last byte of a body that has
+# no stated length.
+CLOSE_WAIT_S = 0.5
 
 LOST_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
 
@@ -62,6 +66,27 @@
     fresh: bool
 
 
+class WatchedResponse(aiohttp.ClientResponse):
+    """A response that knows how its connection ended.
+
+    Attributes:
+        protocol: Protocol of the connection.
+        ended: Future of the end of the connection; None if it had ended
+            before the headers were read.
+    """
+
+    protocol: client_proto.ResponseHandler | None = None
+    ended: asyncio.Future[None] | None = None
+
+    async def start(self, connection: connector.Connection) -> Self:
+        """Reads the headers."""
+        # Later the connection may be released or closed already.
+        self.protocol = connection.protocol
+        if self.protocol is not None:
+            self.ended = self.protocol.closed
+        return await super().start(connection)
+
+
 class Answer:
     """An answer whose headers have arrived.
 
@@ -70,15 +95,13 @@
         headers: End-to-end headers in order.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: WatchedResponse) -> None:
         self.response = response
         self.status = response.status
         self.headers = services.end_to_end(list(response.raw_headers))
         length = response.headers.get("Content-Length")
         encoding = response.headers.get("Transfer-Encoding", "")
         self.unframed = length is None and "chunked" not in encoding.lower()
-        connection = response.connection
-        self.protocol = connection.protocol if connection else None
 
     def header(self, name: str) -> str:
         """Returns a header, empty if it is missing."""
@@ -120,19 +143,22 @@
     def discard_connection(self) -> None:
         """Closes the connection, on which another answer may follow."""
         self.response.close()
-        if self.protocol is not None:
-            self.protocol.close()
+        if self.response.protocol is not None:
+            self.response.protocol.close()
 
     async def _check_close(self) -> None:
-        """Tells a reset from the end of a body that has no stated length."""
-        closed = self.protocol.closed if self.protocol else None
-        if closed is None:
-            return
+        """Tells a reset from the end of a body that has no stated length.
+
+        The library reports both as the end of the body.
+        """
+        ended = self.response.ended
+        if ended is None:
+            raise LostError("end of the connection not seen")
         try:
             async with asyncio.timeout(CLOSE_WAIT_S):
-                await asyncio.shield(closed)
-        except TimeoutError:
-            return  # half closed: the upstream ended its side in order
+                await asyncio.shield(ended)
+        except TimeoutError as error:
+            raise LostError("end of the connection not seen") from error
         except LOST_ERRORS as error:
             raise LostError("reset before its end") from error
 
@@ -141,8 +167,8 @@
     """Sends requests, each at most once."""
 
     def __init__(self) -> None:
-        self.kept = services.session(keep_alive_s=KEEP_ALIVE_S)
-        self.fresh = services.session()
+        self.kept = services.session(KEEP_ALIVE_S, WatchedResponse)
+        self.fresh = services.session(0.0, WatchedResponse)
 
     async def open(self, exchange: Exchange) -> Answer:
         """Sends a request and waits for the headers of its answer.
--- a/src/yuccatally/upstreams/services.py
+++ b/src/yuccatally/upstreams/services.py
@@ -107,7 +107,10 @@
     connected: bool = False
 
 
-def session(keep_alive_s: float = 0.0) -> aiohttp.ClientSession:
+def session(
+    keep_alive_s: float = 0.0,
+    response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
+) -> aiohttp.ClientSession:
     """Returns a session for calls of services.
 
     Nothing is decoded or remembered between calls.
@@ -116,6 +119,7 @@
         keep_alive_s: Time for which a connection is kept for other calls. With
             0 every call has a connection of its own, so a reply that arrives
             late cannot be read as the answer to another call.
+        response_class: Class of the responses.
     """
     progress = aiohttp.TraceConfig()
     progress.on_connection_create_start.append(_on_connecting)
@@ -129,6 +133,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         middlewares=(once.send_once,),
+        response_class=response_class,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_AUTOMATIC,
