Move streams off a stalled path at once and repair pipelines within their data centre

Ruled out: memory of the repaired stages (61,000 tokens left).

A path whose streams are all quiet for three usual pauses counts as stalled: its streams go on elsewhere, and every engine of it is asked for a report by the holder of the lease. Repairs take the smallest spare engines that do, then extend neighbouring stages, and go elsewhere last.

--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -19,11 +19,19 @@
 DISTANCE_FACTOR = 1.05
 # What another instance last said of its load counts for this long.
 REMOTE_LOAD_S = 3.0
-# A pipeline on which no stream has moved for this long is passed over: events
-# of a loaded pipeline are some 50 ms apart.
-STALL_S = 0.4
-# One quiet stream may just be waiting for its prompt to be read.
+# A path whose streams have all been quiet for this many of its usual pauses
+# has stalled. Its engines work in passes, so its streams move together.
+STALL_PAUSES = 3.0
+# Bounds of that time: with less, a long prompt that is read between two steps
+# would count as a stall; with more, callers see a pause that is too long.
+STALL_LEAST_S = 0.11
+STALL_MOST_S = 0.4
+# Streams that must be quiet together; one alone may have been preempted.
 STALL_STREAMS = 2
+# Nothing at all for this long is a stall even before the first event.
+FIRST_EVENT_S = 0.5
+# Weight of the newest pause in the usual one.
+PACE_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,6 +59,37 @@
     data_centre: str
 
 
+@dataclasses.dataclass
+class Pace:
+    """How the streams of this instance move on a path.
+
+    Attributes:
+        moved_at: Time of the last event of any of them, or of the first
+            request after a time without.
+        pause_s: Usual pause between two events of any of them.
+        streams: Streams that have had an event and are not done.
+    """
+
+    moved_at: float
+    pause_s: float = STALL_LEAST_S / STALL_PAUSES
+    streams: int = 0
+
+    def moved(self, now: float) -> None:
+        """Takes in an event."""
+        pause_s = now - self.moved_at
+        self.moved_at = now
+        if pause_s < STALL_MOST_S:
+            self.pause_s += PACE_WEIGHT * (pause_s - self.pause_s)
+
+    def is_stalled(self, now: float) -> bool:
+        """Returns whether nothing has moved for too long."""
+        quiet_s = now - self.moved_at
+        if self.streams < STALL_STREAMS:
+            return quiet_s > FIRST_EVENT_S
+        limit_s = max(STALL_PAUSES * self.pause_s, STALL_LEAST_S)
+        return quiet_s > min(limit_s, STALL_MOST_S)
+
+
 @dataclasses.dataclass
 class Load:
     """Requests that an instance has under way on one path or upstream."""
@@ -78,7 +117,7 @@
 
     Attributes:
         own: Work of this instance by path or upstream.
-        moved_at: Time of the last event of any stream, by path.
+        paces: How streams move, by path with requests under way.
         avoided: Time until which a path that failed is passed over.
     """
 
@@ -87,7 +126,7 @@
         self.rng = rng
         self.own: dict[str, Load] = {}
         self.remote: dict[str, tuple[float, dict[str, Load]]] = {}
-        self.moved_at: dict[str, float] = {}
+        self.paces: dict[str, Pace] = {}
         self.avoided: dict[str, float] = {}
 
     def on_remote(
@@ -167,10 +206,8 @@
 
     def is_stalled(self, name: str, now: float) -> bool:
         """Returns whether streams of this instance wait on a path."""
-        own = self.own.get(name)
-        if own is None or own.requests < STALL_STREAMS:
-            return False
-        return now - self.moved_at.get(name, now) > STALL_S
+        pace = self.paces.get(name)
+        return pace is not None and pace.is_stalled(now)
 
     def avoid(self, name: str, until: float) -> None:
         """Passes over a path until a time unless there is no other."""
@@ -180,22 +217,28 @@
         """Counts a request that is about to be sent."""
         own = self.own.setdefault(name, Load())
         if own.requests == 0:
-            self.moved_at[name] = now
+            self.paces[name] = Pace(now)
         own.requests += 1
         own.tokens += tokens
 
+    def begun(self, name: str) -> None:
+        """Counts a stream that has had its first event."""
+        self.paces[name].streams += 1
+
     def moved(self, name: str, now: float) -> None:
         """Notes that an event came over a path."""
-        self.moved_at[name] = now
+        self.paces[name].moved(now)
 
-    def finish(self, name: str, tokens: float) -> None:
+    def finish(self, name: str, tokens: float, begun: bool = False) -> None:
         """Counts the end of a request."""
         own = self.own[name]
         own.requests -= 1
         own.tokens -= tokens
+        if begun:
+            self.paces[name].streams -= 1
         if own.requests == 0:
             del self.own[name]
-            self.moved_at.pop(name, None)
+            del self.paces[name]
 
     def _cost(self, path: Path, load: Load) -> float:
         step_s = path.step_s + path.sequence_s * (load.requests + 1)
--- a/src/yuccatally/core/forwarding/pipelines.py
+++ b/src/yuccatally/core/forwarding/pipelines.py
@@ -16,8 +16,9 @@
 # Tokens of requests that each stage is to have memory for, best first. A
 # pipeline of today's sites runs some 40 requests of 900 tokens at its peak.
 TOKEN_STEPS = (75e3, 60e3, 50e3, 40e3, 30e3, 20e3, 12e3)
-# A stage that replaces a lost one may hold as few tokens as this.
-REPAIR_TOKEN_STEPS = (*TOKEN_STEPS, 8e3, 4e3)
+# The same for stages that replace lost ones. Starting lower takes fewer spare
+# engines, and so more of them are left for the next loss.
+REPAIR_TOKEN_STEPS = (50e3, 40e3, 30e3, 20e3, 12e3, 8e3, 4e3)
 # Below this many pipelines, engines of several data centres are joined: each
 # crossing costs tens of milliseconds a prompt on a shared link.
 LEAST_PIPELINES = 2
@@ -120,14 +121,13 @@
         if len(kept) == len(pipeline.stages):
             return pipeline
         homes = {self.all[s.engine].data_centre for s in kept}
-        stages = list(kept)
         for lost in _gaps(kept, self.model.layers):
-            cover = self._cover(lost, homes)
+            cover = self._cover(lost, kept, homes)
             if cover is None:
-                self._release(stages)
+                self._release(kept)
                 return None
-            stages.extend(cover)
-        ordered = tuple(sorted(stages, key=lambda s: s.first))
+            kept.extend(cover)
+        ordered = tuple(sorted(kept, key=lambda s: s.first))
         return Pipeline(pipeline.name, ordered)
 
     def build(self, existing: Sequence[Pipeline]) -> list[Pipeline]:
@@ -150,17 +150,84 @@
         return built
 
     def _cover(
-        self, lost: upstreams.Layers, homes: set[str]
+        self, lost: upstreams.Layers, kept: list[Stage], homes: set[str]
     ) -> list[Stage] | None:
+        """Returns stages for a lost range, taking engines from the spares.
+
+        Spare engines of the same data centre come first, then its neighbours
+        in the pipeline with more layers, and engines elsewhere last: prompts
+        wait for each other on the shared link between data centres.
+        """
         local = [e for e in self.free.values() if e.data_centre in homes]
-        remote = [e for e in self.free.values() if e.data_centre not in homes]
-        for candidates in (local, [*local, *remote]):
-            for tokens in REPAIR_TOKEN_STEPS:
-                stages = self._fill(candidates, lost, tokens)
-                if stages is not None:
-                    return stages
+        for tokens in REPAIR_TOKEN_STEPS:
+            stages = self._fewest(local, lost, tokens)
+            if stages is not None:
+                return stages
+        for tokens in REPAIR_TOKEN_STEPS:
+            stages = self._extend(lost, kept, local, tokens)
+            if stages is not None:
+                return stages
+        for tokens in REPAIR_TOKEN_STEPS:
+            stages = self._fewest(list(self.free.values()), lost, tokens)
+            if stages is not None:
+                return stages
         return None
 
+    def _fewest(
+        self,
+        engines: list[upstreams.Upstream],
+        layers: upstreams.Layers,
+        tokens: float,
+    ) -> list[Stage] | None:
+        """Fills a range with few engines, and small ones where they do.
+
+        The larger ones stay free for the loss of a larger stage.
+        """
+        rooms = {e.name: self._room(e, tokens) for e in engines}
+        size = layers.last - layers.first
+        chosen: list[upstreams.Upstream] = []
+        left = sorted(engines, key=lambda e: rooms[e.name])
+        while size > 0 and left:
+            enough = [e for e in left if rooms[e.name] >= size]
+            taken = enough[0] if enough else left[-1]
+            left.remove(taken)
+            chosen.append(taken)
+            size -= rooms[taken.name]
+        return self._fill(chosen, layers, tokens)
+
+    def _extend(
+        self,
+        lost: upstreams.Layers,
+        kept: list[Stage],
+        spares: list[upstreams.Upstream],
+        tokens: float,
+    ) -> list[Stage] | None:
+        """Gives a lost range to the stages beside it and to spare engines.
+
+        Removes the stages that grow from ``kept`` and returns them as well.
+        """
+        before = next((s for s in kept if s.last == lost.first), None)
+        after = next((s for s in kept if s.first == lost.last), None)
+        first, last = lost.first, lost.last
+        if before is not None:
+            first = min(last, first + self._growth(before, tokens))
+        if after is not None:
+            last = max(first, last - self._growth(after, tokens))
+        stages = self._fewest(spares, upstreams.Layers(first, last), tokens)
+        if stages is None:
+            return None
+        if before is not None and first > lost.first:
+            kept.remove(before)
+            stages.append(dataclasses.replace(before, last=first))
+        if after is not None and last < lost.last:
+            kept.remove(after)
+            stages.append(dataclasses.replace(after, first=last))
+        return stages
+
+    def _growth(self, stage: Stage, tokens: float) -> int:
+        room = self._room(self.all[stage.engine], tokens)
+        return max(0, room - (stage.last - stage.first))
+
     def _spread(
         self, engines: list[upstreams.Upstream], keep_order: bool = False
     ) -> tuple[Stage, ...] | None:
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -210,11 +210,29 @@
             # Another holder's plan, or this one: the store's version decides.
             self.on_plan(await self.store.get(plans.KIND, service))
             return
+        self._log_changes(service, plan)
         self.versions[service] = max(
             stored.version, self.versions.get(service, 0)
         )
         self._put_in_force(service, plan)
 
+    def _log_changes(self, service: str, plan: pipelines.Plan) -> None:
+        previous = self.node.plans.get(service, pipelines.Plan()).stages
+        for pipeline in plan.pipelines:
+            changed = [
+                s for s in pipeline.stages if previous.get(s.engine) != s
+            ]
+            if changed:
+                _log.info(
+                    "pipeline_planned",
+                    service=service,
+                    generation=plan.generation,
+                    pipeline=pipeline.name,
+                    changed=",".join(
+                        f"{s.engine}={s.first}-{s.last}" for s in changed
+                    ),
+                )
+
     def _put_in_force(self, service: str, plan: pipelines.Plan) -> None:
         known = self.node.plans.get(service)
         if known is not None and known.generation >= plan.generation:
@@ -332,15 +350,22 @@
         try:
             report = await engines.report(self.session, engine)
         except engines.ReportError as error:
-            if doubted not in self.fleet.lost:
-                _log.warning(
-                    "engine_lost", engine=engine.name, error=str(error)
-                )
-            self.fleet.lost[doubted] = time.monotonic() + LOST_S
-            self.node.avoid(engine, LOST_S, "no report")
+            self._lose(engine, str(error))
             return
+        for address in set(report.stalled.values()):
+            # It may answer here and still be cut off from its neighbours.
+            waited_for = self.node.registry.at(address)
+            if waited_for is not None:
+                self._lose(waited_for, f"{engine.name} waits for it")
         self.accepted[key] = report.orders
         held = self.node.held.get(key)
         if held is not None and report.layers != held:
             self.node.set_held(key, None)
         self.fleet.lost.pop(doubted, None)
+
+    def _lose(self, engine: upstreams.Upstream, reason: str) -> None:
+        key = beats.Engine(engine.name, engine.born_ms)
+        if key not in self.fleet.lost:
+            _log.warning("engine_lost", engine=engine.name, reason=reason)
+        self.fleet.lost[key] = time.monotonic() + LOST_S
+        self.node.avoid(engine, LOST_S, reason)
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -95,10 +95,14 @@
             self.control = control.Control(
                 self.state, self.fleet, self.store, session
             )
-            finder = troubles.Troubles(self.state, self.fleet, session)
+            finder = troubles.Troubles(self.state, self.fleet)
+            forwarder = streams.StreamForwarder(
+                self.state, client, finder.on_failure
+            )
+            finder.abandon = forwarder.abandon
             self.application = application.Application(
                 self.state,
-                streams.StreamForwarder(self.state, client, finder.on_failure),
+                forwarder,
                 calls.CallForwarder(self.state, client),
                 self.metrics,
             )
@@ -107,6 +111,7 @@
             self._start(self.fleet.run())
             self._start(self.fleet.register())
             self._start(self.control.run())
+            self._start(finder.run())
             self.watches = self._watches()
             for watch in self.watches:
                 self._start(watch.run())
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import time
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,25 @@
 ERROR_LIMIT_BYTES = 1024 * 1024
 
 
+@dataclasses.dataclass(eq=False)
+class RunningAttempt:
+    """A request that is under way on a path.
+
+    Attributes:
+        path: The path.
+        tokens: Memory counted for it.
+        scope: Ends the attempt when it is rescheduled.
+        answer: The answer, once its headers are there.
+        begun: Whether an event has come.
+    """
+
+    path: dispatch.Path
+    tokens: float
+    scope: asyncio.Timeout | None = None
+    answer: exchange.Answer | None = None
+    begun: bool = False
+
+
 class StreamForwarder:
     """Forwards requests to pipelines and resumes streams that break off."""
 
@@ -51,6 +71,7 @@
         self.node = node
         self.client = client
         self.on_trouble = on_trouble
+        self.running: set[RunningAttempt] = set()
 
     async def run(self, ticket: tickets.Ticket, reply: tickets.Reply) -> None:
         """Forwards a request until its stream is whole or must end."""
@@ -64,6 +85,18 @@
                 step = attempts.GiveUp(504)
             await answers.end(reply, step, "deadline")
 
+    def abandon(self, path: str) -> int:
+        """Ends the attempts on a path, so that they go on elsewhere.
+
+        Returns:
+            Number of attempts.
+        """
+        now = asyncio.get_running_loop().time()
+        found = [a for a in self.running if a.path.name == path and a.scope]
+        for attempt in found:
+            attempt.scope.reschedule(now)
+        return len(found)
+
     async def _attempts(
         self,
         ticket: tickets.Ticket,
@@ -142,12 +175,36 @@
         """Returns None once the stream is whole, else what went wrong."""
         tokens = self._tokens(ticket)
         self.node.dispatcher.start(path.name, tokens, time.monotonic())
-        answer: exchange.Answer | None = None
+        attempt = RunningAttempt(path, tokens)
         progress.ran += 1
+        try:
+            async with asyncio.timeout(None) as attempt.scope:
+                self.running.add(attempt)
+                return await self._exchanged(
+                    ticket, reply, attempt, splitter, progress
+                )
+        except TimeoutError:
+            return answers.Unusable(attempts.Lost("path stalled", True))
+        finally:
+            self.running.discard(attempt)
+            if attempt.answer is not None:
+                attempt.answer.close()
+            self.node.dispatcher.finish(path.name, tokens, attempt.begun)
+
+    async def _exchanged(
+        self,
+        ticket: tickets.Ticket,
+        reply: tickets.Reply,
+        attempt: RunningAttempt,
+        splitter: events.EventSplitter,
+        progress: attempts.Progress,
+    ) -> answers.Unusable | None:
+        path = attempt.path
         try:
             answer = await self.client.open(
                 self._exchange(ticket, path, splitter)
             )
+            attempt.answer = answer
             unusable = answers.judge_head(ticket, answer)
             if unusable is not None:
                 if isinstance(unusable.failure, attempts.Refused):
@@ -157,7 +214,7 @@
                 body = await answer.body(ERROR_LIMIT_BYTES)
                 whole = answers.Whole(answer.status, answer.headers, body)
                 return answers.Unusable(attempts.Failed(answer.status), whole)
-            await self._relay(answer, reply, path, splitter)
+            await self._relay(answer, reply, attempt, splitter)
         except services.NotSentError as error:
             progress.ran -= 1
             return answers.Unusable(attempts.NotSent(str(error)))
@@ -165,21 +222,21 @@
             return answers.Unusable(attempts.Lost(str(error), error.timed_out))
         except events.EventTooLongError as error:
             return answers.Unusable(attempts.Lost(str(error)))
-        finally:
-            if answer is not None:
-                answer.close()
-            self.node.dispatcher.finish(path.name, tokens)
         return None
 
     async def _relay(
         self,
         answer: exchange.Answer,
         reply: tickets.Reply,
-        path: dispatch.Path,
+        attempt: RunningAttempt,
         splitter: events.EventSplitter,
     ) -> None:
+        name = attempt.path.name
         async for chunk in answer.chunks():
-            self.node.dispatcher.moved(path.name, time.monotonic())
+            self.node.dispatcher.moved(name, time.monotonic())
+            if not attempt.begun:
+                attempt.begun = True
+                self.node.dispatcher.begun(name)
             whole = splitter.feed(chunk)
             if not whole:
                 continue
--- a/src/yuccatally/forwarding/troubles.py
+++ b/src/yuccatally/forwarding/troubles.py
@@ -1,46 +1,58 @@
-"""Finding the engine at fault when an attempt on a pipeline fails."""
+"""Finding stalled paths and the engines at fault."""
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
 import structlog
 
 from yuccatally.core.forwarding import attempts
-from yuccatally.platform import engines
+from yuccatally.core.forwarding import dispatch
 
 if TYPE_CHECKING:
-    import aiohttp
+    from collections.abc import Callable
 
-    from yuccatally.core.forwarding import dispatch
     from yuccatally.forwarding import answers
     from yuccatally.forwarding import fleet
     from yuccatally.forwarding import state
 
-# New requests pass over a path for this long after it failed one.
-AVOID_S = 0.5
-# All streams of a path stall together; one report a second tells why.
-ASK_S = 1.0
+# New requests pass over a path for this long after it failed one; control
+# needs about as long to find out which engine is lost.
+AVOID_S = 1.0
+# The same stall is acted on this often.
+AGAIN_S = 0.4
 # A refusal on a path that is this full is taken as lack of memory.
 CROWDED_SHARE = 0.7
+# Well below the shortest time that counts as a stall.
+TICK_S = 0.03
 
 _log = structlog.get_logger()
 
 
 class Troubles:
-    """Turns failed attempts into doubts about engines."""
+    """Turns failed attempts and stalls into doubts about engines."""
 
-    def __init__(
-        self,
-        node: state.State,
-        others: fleet.Fleet,
-        session: aiohttp.ClientSession,
-    ) -> None:
+    def __init__(self, node: state.State, others: fleet.Fleet) -> None:
         self.node = node
         self.fleet = others
-        self.session = session
-        self.asked_at: dict[str, float] = {}
+        self.noted_at: dict[str, float] = {}
+        # Ends the attempts on a path; returns how many there were.
+        self.abandon: Callable[[str], int] = lambda path: 0
+
+    async def run(self) -> None:
+        """Looks for stalled paths until cancelled.
+
+        Load pattern: an engine dies at the peak and all streams over it stop
+        at once. They go on over other paths before their pause is too long.
+        """
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            for path in self._paths():
+                if self.node.dispatcher.is_stalled(path.name, now):
+                    self._on_stall(path, now)
 
     def on_failure(
         self, path: dispatch.Path, request: str, result: answers.Unusable
@@ -48,19 +60,65 @@
         """Takes in a failed attempt."""
         now = time.monotonic()
         self.node.dispatcher.avoid(path.name, now + AVOID_S)
-        first = path.hops[0]
         match result.failure:
-            case attempts.NotSent():
-                self.fleet.doubt(first)
             case attempts.Refused():
                 self._on_refused(path, result.faulty_address, now)
-            case attempts.Lost(timed_out=True):
-                self._on_stall(path, request, now)
-            case attempts.Lost():
-                self.fleet.doubt(first)
-            case attempts.Failed():
+            case attempts.NotSent() | attempts.Lost(timed_out=False):
+                self.fleet.doubt(path.hops[0])
+            case attempts.Lost() | attempts.Failed():
                 pass
 
+    def _paths(self) -> list[dispatch.Path]:
+        """Returns the paths that requests of this instance are on."""
+        if self.node.rules is None:
+            return []
+        return [
+            path
+            for service in self.node.rules.services.values()
+            if service.model is not None
+            for path in self.node.paths(service)
+            if path.name in self.node.dispatcher.paces
+        ]
+
+    def _on_stall(self, path: dispatch.Path, now: float) -> None:
+        if now - self.noted_at.get(path.name, -AGAIN_S) < AGAIN_S:
+            return
+        self.noted_at[path.name] = now
+        self.node.dispatcher.avoid(path.name, now + AVOID_S)
+        moved = 0
+        if self._has_alternative(path, now):
+            moved = self.abandon(path.name)
+        load = self.node.dispatcher.load(path.name, now)
+        _log.warning(
+            "path_stalled",
+            path=path.name,
+            moved=moved,
+            requests=load.requests,
+            tokens=round(load.tokens),
+            room=round(path.tokens),
+        )
+        # Any of its engines may be the one that the others wait for; control
+        # asks each of them for a report.
+        for hop in path.hops:
+            self.fleet.doubt(hop)
+
+    def _has_alternative(self, path: dispatch.Path, now: float) -> bool:
+        for service in self.node.rules.services.values():
+            paths = self.node.paths(service)
+            if any(p.name == path.name for p in paths):
+                found = self.node.dispatcher.path(
+                    [
+                        p
+                        for p in paths
+                        if self.node.dispatcher.avoided.get(p.name, 0) <= now
+                    ],
+                    0.0,
+                    frozenset({path.name}),
+                    now,
+                )
+                return isinstance(found, dispatch.Path)
+        return False
+
     def _on_refused(
         self, path: dispatch.Path, faulty_address: str, now: float
     ) -> None:
@@ -72,29 +130,3 @@
                 self.fleet.doubt(hop)
                 return
         self.fleet.doubt(path.hops[0])
-
-    def _on_stall(self, path: dispatch.Path, request: str, now: float) -> None:
-        if now - self.asked_at.get(path.name, -ASK_S) < ASK_S:
-            return
-        self.asked_at[path.name] = now
-        self.fleet.spawn(self._ask(path, request))
-
-    async def _ask(self, path: dispatch.Path, request: str) -> None:
-        """Asks the first engine of a path which one it waits for."""
-        first = path.hops[0]
-        try:
-            report = await engines.report(self.session, first)
-        except engines.ReportError as error:
-            _log.info("report_missing", engine=first.name, error=str(error))
-            self.fleet.doubt(first)
-            return
-        addresses = set(report.stalled.values())
-        _log.info(
-            "path_stalled",
-            path=path.name,
-            request=request,
-            waits_for=",".join(sorted(addresses)),
-        )
-        for hop in path.hops:
-            if hop.address in addresses:
-                self.fleet.doubt(hop)
