--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -89,46 +89,55 @@
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         _log.info("starting", name=self.settings.name)
         client = exchange.ExchangeClient()
-        async with aiohttp.ClientSession(
-            middlewares=(once.send_once,)
-        ) as session:
-            self.control = control.Control(
-                self.state, self.fleet, self.store, session
-            )
-            finder = troubles.Troubles(self.state, self.fleet)
-            forwarder = streams.StreamForwarder(
-                self.state, client, finder.on_failure
-            )
-            finder.abandon = forwarder.abandon
-            self.application = application.Application(
-                self.state,
-                forwarder,
-                calls.CallForwarder(self.state, client),
-                self.metrics,
-            )
-            listeners = self._listeners()
-            self.fleet.open()
-            self._start(self.fleet.run())
-            self._start(self.fleet.register())
-            self._start(self.control.run())
-            self._start(finder.run())
-            self.watches = self._watches()
-            for watch in self.watches:
-                self._start(watch.run())
-            for listener in listeners:
-                self._start(listener.serve())
+        session = aiohttp.ClientSession(middlewares=(once.send_once,))
+        try:
+            listeners = self._open(client, session)
             await self.stopping.wait()
             await self._drain()
             for listener in listeners:
                 listener.close_idle()
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
             await client.close()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.fleet.close()
-        await self.store.close()
+            await session.close()
+            await self.fleet.close()
+            await self.store.close()
         _log.info("stopped", in_flight=self.state.in_flight)
 
+    def _open(
+        self, client: exchange.ExchangeClient, session: aiohttp.ClientSession
+    ) -> list[servers.Listener]:
+        """Starts every part; returns the listeners."""
+        self.control = control.Control(
+            self.state, self.fleet, self.store, session
+        )
+        finder = troubles.Troubles(self.state, self.fleet)
+        forwarder = streams.StreamForwarder(
+            self.state, client, finder.on_failure
+        )
+        finder.abandon = forwarder.abandon
+        self.application = application.Application(
+            self.state,
+            forwarder,
+            calls.CallForwarder(self.state, client),
+            self.metrics,
+        )
+        listeners = self._listeners()
+        self.watches = self._watches()
+        self.fleet.open()
+        for work in (
+            self.fleet.run(),
+            self.fleet.register(),
+            self.control.run(),
+            finder.run(),
+            *(watch.run() for watch in self.watches),
+            *(listener.serve() for listener in listeners),
+        ):
+            self._start(work)
+        return listeners
+
     async def _drain(self) -> None:
         """Serves until nobody is expected and nothing is in flight."""
         started_at = time.monotonic()
--- /dev/null
+++ b/src/yuccatally_standins/object_store.py
@@ -0,0 +1,179 @@
+"""Stand-in for the metadata store of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from aiohttp import web
+
+PAGE = 500
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults that a test switches on.
+
+    Attributes:
+        status: Status that every call gets; 0 for none.
+        silent: Whether calls get no answer.
+        lose_replies: Number of writes to carry out without a reply.
+        refused: Addresses whose calls get status 503.
+    """
+
+    status: int = 0
+    silent: bool = False
+    lose_replies: int = 0
+    refused: set[str] = dataclasses.field(default_factory=set)
+
+
+class ObjectStore:
+    """Objects by kind and name, with one revision for all.
+
+    Attributes:
+        revision: Revision of the last change.
+        objects: Objects by kind and name.
+        history: Changes after ``compacted`` as revision, kind and event.
+        calls: Calls so far.
+    """
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.revision = 1
+        self.compacted = 0
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.history: list[tuple[int, str, dict[str, Any]]] = []
+        self.changed = asyncio.Condition()
+        self.calls: list[str] = []
+
+    def application(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(middlewares=[self._faulty])
+        app.router.add_get("/objects/{kind}", self._list)
+        app.router.add_post("/objects/{kind}", self._create)
+        app.router.add_get("/objects/{kind}/{name}", self._get)
+        app.router.add_put("/objects/{kind}/{name}", self._replace)
+        app.router.add_delete("/objects/{kind}/{name}", self._delete)
+        return app
+
+    async def set(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object as the operator or an upstream does."""
+        self._store(kind, name, spec)
+        await self._notify()
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Removes an object as the platform does."""
+        self._drop(kind, name)
+        await self._notify()
+
+    def compact(self) -> None:
+        """Forgets the history."""
+        self.compacted = self.revision
+        self.history.clear()
+
+    @web.middleware
+    async def _faulty(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        self.calls.append(f"{request.method} {request.path}")
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if self.faults.status:
+            return web.Response(status=self.faults.status)
+        if request.remote in self.faults.refused:
+            return web.Response(status=503)
+        response = await handler(request)
+        if request.method != "GET" and self.faults.lose_replies:
+            self.faults.lose_replies -= 1
+            request.transport.close()
+        return response
+
+    async def _list(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(request, kind)
+        after = request.query.get("after", "")
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        items = [self.objects[(kind, n)] for n in names[:PAGE]]
+        more = len(names) > PAGE
+        body = {"items": items, "hasMore": more, "at": self.revision}
+        return web.json_response(body)
+
+    async def _watch(self, request: web.Request, kind: str) -> web.Response:
+        since = int(request.query["watch"])
+        if since < self.compacted:
+            return web.Response(status=410)
+        wait_s = int(request.query["waitMs"]) / 1e3
+
+        def events() -> list[dict[str, Any]]:
+            return [e for r, k, e in self.history if k == kind and r > since]
+
+        async with self.changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self.changed.wait_for(events)
+            except TimeoutError:
+                pass
+        return web.json_response({"events": events(), "at": self.revision})
+
+    async def _get(self, request: web.Request) -> web.Response:
+        found = self.objects.get(_key(request))
+        if found is None:
+            return web.Response(status=404)
+        return web.json_response(found)
+
+    async def _create(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        kind, name = request.match_info["kind"], body["metadata"]["name"]
+        found = self.objects.get((kind, name))
+        if found is not None:
+            return web.json_response(found, status=409)
+        return await self._written(kind, name, body["spec"])
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        kind, name = _key(request)
+        found = self.objects.get((kind, name))
+        if found is None:
+            return web.Response(status=404)
+        expected = body["metadata"].get("revision")
+        if expected not in (None, found["metadata"]["revision"]):
+            return web.json_response(found, status=409)
+        return await self._written(kind, name, body["spec"])
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        kind, name = _key(request)
+        if (kind, name) not in self.objects:
+            return web.Response(status=404)
+        self._drop(kind, name)
+        await self._notify()
+        return web.json_response({})
+
+    async def _written(self, kind: str, name: str, spec: Any) -> web.Response:
+        self._store(kind, name, spec)
+        await self._notify()
+        return web.json_response(self.objects[(kind, name)])
+
+    def _store(self, kind: str, name: str, spec: Any) -> None:
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision}
+        found = {"metadata": metadata, "spec": spec, "status": None}
+        self.objects[(kind, name)] = found
+        event = {"object": found, "deleted": False}
+        self.history.append((self.revision, kind, event))
+
+    def _drop(self, kind: str, name: str) -> None:
+        self.revision += 1
+        found = self.objects.pop((kind, name))
+        metadata = {**found["metadata"], "revision": self.revision}
+        event = {"object": {**found, "metadata": metadata}, "deleted": True}
+        self.history.append((self.revision, kind, event))
+
+    async def _notify(self) -> None:
+        async with self.changed:
+            self.changed.notify_all()
+
+
+def _key(request: web.Request) -> tuple[str, str]:
+    return request.match_info["kind"], request.match_info["name"]
--- /dev/null
+++ b/src/yuccatally_standins/path_site.py
@@ -0,0 +1,247 @@
+"""A small site in the platform's formats, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+import yarl
+
+from yuccatally.core.forwarding import node as node_settings
+from yuccatally.forwarding import node
+from yuccatally_standins import object_store
+from yuccatally_standins import path_engine
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HOST = "site.example"
+KEY = "key-1"
+STREAM_TIMEOUT_MS = 4000
+CALL_TIMEOUT_MS = 1500
+
+
+@dataclasses.dataclass
+class Site:
+    """Store, engines, services and instances.
+
+    Attributes:
+        engines: Engines and services by name.
+    """
+
+    store: object_store.ObjectStore
+    store_address: str
+    session: aiohttp.ClientSession
+    engines: dict[str, path_engine.PathEngine] = dataclasses.field(
+        default_factory=dict
+    )
+    nodes: list[node.Node] = dataclasses.field(default_factory=list)
+    tasks: list[asyncio.Task[None]] = dataclasses.field(default_factory=list)
+    fleet: dict[str, path_engine.PathEngine] = dataclasses.field(
+        default_factory=dict
+    )
+
+    async def add_engine(
+        self, name: str, card: str = "big", events: int = 6, **where: str
+    ) -> path_engine.PathEngine:
+        """Starts an engine, or a service without a card, and announces it."""
+        service = "model" if card else "desk"
+        engine = path_engine.PathEngine(
+            self.fleet, name, service, card, events=events, **where
+        )
+        await engine.start()
+        self.engines[name] = engine
+        await self.announce(engine)
+        return engine
+
+    async def announce(
+        self, engine: path_engine.PathEngine, state: str = "ready"
+    ) -> None:
+        """Writes the entry of an engine."""
+        await self.store.set("servers", engine.name, engine.entry(state))
+
+    async def configure(self, version: int, **changes: Any) -> None:
+        """Writes a configuration."""
+        spec = {**configuration(version), **changes}
+        await self.store.set("config", "main", spec)
+
+    async def start_node(self, name: str = "n1") -> node.Node:
+        """Starts an instance and waits until it listens."""
+        seeds = tuple(n.settings.listen.peers for n in self.nodes)
+        started = node.Node.from_config(
+            node_settings.Node(
+                name=name,
+                data_centre="north",
+                region="r",
+                regions={"north": "r"},
+                listen=node_settings.Listen(*(_address() for _ in range(4))),
+                seeds=seeds,
+                store=self.store_address,
+                bounds=node_settings.Bounds(grace_s=3.0),
+            )
+        )
+        self.nodes.append(started)
+        self.tasks.append(asyncio.create_task(started.run()))
+        await until(lambda: started.state.rules is not None)
+        return started
+
+    async def request(
+        self,
+        target: str,
+        attempt: str = "a1",
+        method: str = "POST",
+        headers: dict[str, str] | None = None,
+        at: node.Node | None = None,
+        deadline_ms: int = 3000,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Sends a request; returns status, headers and what came of the body.
+
+        A body that was broken off ends in ``!``.
+        """
+        at = at or self.nodes[0]
+        sent = {
+            "Host": HOST,
+            "Api-Key": KEY,
+            "Yuccatally-Attempt-Id": attempt,
+            "Yuccatally-Deadline-Ms": str(deadline_ms),
+            **(headers or {}),
+        }
+        url = f"http://{at.settings.listen.callers}{target}"
+        body = b""
+        async with self.session.request(
+            method,
+            yarl.URL(url, encoded=True),
+            headers=sent,
+            data=b"prompt",
+        ) as response:
+            found = {n.lower(): v for n, v in response.headers.items()}
+            try:
+                async for chunk in response.content.iter_any():
+                    body += chunk
+            except aiohttp.ClientPayloadError:
+                body += b"!"
+            return response.status, found, body
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for started in self.nodes:
+            await started.fleet.close()
+        for engine in self.engines.values():
+            await engine.stop()
+
+
+def configuration(version: int) -> dict[str, Any]:
+    """Returns a configuration in the platform's format."""
+    common = {"host": HOST, "sloMs": 500, "priority": 1, "anonymous": False}
+    return {
+        "version": version,
+        "routes": [
+            {
+                **common,
+                "name": "ask",
+                "pathPrefix": "/ask/",
+                "routeKind": "streaming",
+                "timeoutMs": STREAM_TIMEOUT_MS,
+                "service": "model",
+                "maxAttempts": 2,
+                "resumable": True,
+                "gapTargetMs": 200,
+            },
+            {
+                **common,
+                "name": "book",
+                "pathPrefix": "/book/",
+                "routeKind": "non_idempotent",
+                "timeoutMs": CALL_TIMEOUT_MS,
+                "service": "desk",
+                "maxAttempts": 1,
+            },
+            {
+                **common,
+                "name": "stock",
+                "pathPrefix": "/stock/",
+                "routeKind": "idempotent",
+                "timeoutMs": CALL_TIMEOUT_MS,
+                "service": "desk",
+                "maxAttempts": 2,
+            },
+        ],
+        "services": [
+            {"name": "desk", "healthPath": "/healthz", "maxConnections": 64},
+            {
+                "name": "model",
+                "healthPath": "/healthz",
+                "maxConnections": 64,
+                "engine": {
+                    "slots": 8,
+                    "layers": 4,
+                    "layerMb": 100.0,
+                    "kvBytes": 4000,
+                    "step_ms": 1.0,
+                    "per_seq_ms": 0.01,
+                    "context_per_k": 0.01,
+                    "read_per_s": 100_000,
+                    "activationBytes": 1000,
+                    "linkMbps": 1000.0,
+                    "pipeMbps": 1000.0,
+                    "loads_at_once": 4,
+                    "usual": {"prompt": 100, "answer": 50},
+                    "models": [{"name": "m", "loadS": 0.1}],
+                    "kinds": [
+                        {
+                            "name": "big",
+                            "sizeMb": 600.0,
+                            "pace": 1.0,
+                            "readFactor": 1.0,
+                        }
+                    ],
+                },
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 8192,
+            "maxBodyBytes": 4096,
+            "headerTimeoutMs": 1000,
+            "idleTimeoutMs": 5000,
+        },
+        "tenants": [{"name": "desk-one", "apiKeys": [KEY], "priority": 1}],
+    }
+
+
+async def until(condition: Any, seconds: float = 10.0) -> None:
+    """Waits until a condition holds."""
+    async with asyncio.timeout(seconds):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def running_store() -> AsyncIterator[
+    tuple[object_store.ObjectStore, str]
+]:
+    """Runs a store; yields it and its address."""
+    store = object_store.ObjectStore()
+    runner = web.AppRunner(store.application(), shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    try:
+        yield store, f"{host}:{port}"
+    finally:
+        await runner.cleanup()
+
+
+def _address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
--- /dev/null
+++ b/tests/core/forwarding/test_pipelines.py
@@ -0,0 +1,181 @@
+"""Placement on engines that pass requests on."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import rules
+from yuccatally.core.forwarding import upstreams
+
+CARDS = {
+    "large": rules.Card("large", 36_000.0, 3.1, 3.2),
+    "medium": rules.Card("medium", 21_600.0, 16.0, 8.2),
+    "small": rules.Card("small", 14_400.0, 15.0, 15.0),
+}
+MODEL = rules.Model(
+    slots=96,
+    layers=80,
+    layer_mb=1750.0,
+    load_s=14.0,
+    loads_at_once=6,
+    token_layer_bytes=10_650.0,
+    step_s=0.00085,
+    step_sequence_s=5.5e-6,
+    step_context_s=7.4e-6,
+    read_tokens_per_s=272_000.0,
+    activation_bytes=42_600.0,
+    link_mbps=480_000.0,
+    pipe_mbps=6_500.0,
+    prompt_tokens=772.0,
+    answer_tokens=150.0,
+    cards=CARDS,
+)
+# Cards of each data centre as on the sites of today.
+TODAY = {"a": (1, 8, 5), "b": (3, 3, 5), "c": (1, 4, 8)}
+
+
+def _engines(
+    homes: dict[str, tuple[int, int, int]],
+) -> list[upstreams.Upstream]:
+    return [
+        upstreams.Upstream(
+            name=f"{home}-{card}-{number}",
+            born_ms=1,
+            service="model",
+            address=f"10.0.0.1:{1000 + number}",
+            data_centre=home,
+            slots=96,
+            draining=False,
+            card=card,
+        )
+        for home, counts in homes.items()
+        for card, count in zip(CARDS, counts, strict=True)
+        for number in range(count)
+    ]
+
+
+def _assert_whole(
+    plan: pipelines.Plan, engines: list[upstreams.Upstream]
+) -> None:
+    known = {e.name: e for e in engines}
+    used = [s.engine for p in plan.pipelines for s in p.stages]
+    assert len(used) == len(set(used))
+    for pipeline in plan.pipelines:
+        reached = 0
+        for stage in pipeline.stages:
+            card = CARDS[known[stage.engine].card]
+            assert stage.first == reached
+            assert 0 < stage.last - stage.first <= MODEL.most_layers(card)
+            reached = stage.last
+        assert reached == MODEL.layers
+
+
+def _homes(
+    pipeline: pipelines.Pipeline, engines: list[upstreams.Upstream]
+) -> set[str]:
+    known = {e.name: e for e in engines}
+    return {known[s.engine].data_centre for s in pipeline.stages}
+
+
+def test_each_pipeline_stays_in_its_data_centre() -> None:
+    """Guards against prompts that queue on the link between data centres."""
+    engines = _engines(TODAY)
+    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    _assert_whole(plan, engines)
+    assert len(plan.pipelines) == 3
+    assert all(len(_homes(p, engines)) == 1 for p in plan.pipelines)
+
+
+def test_nothing_changes_while_nothing_changes() -> None:
+    """Guards against loads of weights without a reason."""
+    engines = _engines(TODAY)
+    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    assert pipelines.plan(MODEL, engines, plan) is plan
+    more = [*engines, *_engines({"d": (1, 0, 0)})]
+    assert pipelines.plan(MODEL, more, plan) is plan
+
+
+@pytest.mark.parametrize("number", range(28))
+def test_loss_of_one_engine_moves_no_other(number: int) -> None:
+    """Guards against a repair that takes layers away that serve."""
+    engines = _engines(TODAY)
+    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    stages = sorted(plan.stages.values(), key=lambda s: s.engine)
+    lost = stages[number % len(stages)]
+    left = [e for e in engines if e.name != lost.engine]
+    repaired = pipelines.plan(MODEL, left, plan)
+    _assert_whole(repaired, left)
+    assert len(repaired.pipelines) == 3
+    for name, stage in plan.stages.items():
+        if name != lost.engine:
+            assert repaired.stages[name] == stage
+    assert all(len(_homes(p, left)) == 1 for p in repaired.pipelines)
+
+
+def test_replaced_engines_do_not_use_spares_up() -> None:
+    """Guards against repairs with several engines where one would do.
+
+    On a day with a release, spares ran out after four of seven replacements
+    and a stage was placed in another data centre.
+    """
+    engines = _engines(TODAY)
+    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    for number in range(7):
+        victims = [e for e in engines if e.name in plan.stages]
+        victim = victims[(number * 5) % len(victims)]
+        fresh = dataclasses.replace(victim, name=f"new-{number}")
+        engines = [e for e in engines if e is not victim] + [fresh]
+        plan = pipelines.plan(MODEL, engines, plan)
+        _assert_whole(plan, engines)
+        assert len(plan.pipelines) == 3
+        assert all(len(_homes(p, engines)) == 1 for p in plan.pipelines)
+
+
+def test_neighbours_grow_when_no_spare_is_left() -> None:
+    """Guards against a lost pipeline where its engines have memory left."""
+    engines = _engines({"a": (1, 8, 0)})
+    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    small = min(plan.stages.values(), key=lambda s: s.last - s.first)
+    left = [e for e in engines if e.name != small.engine]
+    repaired = pipelines.plan(MODEL, left, plan)
+    _assert_whole(repaired, left)
+    assert len(repaired.pipelines) == 1
+
+
+def test_engines_of_several_data_centres_join_when_none_can_alone() -> None:
+    """Guards against serving nothing when each data centre is too small."""
+    engines = _engines({"a": (1, 2, 0), "b": (1, 2, 2)})
+    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    _assert_whole(plan, engines)
+    assert len(plan.pipelines) == 1
+    homes = [
+        next(e.data_centre for e in engines if e.name == s.engine)
+        for s in plan.pipelines[0].stages
+    ]
+    crossings = sum(a != b for a, b in zip(homes, homes[1:], strict=False))
+    assert crossings == 1
+
+
+def test_reborn_engine_counts_as_lost() -> None:
+    """Guards against layers that an engine held before its restart."""
+    engines = _engines(TODAY)
+    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    stage = next(iter(plan.stages.values()))
+    reborn = [
+        dataclasses.replace(e, born_ms=2) if e.name == stage.engine else e
+        for e in engines
+    ]
+    repaired = pipelines.plan(MODEL, reborn, plan)
+    _assert_whole(repaired, reborn)
+    assert stage not in repaired.stages.values()
+
+
+def test_unknown_cards_are_left_out() -> None:
+    """Guards against orders to engines whose memory is not known."""
+    odd = [
+        dataclasses.replace(e, card="odd") for e in _engines({"a": (9, 0, 0)})
+    ]
+    assert pipelines.plan(MODEL, odd, pipelines.Plan()).pipelines == ()
--- /dev/null
+++ b/tests/forwarding/test_ends.py
@@ -0,0 +1,259 @@
+"""Every way in which a forwarded request can end.
+
+The table of ``docs/platform.md`` lists the same cases.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from yuccatally_standins import path_engine
+from yuccatally_standins import path_site
+
+WHOLE = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 7))
+NOT_RUN = "yuccatally-not-executed"
+
+
+def _behave(site: path_site.Site, **behaviour: object) -> None:
+    for engine in site.engines.values():
+        engine.behaviour = path_engine.Behaviour(**behaviour)
+
+
+def _runs(site: path_site.Site) -> int:
+    return sum(len(e.runs) for e in site.engines.values())
+
+
+async def test_stream_is_passed_on_whole(served: path_site.Site) -> None:
+    """Guards against events that are lost, joined or sent twice."""
+    status, headers, body = await served.request("/ask/x?y=%2F")
+    assert (status, body) == (200, WHOLE)
+    assert headers["yuccatally-server-signature"] == path_engine.SIGNATURE
+    runs = [r for e in served.engines.values() for r in e.runs]
+    assert [r.target for r in runs] == ["/ask/x?y=%2F"]
+    sent = runs[0].headers
+    assert sent["host"] == path_site.HOST
+    assert sent["yuccatally-tenant"] == "desk-one"
+    assert "api-key" not in sent
+    assert 0 < int(sent["yuccatally-deadline-ms"]) <= 3000
+
+
+async def test_client_cannot_name_account_or_path(
+    served: path_site.Site,
+) -> None:
+    """Guards against clients that set what upstreams trust."""
+    forged = {
+        "Yuccatally-Tenant": "other",
+        "Yuccatally-Hop-Count": "1.2.3.4:1=0-4",
+        "Yuccatally-Expect-Instance": "other",
+    }
+    status, _, _ = await served.request("/book/x", headers=forged)
+    assert status == 200
+    sent = served.engines["d1"].runs[0].headers
+    assert sent["yuccatally-tenant"] == "desk-one"
+    assert sent["yuccatally-expect-instance"] == "d1"
+    assert "yuccatally-hop-count" not in sent
+
+
+@pytest.mark.parametrize(
+    ("target", "headers", "status"),
+    [
+        ("/nowhere/x", {}, 404),
+        ("/ask", {}, 404),
+        ("/ask/x", {"Host": "other.example"}, 404),
+        ("/ask/x", {"Api-Key": "wrong"}, 401),
+        ("/book/x", {"Api-Key": "wrong"}, 401),
+    ],
+)
+async def test_what_is_not_allowed_is_not_run(
+    served: path_site.Site, target: str, headers: dict[str, str], status: int
+) -> None:
+    """Guards against requests without route or key that run."""
+    found, _, _ = await served.request(target, headers=headers)
+    assert found == status
+    assert _runs(served) == 0
+
+
+async def test_no_configuration_is_no_statement_on_routes(
+    site: path_site.Site,
+) -> None:
+    """Guards against 404 and 401 from an instance that knows nothing."""
+    site.store.objects.clear()
+    site.store.history.clear()
+    started = asyncio.create_task(site.start_node())
+    await path_site.until(lambda: site.nodes)
+    await asyncio.sleep(0.5)
+    status, headers, _ = await site.request("/ask/x", at=site.nodes[0])
+    assert status == 503
+    assert "retry-after" in headers
+    started.cancel()
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_refusal_of_all_upstreams_is_not_run(
+    served: path_site.Site, status: int
+) -> None:
+    """Guards against a promise that an upstream did not give."""
+    _behave(served, refuse=status)
+    for target in ("/book/x", "/stock/x", "/ask/x"):
+        found, headers, _ = await served.request(target)
+        assert found == 503, target
+        assert float(headers["retry-after"]) > 0
+    assert _runs(served) == 0
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        {"wrong_id": True},
+        {"unsigned": True},
+        {"unframed": "reset"},
+        {"mute": True},
+    ],
+)
+async def test_booking_that_may_have_run_is_not_promised_nor_repeated(
+    served: path_site.Site, behaviour: dict[str, object]
+) -> None:
+    """Guards against a second run and against a false promise."""
+    await served.add_engine("d2", card="")
+    _behave(served, **behaviour)
+    status, headers, _ = await served.request("/book/x", deadline_ms=700)
+    assert status in (502, 504)
+    assert NOT_RUN not in headers
+    assert _runs(served) == 1
+
+
+async def test_unframed_answer_that_is_closed_in_order_is_whole(
+    served: path_site.Site,
+) -> None:
+    """Guards against taking every answer without a length for broken."""
+    _behave(served, unframed="close")
+    status, _, body = await served.request("/book/x")
+    assert (status, body) == (200, b"done a1")
+
+
+async def test_failure_of_an_upstream_is_passed_on(
+    served: path_site.Site,
+) -> None:
+    """Guards against a failure that is hidden or repeated without need."""
+    _behave(served, fail=500)
+    status, headers, body = await served.request("/book/x")
+    assert (status, body) == (500, b"failed")
+    assert headers["yuccatally-server-signature"] == path_engine.SIGNATURE
+    assert _runs(served) == 1
+
+
+async def test_idempotent_call_goes_on_elsewhere(
+    served: path_site.Site,
+) -> None:
+    """Guards against giving up what may be repeated."""
+    second = await served.add_engine("d2", card="")
+    node = served.nodes[0]
+    await path_site.until(lambda: len(node.state.registry.of("desk")) == 2)
+    served.engines["d1"].behaviour.unsigned = True
+    for number in range(4):
+        status, _, _ = await served.request("/stock/x", f"a{number}")
+        assert status == 200
+    assert len(second.runs) == 4
+
+
+async def test_idempotent_call_keeps_to_its_attempts(
+    served: path_site.Site,
+) -> None:
+    """Guards against more upstreams than the route allows."""
+    for name in ("d2", "d3", "d4"):
+        await served.add_engine(name, card="")
+    node = served.nodes[0]
+    await path_site.until(lambda: len(node.state.registry.of("desk")) == 4)
+    _behave(served, fail=500)
+    status, _, _ = await served.request("/stock/x")
+    assert status == 500
+    assert _runs(served) == 2
+
+
+async def test_stream_goes_on_after_the_last_whole_event(
+    served: path_site.Site,
+) -> None:
+    """Guards against a half event that its successor's first is joined to."""
+    for engine in served.engines.values():
+        engine.behaviour.break_after = 3
+    status, _, body = await served.request("/ask/x")
+    runs = [r for e in served.engines.values() for r in e.runs]
+    assert [r.headers.get("last-event-id") for r in runs] == [None, "3"]
+    # The second run breaks off too, after its third event.
+    assert status == 200
+    assert body.rstrip(b"!") == WHOLE
+
+
+async def test_stream_that_cannot_go_on_does_not_look_complete(
+    served: path_site.Site,
+) -> None:
+    """Guards against an answer that ends early and looks whole."""
+    for engine in served.engines.values():
+        engine.behaviour.break_after = 1
+    status, _, body = await served.request("/ask/x")
+    assert status == 200
+    assert body.endswith(b"!")
+    assert body == WHOLE[: len(body) - 1] + b"!"
+
+
+async def test_streams_leave_a_stalled_path(served: path_site.Site) -> None:
+    """Guards against a pause that lasts until the client leaves."""
+    tasks = [
+        asyncio.create_task(served.request("/ask/x", f"s{n}")) for n in range(6)
+    ]
+    await path_site.until(lambda: _runs(served) == 6)
+    served.engines["e1"].behaviour.stalled = True
+    answers = await asyncio.gather(*tasks)
+    assert [(s, b) for s, _, b in answers] == [(200, WHOLE)] * 6
+    served.engines["e1"].behaviour.stalled = False
+
+
+async def test_work_ends_when_the_client_leaves(served: path_site.Site) -> None:
+    """Guards against engines at work for nobody, before the first event."""
+    _behave(served, mute=True)
+    task = asyncio.create_task(served.request("/ask/x", "gone"))
+    await path_site.until(lambda: _runs(served) == 1)
+    task.cancel()
+    await path_site.until(
+        lambda: any("gone" in e.cancelled for e in served.engines.values())
+    )
+    assert _runs(served) == 1
+
+
+async def test_route_timeout_is_kept(served: path_site.Site) -> None:
+    """Guards against clients that are held beyond the operator's limit."""
+    changed = path_site.configuration(2)["routes"]
+    for route in changed:
+        route["timeoutMs"] = 300
+    await served.configure(2, routes=changed)
+    node = served.nodes[0]
+    await path_site.until(lambda: node.state.rules.version == 2)
+    _behave(served, mute=True)
+    for target in ("/book/x", "/stock/x", "/ask/x"):
+        status, _, _ = await served.request(target, f"t{target}")
+        assert status in (502, 504), target
+    sent = [r for e in served.engines.values() for r in e.runs]
+    assert all(int(r.headers["yuccatally-deadline-ms"]) <= 300 for r in sent)
+
+
+async def test_body_over_the_limit_is_not_run(served: path_site.Site) -> None:
+    """Guards against bodies that the operator does not want."""
+    url = f"http://{served.nodes[0].settings.listen.callers}/book/x"
+    headers = {"Host": path_site.HOST, "Api-Key": path_site.KEY}
+    async with served.session.post(
+        url, headers=headers, data=b"x" * 5000
+    ) as response:
+        assert response.status == 413
+    assert _runs(served) == 0
+
+
+async def test_nothing_runs_without_a_whole_pipeline(
+    site: path_site.Site,
+) -> None:
+    """Guards against a wait until the deadline when no engine can serve."""
+    await site.start_node()
+    status, headers, _ = await site.request("/ask/x")
+    assert status == 503
+    assert "retry-after" in headers
