Keep engines of one pipeline out of the repairs of another

The planner repaired pipelines one after the other and took engines of a later one as spares of an earlier one; both then ordered their own layers on the same engine. Found by a test with two pipelines in one data centre. The stages of all pipelines are now set aside first.

A stream whose only path was dead was sent there 93 times in 0.1 s and used the retry budget up. A path that failed is used again once at most, after a pause.

Log lines go to a descriptor that never blocks, the settings file is read again when it changes, and metrics are served.

--- a/src/yuccatally/cli/main.py
+++ b/src/yuccatally/cli/main.py
@@ -5,7 +5,6 @@
 import asyncio
 import pathlib
 import signal
-import sys
 from typing import TYPE_CHECKING
 
 import click
@@ -15,10 +14,12 @@
 from yuccatally.cli import objects
 from yuccatally.cli import site
 from yuccatally.forwarding import node as forwarding_node
+from yuccatally.forwarding import reload
 from yuccatally.instance import instance
 from yuccatally.platform import settings as platform_settings
 from yuccatally.settings import settings as settings_module
 from yuccatally.telemetry import logs
+from yuccatally.telemetry import output
 
 if TYPE_CHECKING:
     from yuccatally.core.forwarding import node as node_settings
@@ -41,8 +42,17 @@
 
 @main.command()
 @_SETTINGS
-def check(settings_file: pathlib.Path) -> None:
+@click.option(
+    "--platform",
+    is_flag=True,
+    help="The file is one that the users' platform wrote.",
+)
+def check(settings_file: pathlib.Path, platform: bool) -> None:
     """Checks a settings file and names all problems at once."""
+    if platform:
+        _load_platform(settings_file)
+        click.echo(f"{settings_file}: ok")
+        return
     settings = _load(settings_file)
     if not settings.operators.key_sha256:
         click.echo(
@@ -85,9 +95,10 @@
 
     Without SETTINGS_FILE, the platform's settings file is read.
     """
-    settings = _load_platform(settings_file or platform_settings.path())
-    logs.configure(settings.name, log_level, sys.stdout)
-    uvloop.run(_run_node(settings))
+    file = settings_file or platform_settings.path()
+    settings = _load_platform(file)
+    logs.configure(settings.name, log_level, output.NonBlockingOutput(1))
+    uvloop.run(_run_node(settings, file))
 
 
 for _command in (
@@ -116,13 +127,18 @@
     await node.run()
 
 
-async def _run_node(settings: node_settings.Node) -> None:
+async def _run_node(settings: node_settings.Node, file: pathlib.Path) -> None:
     found = forwarding_node.Node.from_config(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, found.start_drain)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    await found.run()
+    reloads = reload.Reloads(file, found.reload)
+    loop.add_signal_handler(signal.SIGHUP, reloads.check)
+    watching = asyncio.create_task(reloads.run())
+    try:
+        await found.run()
+    finally:
+        watching.cancel()
 
 
 def _load_platform(settings_file: pathlib.Path) -> node_settings.Node:
--- a/src/yuccatally/core/forwarding/pipelines.py
+++ b/src/yuccatally/core/forwarding/pipelines.py
@@ -92,6 +92,7 @@
         The previous plan if nothing has to change.
     """
     planner = _Planner(model, engines)
+    planner.reserve(previous)
     kept = [planner.repair(p) for p in previous.pipelines]
     pipelines = [p for p in kept if p is not None]
     pipelines.extend(planner.build(pipelines))
@@ -113,11 +114,15 @@
         }
         self.all = dict(self.free)
 
+    def reserve(self, previous: Plan) -> None:
+        """Keeps the engines of all pipelines from being taken as spares."""
+        for stage in previous.stages.values():
+            if self._is_there(stage):
+                del self.free[stage.engine]
+
     def repair(self, pipeline: Pipeline) -> Pipeline | None:
         """Returns a pipeline with its lost stages replaced, if it can be."""
         kept = [s for s in pipeline.stages if self._is_there(s)]
-        for stage in kept:
-            self.free.pop(stage.engine, None)
         if len(kept) == len(pipeline.stages):
             return pipeline
         homes = {self.all[s.engine].data_centre for s in kept}
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -10,7 +11,6 @@
 import aiohttp
 import structlog
 
-from yuccatally.core.requests import ledger
 from yuccatally.forwarding import application
 from yuccatally.forwarding import calls
 from yuccatally.forwarding import control
@@ -67,7 +67,6 @@
         self.store = platform_store.PlatformStore(settings.store)
         self.fleet = fleet.Fleet(self.state, self.store)
         self.metrics = metrics.Metrics()
-        self.ledger = ledger.Ledger()
         self.stopping = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -76,6 +75,24 @@
         """Returns an instance for settings; nothing is opened yet."""
         return cls(settings)
 
+    def reload(self, settings: node_settings.Node) -> None:
+        """Takes changed settings over; addresses stay until a restart."""
+        before = self.state.settings
+        if settings == before:
+            return
+        kept = dataclasses.replace(
+            before, bounds=settings.bounds, seeds=settings.seeds
+        )
+        if dataclasses.replace(
+            settings, bounds=before.bounds, seeds=before.seeds
+        ) != dataclasses.replace(
+            before, bounds=before.bounds, seeds=before.seeds
+        ):
+            _log.warning("settings_need_restart")
+        self.settings = self.state.settings = kept
+        self.state.budgets.clear()
+        _log.info("settings_reloaded", bounds=str(settings.bounds))
+
     def start_drain(self) -> None:
         """Starts the shutdown; a second call has no effect."""
         if not self.state.leaving:
@@ -166,11 +183,15 @@
         readiness = endpoints.readiness(
             lambda: self.state.rules is not None and not self.state.leaving
         )
-        return [
+        found = [
             callers,
             self._listener(directory, listen.directory),
             self._listener(readiness, listen.readiness),
         ]
+        if self.settings.metrics:
+            served = endpoints.metrics(self.metrics_text)
+            found.append(self._listener(served, self.settings.metrics))
+        return found
 
     def _listener(
         self, app: Callable[..., Any], address: str
@@ -277,6 +298,14 @@
         for watch in self.watches:
             watch.restart("another call got no answer")
 
+    def metrics_text(self) -> str:
+        """Returns the metrics with the present state as counters."""
+        for service, budget in self.state.budgets.items():
+            key = ("retries_refused", service)
+            self.metrics.counters[key] = budget.refused
+        self.metrics.counters[("store_calls", "")] = self.store.calls
+        return self.metrics.text()
+
     def _on_connection_refused(self, reason: str) -> None:
         self.metrics.count("connections_refused", reason)
 
--- /dev/null
+++ b/src/yuccatally/forwarding/reload.py
@@ -0,0 +1,58 @@
+"""Reload of a settings file that has changed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from yuccatally.platform import settings as platform_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import pathlib
+
+    from yuccatally.core.forwarding import node
+
+# The file may change without a signal.
+CHECK_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class Reloads:
+    """Looks at a settings file and hands over what it then says."""
+
+    def __init__(
+        self, file: pathlib.Path, apply: Callable[[node.Node], None]
+    ) -> None:
+        self.file = file
+        self.apply = apply
+        self.content = self._read()
+
+    async def run(self) -> None:
+        """Looks until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            self.check()
+
+    def check(self) -> None:
+        """Applies the file if it has changed; keeps what holds if it is bad."""
+        content = self._read()
+        if content is None or content == self.content:
+            return
+        self.content = content
+        loaded = platform_settings.load(self.file)
+        if loaded.is_error():
+            problems = "; ".join(str(p) for p in loaded.error)
+            _log.error("settings_rejected", problems=problems)
+            return
+        self.apply(loaded.ok)
+
+    def _read(self) -> bytes | None:
+        try:
+            return self.file.read_bytes()
+        except OSError as error:
+            _log.warning("settings_unreadable", reason=error.strerror)
+            return None
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -29,6 +29,8 @@
 # that comes later is worth less to a caller than one at once.
 ROOM_WAIT_SHARE = 0.1
 ROOM_POLL_S = 0.02
+# Pause before a stream goes on over the path that it broke off on.
+SAME_PATH_S = 0.2
 ERROR_LIMIT_BYTES = 1024 * 1024
 
 
@@ -109,6 +111,11 @@
         tried: frozenset[str] = frozenset()
         while True:
             path = await self._path(ticket, tried)
+            if isinstance(path, dispatch.Nothing) and progress.ran == 1:
+                # A stream that broke off may go on over the only path there
+                # is, once; control repairs it or finds it sound meanwhile.
+                await asyncio.sleep(SAME_PATH_S)
+                path = await self._path(ticket, frozenset())
             if not isinstance(path, dispatch.Path):
                 why = "full" if isinstance(path, dispatch.Full) else "no-path"
                 await answers.end(reply, attempts.not_run(progress), why)
@@ -155,11 +162,6 @@
             now = time.monotonic()
             paths = self.node.paths(ticket.service)
             found = self.node.dispatcher.path(paths, tokens, tried, now)
-            if isinstance(found, dispatch.Nothing) and tried and paths:
-                # The same path may serve again where no other is left.
-                found = self.node.dispatcher.path(
-                    paths, tokens, frozenset(), now
-                )
             if isinstance(found, dispatch.Path) or now >= until:
                 return found
             await asyncio.sleep(ROOM_POLL_S)
--- a/src/yuccatally/telemetry/logs.py
+++ b/src/yuccatally/telemetry/logs.py
@@ -6,7 +6,7 @@
 import sys
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import TextIO
+from typing import Protocol
 
 import structlog
 
@@ -39,8 +39,18 @@
 )
 
 
+class Output(Protocol):
+    """Where log lines are written."""
+
+    def write(self, text: str) -> int:
+        """Takes a line with its end."""
+
+    def flush(self) -> None:
+        """Writes what waits."""
+
+
 def configure(
-    instance: str, level: str = "info", file: TextIO | None = None
+    instance: str, level: str = "info", file: Output | None = None
 ) -> None:
     """Sets up structlog for the process.
 
--- a/src/yuccatally/telemetry/metrics.py
+++ b/src/yuccatally/telemetry/metrics.py
@@ -32,6 +32,10 @@
     "step_items": "Step items sent to engines.",
     "results_dropped": "Results of engines that matched no outstanding item.",
     "attempts_abandoned": "Attempts that went on over another route.",
+    "forwarded": "Forwarded requests by status and whether they were whole.",
+    "attempts_failed": "Failed attempts of forwarded requests, by failure.",
+    "paths_stalled": "Times that a path was found stalled, by path.",
+    "first_byte": "Time from the arrival of a request to the first byte.",
     "request": "Time from the acceptance of a request to its outcome.",
     "first_token": "Time from the acceptance to the first token of a stream.",
 }
@@ -99,10 +103,14 @@
             for name, found in sorted(self.histograms.items())
         }
 
-    def text(self, totals: ledger.Totals) -> str:
-        """Returns everything in the Prometheus text format 0.0.4."""
+    def text(self, totals: ledger.Totals | None = None) -> str:
+        """Returns everything in the Prometheus text format 0.0.4.
+
+        Args:
+            totals: Requests by state, where they are kept.
+        """
         lines = [
-            *_requests(totals),
+            *(_requests(totals) if totals else ()),
             *self._counter_lines(),
             *self._summary_lines(),
         ]
--- a/src/yuccatally_standins/object_store.py
+++ b/src/yuccatally_standins/object_store.py
@@ -67,10 +67,11 @@
         self._drop(kind, name)
         await self._notify()
 
-    def compact(self) -> None:
-        """Forgets the history."""
+    async def compact(self) -> None:
+        """Forgets the history and cuts the watches that wait."""
         self.compacted = self.revision
         self.history.clear()
+        await self._notify()
 
     @web.middleware
     async def _faulty(
@@ -112,9 +113,13 @@
         async with self.changed:
             try:
                 async with asyncio.timeout(wait_s):
-                    await self.changed.wait_for(events)
+                    await self.changed.wait_for(
+                        lambda: events() or since < self.compacted
+                    )
             except TimeoutError:
                 pass
+        if since < self.compacted:
+            return web.Response(status=410)
         return web.json_response({"events": events(), "at": self.revision})
 
     async def _get(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/tests/core/forwarding/test_dispatch.py
@@ -0,0 +1,152 @@
+"""Choice of paths and upstreams under the load of several instances."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import upstreams
+
+NONE: frozenset[str] = frozenset()
+
+
+def _engine(name: str, home: str = "a", slots: int = 6) -> upstreams.Upstream:
+    return upstreams.Upstream(name, 1, "s", f"{name}:1", home, slots, False)
+
+
+def _path(
+    name: str, step_s: float, tokens: float = 60e3, home: str = "a"
+) -> dispatch.Path:
+    return dispatch.Path(
+        name=name,
+        hops=(_engine(name, home),),
+        ranges=((0, 80),),
+        step_s=step_s,
+        sequence_s=step_s / 100,
+        tokens=tokens,
+        slots=96,
+        data_centre=home,
+    )
+
+
+def _dispatcher(home: str = "a") -> dispatch.Dispatcher:
+    return dispatch.Dispatcher(home, random.Random(1))
+
+
+def _copy(chooser: dispatch.Dispatcher) -> dict[str, dispatch.Load]:
+    return {n: dataclasses.replace(v) for n, v in chooser.own.items()}
+
+
+def test_instances_share_what_they_have_under_way() -> None:
+    """Guards against eight instances that all fill the fastest pipeline.
+
+    Load pattern: 160 streams of 900 tokens arrive within a second at eight
+    instances, which tell each other their load four times a second.
+    """
+    paths = [_path("fast", 0.010), _path("slow", 0.013), _path("far", 0.014)]
+    instances = [_dispatcher() for _ in range(8)]
+    for number in range(160):
+        now = number / 160
+        chooser = instances[number % 8]
+        found = chooser.path(paths, 900, NONE, now)
+        assert isinstance(found, dispatch.Path)
+        chooser.start(found.name, 900, now)
+        for one in instances:
+            for name in one.own:
+                one.moved(name, now)
+        if number % 40 == 39:
+            for one in instances:
+                for index, other in enumerate(instances):
+                    if other is not one:
+                        one.on_remote(str(index), _copy(other), now)
+    loads = [
+        sum(i.own.get(p.name, dispatch.Load()).tokens for i in instances)
+        for p in paths
+    ]
+    assert all(load < 60e3 for load in loads)
+    assert min(loads) > 0.5 * max(loads)
+
+
+def test_full_paths_are_not_chosen() -> None:
+    """Guards against requests that an engine must refuse or preempt."""
+    chooser = _dispatcher()
+    small = _path("small", 0.001, tokens=2000)
+    chooser.start("small", 1500, 0.0)
+    assert chooser.path([small], 900, NONE, 0.0) == dispatch.Full()
+    large = _path("large", 0.1)
+    assert chooser.path([small, large], 900, NONE, 0.0) is large
+
+
+def test_no_path_and_full_paths_are_told_apart() -> None:
+    """Guards against a wait for room where nothing can serve."""
+    chooser = _dispatcher()
+    assert chooser.path([], 900, NONE, 0.0) == dispatch.Nothing()
+    only = _path("p", 0.1)
+    tried = frozenset({"p"})
+    assert chooser.path([only], 900, tried, 0.0) == dispatch.Nothing()
+
+
+def test_load_of_a_silent_instance_is_forgotten() -> None:
+    """Guards against room that a dead instance keeps for ever."""
+    chooser = _dispatcher()
+    path = _path("p", 0.1, tokens=2000)
+    chooser.on_remote("dead", {"p": dispatch.Load(2, 1500)}, 0.0)
+    assert chooser.path([path], 900, NONE, 1.0) == dispatch.Full()
+    later = dispatch.REMOTE_LOAD_S + 1.0
+    assert chooser.path([path], 900, NONE, later) is path
+
+
+def test_path_stalls_when_all_its_streams_are_quiet() -> None:
+    """Guards against streams that wait with their engine for two seconds."""
+    chooser = _dispatcher()
+    for _ in range(3):
+        chooser.start("p", 900, 0.0)
+        chooser.begun("p")
+    for step in range(40):
+        chooser.moved("p", step * 0.03)
+    last = 39 * 0.03
+    assert not chooser.is_stalled("p", last + 0.08)
+    assert chooser.is_stalled("p", last + dispatch.STALL_LEAST_S + 0.02)
+
+
+def test_slow_path_is_not_taken_for_stalled() -> None:
+    """Guards against streams that leave a path for its usual pauses."""
+    chooser = _dispatcher()
+    for _ in range(3):
+        chooser.start("p", 900, 0.0)
+        chooser.begun("p")
+    for step in range(100):
+        now = step * 0.09
+        assert not chooser.is_stalled("p", now)
+        chooser.moved("p", now)
+
+
+def test_one_quiet_stream_is_no_stall() -> None:
+    """Guards against leaving a path for one preempted request."""
+    chooser = _dispatcher()
+    chooser.start("p", 900, 0.0)
+    chooser.begun("p")
+    chooser.moved("p", 0.1)
+    assert not chooser.is_stalled("p", 0.4)
+
+
+def test_stalled_path_is_passed_over_while_there_is_another() -> None:
+    """Guards against new requests that follow the stalled ones."""
+    chooser = _dispatcher()
+    fast, slow = _path("fast", 0.01), _path("slow", 0.1)
+    for _ in range(2):
+        chooser.start("fast", 900, 0.0)
+        chooser.begun("fast")
+    assert chooser.path([fast, slow], 900, NONE, 0.05) is fast
+    assert chooser.path([fast, slow], 900, NONE, 1.0) is slow
+    assert chooser.path([fast], 900, NONE, 1.0) is fast
+
+
+def test_plain_services_get_the_least_work_nearest_first() -> None:
+    """Guards against a queue at one upstream while another is idle."""
+    chooser = _dispatcher("a")
+    near, far = _engine("near", "a"), _engine("far", "b")
+    assert chooser.upstream([near, far], NONE, 0.0) is near
+    chooser.on_remote("other", {"near": dispatch.Load(1)}, 0.0)
+    assert chooser.upstream([near, far], NONE, 0.0) is far
--- a/tests/core/forwarding/test_pipelines.py
+++ b/tests/core/forwarding/test_pipelines.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 
 from yuccatally.core.forwarding import pipelines
@@ -155,7 +158,7 @@
         next(e.data_centre for e in engines if e.name == s.engine)
         for s in plan.pipelines[0].stages
     ]
-    crossings = sum(a != b for a, b in zip(homes, homes[1:], strict=False))
+    crossings = sum(a != b for a, b in itertools.pairwise(homes))
     assert crossings == 1
 
 
@@ -173,6 +176,22 @@
     assert stage not in repaired.stages.values()
 
 
+@given(st.data())
+def test_no_engine_serves_two_pipelines(data: st.DataObject) -> None:
+    """Guards against repairs with engines that another pipeline uses.
+
+    With two pipelines in one data centre, the first one took an engine of the
+    second as a spare, and both ordered their own layers on it.
+    """
+    engines = _engines({"a": (2, 10, 12), "b": (1, 2, 3)})
+    plan = pipelines.Plan()
+    for _ in range(data.draw(st.integers(1, 6))):
+        gone = data.draw(st.sets(st.sampled_from(engines), max_size=5))
+        left = [e for e in engines if e not in gone]
+        plan = pipelines.plan(MODEL, left, plan)
+        _assert_whole(plan, left)
+
+
 def test_unknown_cards_are_left_out() -> None:
     """Guards against orders to engines whose memory is not known."""
     odd = [
--- /dev/null
+++ b/tests/core/forwarding/test_retries.py
@@ -0,0 +1,110 @@
+"""The budget of repeated sends, and what follows a failure."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from yuccatally.core.forwarding import attempts
+from yuccatally.core.forwarding import retries
+from yuccatally.core.forwarding import rules
+
+SHARE, RESERVE, WINDOW_S = 0.2, 200.0, 10.0
+
+
+@given(st.integers(1, 12), st.integers(0, 2**32), st.floats(0, 60))
+def test_all_instances_together_keep_the_bound(
+    instances: int, seed: int, rate: float
+) -> None:
+    """Guards against repeats of many instances that add up beyond the bound.
+
+    Load pattern: every request fails for thirty seconds and is sent again as
+    often as the budget allows.
+    """
+    rng = random.Random(seed)
+    budgets = [
+        retries.RetryBudget(SHARE, RESERVE, WINDOW_S) for _ in range(instances)
+    ]
+    requests: list[float] = []
+    repeats: list[float] = []
+    for step in range(300):
+        now = step * 0.1
+        for _ in range(round(rate * 0.1)):
+            budget = rng.choice(budgets)
+            budget.on_request(now)
+            requests.append(now)
+            while budget.withdraw(now, instances):
+                repeats.append(now)
+    for end in repeats:
+        start = end - WINDOW_S
+        extra = sum(start < t <= end for t in repeats)
+        counted = sum(start < t <= end for t in requests)
+        assert extra <= SHARE * counted + RESERVE
+
+
+def _route(repeat: rules.Repeat, tries: int = 2) -> rules.Route:
+    return rules.Route(
+        "r", "h", "/", (), repeat, 1.0, 0.3, 0.2, tries, False, 0
+    )
+
+
+FAILURES = st.one_of(
+    st.just(attempts.NotSent("x")),
+    st.sampled_from([429, 503, 421, 400]).map(attempts.Refused),
+    st.booleans().map(lambda t: attempts.Lost("x", t)),
+    st.sampled_from([500, 504]).map(attempts.Failed),
+)
+
+
+@given(
+    st.lists(FAILURES, min_size=1, max_size=6),
+    st.sampled_from(list(rules.Repeat)),
+    st.integers(1, 3),
+    st.booleans(),
+)
+def test_no_end_promises_too_much(
+    failures: list[attempts.Failure],
+    repeat: rules.Repeat,
+    tries: int,
+    allowed: bool,
+) -> None:
+    """Guards against "not run" for what may have run, and second runs."""
+    route = _route(repeat, tries)
+    progress = attempts.Progress()
+    may_have_run = 0
+    for failure in failures:
+        if isinstance(failure, attempts.Lost | attempts.Failed):
+            progress.ran += 1
+            may_have_run += 1
+        step = attempts.after(failure, progress, route, 1.0, lambda: allowed)
+        if isinstance(step, attempts.Refuse):
+            assert may_have_run == 0
+        if not isinstance(step, attempts.SendAgain):
+            return
+        assert may_have_run == 0 or repeat.may_run_again
+        assert may_have_run < max(1, tries) or isinstance(
+            failure, attempts.NotSent | attempts.Refused
+        )
+
+
+@pytest.mark.parametrize(
+    ("failure", "status"),
+    [
+        (attempts.Lost("x"), 502),
+        (attempts.Lost("x", True), 504),
+        (attempts.NotSent("x"), 503),
+        (attempts.Refused(503), 503),
+    ],
+)
+def test_status_of_an_end(failure: attempts.Failure, status: int) -> None:
+    """Guards against a status that says something else than what happened."""
+    progress = attempts.Progress()
+    if isinstance(failure, attempts.Lost):
+        progress.ran = 1
+    route = _route(rules.Repeat.AT_MOST_ONCE)
+    step = attempts.after(failure, progress, route, 0.0, lambda: True)
+    assert isinstance(step, attempts.Refuse | attempts.GiveUp)
+    assert step.status == status
--- /dev/null
+++ b/tests/core/forwarding/test_upstreams.py
@@ -0,0 +1,66 @@
+"""Beliefs about upstreams."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from yuccatally.core.forwarding import upstreams
+
+ENTRY = upstreams.Upstream("e", 1, "s", "10.0.0.1:1", "a", 6, False)
+
+
+def _registry() -> upstreams.Registry:
+    registry = upstreams.Registry()
+    registry.announce(ENTRY)
+    return registry
+
+
+def test_removed_entry_is_gone_at_once() -> None:
+    """Guards against requests to an upstream that has left."""
+    registry = _registry()
+    registry.remove("e", None)
+    assert registry.of("s") == []
+
+
+def test_draining_upstream_gets_nothing_new() -> None:
+    """Guards against requests to an upstream that is leaving."""
+    registry = _registry()
+    registry.announce(dataclasses.replace(ENTRY, draining=True))
+    assert registry.of("s") == []
+    assert registry.usable("e", 1) is None
+
+
+def test_entry_that_lapsed_in_an_outage_may_come_back() -> None:
+    """Guards against dropping all upstreams when the store returns."""
+    registry = _registry()
+    registry.replace([], rejoin_until=2.0)
+    registry.expire(1.9)
+    assert registry.of("s") == [ENTRY]
+    registry.announce(ENTRY)
+    registry.expire(3.0)
+    assert registry.of("s") == [ENTRY]
+
+
+def test_entry_that_stays_missing_after_an_outage_is_gone() -> None:
+    """Guards against an upstream that left during an outage."""
+    registry = _registry()
+    registry.replace([], rejoin_until=2.0)
+    registry.expire(2.0)
+    assert registry.of("s") == []
+
+
+def test_leaving_upstream_does_not_come_back_after_an_outage() -> None:
+    """Guards against a grace for what had said that it leaves."""
+    registry = _registry()
+    registry.announce(dataclasses.replace(ENTRY, draining=True))
+    registry.remove("e", rejoin_until=2.0)
+    assert registry.known == {}
+
+
+def test_new_incarnation_is_another_upstream() -> None:
+    """Guards against layers and suspicions of a former process."""
+    registry = _registry()
+    registry.suspect("e", 1, until=9.0)
+    registry.announce(dataclasses.replace(ENTRY, born_ms=2))
+    assert registry.usable("e", 1) is None
+    assert registry.usable("e", 2) is not None
--- a/tests/forwarding/test_ends.py
+++ b/tests/forwarding/test_ends.py
@@ -257,3 +257,18 @@
     status, headers, _ = await site.request("/ask/x")
     assert status == 503
     assert "retry-after" in headers
+
+
+async def test_unreachable_engine_is_tried_once(site: path_site.Site) -> None:
+    """Guards against a loop of connections to the only engine, a dead one.
+
+    A request was sent 93 times in 0.1 s and used the retry budget up.
+    """
+    engine = await site.add_engine("e1")
+    started = await site.start_node()
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: started.state.paths(service))
+    await engine.stop()
+    status, _, _ = await site.request("/ask/x")
+    assert status == 503
+    assert len(started.state.budget("model").repeats) <= 1
--- /dev/null
+++ b/tests/forwarding/test_state.py
@@ -0,0 +1,257 @@
+"""What instances learn from the store and from each other."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from yuccatally_standins import path_engine
+from yuccatally_standins import path_site
+
+if TYPE_CHECKING:
+    from yuccatally.forwarding import node
+
+
+def _version(found: node.Node) -> int:
+    return found.state.rules.version if found.state.rules else 0
+
+
+async def test_new_configuration_is_in_force_and_an_old_one_is_not(
+    served: path_site.Site,
+) -> None:
+    """Guards against a configuration that goes back."""
+    found = served.nodes[0]
+    await served.configure(5)
+    await path_site.until(lambda: _version(found) == 5)
+    await served.configure(4)
+    await served.configure(6, routes=[])
+    await path_site.until(lambda: _version(found) == 6)
+    status, _, _ = await served.request("/ask/x")
+    assert status == 404
+
+
+async def test_bad_configuration_leaves_the_last_in_force(
+    served: path_site.Site,
+) -> None:
+    """Guards against an object that ends the watch."""
+    found = served.nodes[0]
+    await served.configure(5, routes="none")
+    await served.store.set("config", "main", None)
+    await served.store.set("servers", "odd", {"state": 7})
+    await served.configure(6)
+    await path_site.until(lambda: _version(found) == 6)
+
+
+async def test_configuration_comes_after_compaction(
+    served: path_site.Site,
+) -> None:
+    """Guards against a watch that ends when the history is gone."""
+    found = served.nodes[0]
+    served.store.faults.status = 503
+    await asyncio.sleep(0.2)
+    served.store.faults.status = 0
+    await served.configure(5)
+    await served.store.compact()
+    await path_site.until(lambda: _version(found) == 5)
+
+
+async def test_requests_are_served_while_the_store_is_away(
+    served: path_site.Site,
+) -> None:
+    """Guards against an outage of the store that reaches the callers."""
+    served.store.faults.status = 503
+    await asyncio.sleep(0.3)
+    for target in ("/ask/x", "/book/x", "/stock/x"):
+        status, _, _ = await served.request(target, f"o{target}")
+        assert status == 200, target
+
+
+async def test_instance_turned_away_learns_from_another(
+    served: path_site.Site,
+) -> None:
+    """Guards against an instance that stays behind the others."""
+    other = await served.start_node("n2")
+    served.nodes[0].store.http.base = "http://127.0.0.1:1"
+    for watch in served.nodes[0].watches:
+        watch.restart("test")
+    await served.configure(9)
+    await path_site.until(lambda: _version(other) == 9)
+    await path_site.until(lambda: _version(served.nodes[0]) == 9)
+
+
+async def test_instance_starts_from_another_without_the_store(
+    served: path_site.Site,
+) -> None:
+    """Guards against a start that needs the store."""
+    served.store.faults.status = 503
+    late = await served.start_node("n2")
+    assert _version(late) == 1
+
+
+async def test_unknown_route_is_not_denied_while_it_may_exist(
+    served: path_site.Site,
+) -> None:
+    """Guards against 404 and 401 from an instance that is out of date."""
+    served.store.faults.status = 503
+    found = served.nodes[0]
+    for watch in found.watches:
+        watch.restart("test")
+    await path_site.until(lambda: not found.state.is_current())
+    for headers in ({"Api-Key": "new"}, {"Host": "new.example"}):
+        status, _, _ = await served.request("/ask/x", headers=headers)
+        assert status == 503
+
+
+async def test_directory_names_live_instances_only(
+    served: path_site.Site,
+) -> None:
+    """Guards against addresses that are leaving or gone."""
+    second = await served.start_node("n2")
+    first = served.nodes[0]
+    both = {n.settings.listen.callers for n in served.nodes}
+    await path_site.until(
+        lambda: set(first.fleet.directory("north", "r")) == both
+    )
+    second.start_drain()
+    await path_site.until(
+        lambda: (
+            first.fleet.directory("north", "r")
+            == [first.settings.listen.callers]
+        )
+    )
+
+
+async def _get(site: path_site.Site, address: str, path: str) -> Any:
+    async with site.session.get(f"http://{address}{path}") as response:
+        return response.status, await response.read()
+
+
+async def test_listeners_answer(served: path_site.Site) -> None:
+    """Guards against an instance that nobody can find."""
+    listen = served.nodes[0].settings.listen
+    status, body = await _get(
+        served, listen.directory, "/resolve?name=x&region=r&zone=north"
+    )
+    assert status == 200
+    assert listen.callers.encode() in body
+    assert (await _get(served, listen.readiness, "/readyz"))[0] == 200
+    served.nodes[0].start_drain()
+    assert (await _get(served, listen.readiness, "/readyz"))[0] == 503
+
+
+async def test_drain_finishes_what_is_under_way(
+    served: path_site.Site,
+) -> None:
+    """Guards against a planned stop that cuts a stream off."""
+    for engine in served.engines.values():
+        engine.events = 60
+    found = served.nodes[0]
+    task = asyncio.create_task(served.request("/ask/x", "long"))
+    await path_site.until(lambda: found.state.in_flight == 1)
+    found.start_drain()
+    late, headers, _ = await served.request("/book/x", "late")
+    assert late == 200
+    assert headers["connection"] == "close"
+    status, _, body = await task
+    assert status == 200
+    assert body.count(b"\n\n") == 60
+
+
+async def test_lost_engine_is_replaced_by_a_spare(
+    site: path_site.Site,
+) -> None:
+    """Guards against a pipeline that stays broken beside a spare engine."""
+    first = await site.add_engine("e1")
+    started = await site.start_node()
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: started.state.paths(service))
+    spare = await site.add_engine("e2")
+    await site.store.remove("servers", "e1")
+    await path_site.until(
+        lambda: [p.hops[0].name for p in started.state.paths(service)] == ["e2"]
+    )
+    assert spare.held == (0, 4)
+    assert first.loads == [(0, 4)]
+
+
+async def test_engine_that_answers_no_report_is_replaced(
+    site: path_site.Site,
+) -> None:
+    """Guards against waiting for the entry of a dead engine to lapse."""
+    first = await site.add_engine("e1")
+    started = await site.start_node()
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: started.state.paths(service))
+    await site.add_engine("e2")
+    await first.stop()
+    await path_site.until(lambda: len(started.state.registry.known) == 2)
+    # One of them finds the dead engine, the others go to the spare one.
+    for number in range(4):
+        await site.request("/ask/x", f"d{number}")
+    await path_site.until(
+        lambda: [p.hops[0].name for p in started.state.paths(service)] == ["e2"]
+    )
+
+
+async def test_order_that_was_overtaken_is_refused(
+    site: path_site.Site,
+) -> None:
+    """Guards against a delayed order that undoes a later one."""
+    engine = await site.add_engine("e1")
+    engine.orders = 3
+    started = await site.start_node()
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: started.state.paths(service))
+    assert engine.orders == 4
+
+
+async def test_second_instance_does_not_give_orders(
+    served: path_site.Site,
+) -> None:
+    """Guards against two instances that place engines at once."""
+    await served.start_node("n2")
+    await asyncio.sleep(0.5)
+    assert sum(n.control.leads for n in served.nodes) == 1
+    fences = {e.fence for e in served.engines.values() if e.card}
+    assert fences == {served.nodes[0].control.lease.fence}
+
+
+async def test_lost_reply_to_a_plan_is_read_back(
+    site: path_site.Site,
+) -> None:
+    """Guards against a plan that is in the store and not in force."""
+    site.store.faults.lose_replies = 3
+    await site.add_engine("e1")
+    started = await site.start_node()
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: started.state.paths(service))
+    status, _, _ = await site.request("/ask/x")
+    assert status == 200
+
+
+@pytest.mark.parametrize("kind", ["reset", "mute"])
+async def test_kept_connection_is_not_used_after_a_failure(
+    served: path_site.Site, kind: str
+) -> None:
+    """Guards against the answer of a former request on a connection."""
+    desk = served.engines["d1"]
+    if kind == "reset":
+        desk.behaviour = path_engine.Behaviour(unframed="reset")
+    else:
+        desk.behaviour = path_engine.Behaviour(mute=True)
+    await served.request("/stock/x", "first", deadline_ms=300)
+    desk.behaviour = path_engine.Behaviour()
+    status, headers, body = await served.request("/stock/x", "second")
+    assert (status, body) == (200, b"done second")
+    assert headers["yuccatally-attempt-id"] == "second"
+
+
+async def test_metrics_are_served(served: path_site.Site) -> None:
+    """Guards against counters that nobody can read."""
+    await served.request("/ask/x")
+    found = served.nodes[0]
+    line = 'yuccatally_forwarded_total{label="200 complete"} 1'
+    await path_site.until(lambda: line in found.metrics_text())
