Lead through an outage of the store, and find engines that refuse

Nobody gave orders, and all pipelines refused until the store was back. Ruled out: memory (half of it was free).

The last holder of the lease now goes on while no instance reaches the store; its plans go to the others in beats, ranked by fencing number, and to the store once it is back. Engines named in refusals are asked for report and health and replaced if they refuse both. One failed call is enough to look at all watches. A lease that is free is not written again with every tick of an outage. A stream that broke off waits up to 1.5 s for a path; refused callers are told when a repair is over. A part that fails ends the instance instead of leaving it half alive.

--- a/src/yuccatally/core/control/lease.py
+++ b/src/yuccatally/core/control/lease.py
@@ -62,6 +62,7 @@
         self.next_call_at = 0.0
         self.uncertain: tuple[Record, float] | None = None
         self.must_read = True
+        self.retry_at = 0.0
 
     def valid(self, now: float) -> bool:
         """Returns whether orders may be given at a time in seconds."""
@@ -78,9 +79,11 @@
             A read, a write, or None. The result of the call has to be
             reported before the next step.
         """
+        if now < self.retry_at:
+            return None
         if self.must_read:
             return Read() if now >= self.next_call_at else None
-        if self._is_mine():
+        if self.is_mine:
             return self._keep(now, candidate)
         if candidate and self._free(now):
             fence = self.record.fence + 1 if self.record else 1
@@ -101,7 +104,7 @@
         self.record = record
         self.must_read = False
         self.next_call_at = now + self.term_s * POLL_SHARE
-        if not self._is_mine():
+        if not self.is_mine:
             self.usable_until = None
 
     def on_written(
@@ -133,7 +136,7 @@
 
     def on_unavailable(self, now: float, delay_s: float) -> None:
         """Takes in that the platform cannot be reached."""
-        self.next_call_at = now + delay_s
+        self.retry_at = now + delay_s
 
     def _keep(self, now: float, candidate: bool) -> Write | None:
         assert self.record is not None
@@ -151,7 +154,9 @@
             fence += 1
         return Write(Record(self.holder, fence, renewal), self.version)
 
-    def _is_mine(self) -> bool:
+    @property
+    def is_mine(self) -> bool:
+        """Whether the last known record names this candidate."""
         return self.record is not None and self.record.holder == self.holder
 
     def _free(self, now: float) -> bool:
--- a/src/yuccatally/core/forwarding/attempts.py
+++ b/src/yuccatally/core/forwarding/attempts.py
@@ -10,9 +10,17 @@
 
     from yuccatally.core.forwarding import rules
 
-# Callers come back after this time: a lost engine is replaced in about two
-# seconds, and other pipelines have room as soon as answers end.
+# When a refused caller should come back, in general.
 RETRY_AFTER_S = 0.5
+# A lost engine is replaced in two to three seconds: the time to find it and to
+# load its layers elsewhere.
+REPAIR_S = 3.0
+# A burst lasts some seconds, and an answer takes about four.
+ROOM_S = 2.0
+# Callers that were refused together come back apart, by this share.
+SPREAD_SHARE = 0.4
+# Callers heed no longer time than this share of what they have left.
+HEEDED_SHARE = 1 / 3
 # With less time left, another attempt could not deliver anything.
 LEAST_TIME_S = 0.05
 
@@ -132,8 +140,32 @@
             return not_run(progress)
 
 
-def not_run(progress: Progress) -> Refuse | GiveUp:
+def not_run(
+    progress: Progress, after_s: float = RETRY_AFTER_S
+) -> Refuse | GiveUp:
     """Returns the end of a request that no further upstream takes."""
     if progress.ran:
         return GiveUp(502)
-    return Refuse(503, RETRY_AFTER_S)
+    return Refuse(503, after_s)
+
+
+def retry_after_s(full: bool, left_s: float, uniform: float) -> float:
+    """Returns when a refused caller should come back, in seconds.
+
+    Load pattern: a pipeline is lost at the peak and hundreds of callers are
+    refused within a second. Most of them ask only once more, so they are told
+    a time at which the cause has passed, and not all the same.
+
+    Args:
+        full: Whether there are paths, all of them full.
+        left_s: Time for which the caller goes on waiting.
+        uniform: Random number from 0 to 1.
+
+    >>> retry_after_s(full=False, left_s=20.0, uniform=0.5)
+    3.0
+    >>> retry_after_s(full=False, left_s=1.5, uniform=0.5)
+    0.5
+    """
+    usual_s = ROOM_S if full else REPAIR_S
+    spread_s = usual_s * (1 + SPREAD_SHARE * (2 * uniform - 1))
+    return round(max(0.0, min(spread_s, HEEDED_SHARE * left_s)), 3)
--- a/src/yuccatally/core/forwarding/pipelines.py
+++ b/src/yuccatally/core/forwarding/pipelines.py
@@ -61,10 +61,17 @@
     Attributes:
         generation: Number of the plan; it grows with each change.
         pipelines: Pipelines by the order of their names.
+        fence: Fencing number of the lease under which it was made.
     """
 
     generation: int = 0
     pipelines: tuple[Pipeline, ...] = ()
+    fence: int = 0
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Order of plans: a later holder of the lease goes first."""
+        return (self.fence, self.generation)
 
     @property
     def stages(self) -> dict[str, Stage]:
@@ -76,6 +83,7 @@
     model: rules.Model,
     engines: Iterable[upstreams.Upstream],
     previous: Plan,
+    fence: int = 0,
 ) -> Plan:
     """Returns the plan for the engines that may be used.
 
@@ -87,6 +95,7 @@
         model: How the engines run the model.
         engines: Engines that may be used.
         previous: Plan in force.
+        fence: Fencing number of the lease that is held.
 
     Returns:
         The previous plan if nothing has to change.
@@ -99,7 +108,7 @@
     found = tuple(sorted(pipelines, key=lambda p: p.name))
     if found == previous.pipelines:
         return previous
-    return Plan(previous.generation + 1, found)
+    return Plan(previous.generation + 1, found, max(fence, previous.fence))
 
 
 class _Planner:
--- a/src/yuccatally/core/forwarding/rules.py
+++ b/src/yuccatally/core/forwarding/rules.py
@@ -152,11 +152,13 @@
     Attributes:
         name: Name of the service.
         connections: Connections that one upstream accepts from all callers.
+        health: Path of the health check of its upstreams.
         model: How its engines run their model; None for a plain service.
     """
 
     name: str
     connections: int
+    health: str
     model: Model | None = None
 
 
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -35,6 +35,9 @@
 LEASE_TERM_S = 3.0
 TICK_S = 0.1
 CANDIDATES = 2
+# The last holder of the lease leads through an outage of the store for this
+# long; it covers the outages that the platform's operators plan with.
+OUTAGE_LEAD_S = 60.0
 # The first plan waits until the list of engines has not grown for this long:
 # instances see half of the engines at first, and the rest seconds later.
 SETTLE_S = 1.5
@@ -74,14 +77,30 @@
         self.first_seen_at = 0.0
         self.orders: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.accepted: dict[tuple[str, int], int] = {}
-        self.verified_at: dict[beats.Engine, float] = {}
-        # Called when a call to the store got no answer.
-        self.on_store_silent: Callable[[], None] = lambda: None
+        self.verified_at: dict[tuple[str, beats.Engine], float] = {}
+        self.held_at: float | None = None
+        # Called when a call to the store has failed.
+        self.on_store_lost: Callable[[], None] = lambda: None
 
     @property
     def leads(self) -> bool:
-        """Whether orders may be given now."""
-        return self.lease.valid(leases.now_s())
+        """Whether orders may be given now.
+
+        The last holder goes on while no instance reaches the store: nobody
+        else can take the lease then, and engines refuse its fencing number as
+        soon as they have seen a later one.
+        """
+        now = leases.now_s()
+        if self.lease.valid(now):
+            self.held_at = now
+            return True
+        return (
+            self.held_at is not None
+            and now - self.held_at < OUTAGE_LEAD_S
+            and self.lease.is_mine
+            and not self.node.leaving
+            and not self.fleet.any_reaches_store()
+        )
 
     def on_plans(
         self,
@@ -108,20 +127,41 @@
         except plans.PlanFormatError as error:
             _log.warning("plan_ignored", service=item.name, reason=str(error))
             return
-        self._put_in_force(item.name, plan)
+        self.node.apply_plan(item.name, plan)
+        self._note_saved(item.name, plan)
 
-    async def run(self) -> None:
-        """Runs until cancelled."""
+    async def keep_lease(self) -> None:
+        """Holds the lease where this instance should, until cancelled."""
         while True:
             try:
-                await self._tick()
+                if self._is_candidate() or self.leads:
+                    await leases.step(
+                        self.store,
+                        LEASE_NAME,
+                        self.lease,
+                        not self.node.leaving,
+                    )
+                await self._save_plans()
             except client.StoreError as error:
                 _log.warning("control_delayed", error=str(error))
-                if isinstance(
-                    error, client.SilentError | client.UncertainError
-                ):
-                    self.on_store_silent()
-            self.fleet.leads = self.leads
+                self.on_store_lost()
+            await asyncio.sleep(TICK_S)
+
+    async def run(self) -> None:
+        """Plans and gives orders while this instance leads."""
+        led = False
+        while True:
+            self.node.registry.expire(time.monotonic())
+            self.fleet.leads = leads = self.leads
+            if leads != led:
+                event = "control_acquired" if leads else "control_lost"
+                _log.info(event, fence=self.lease.fence)
+            led = leads
+            if leads and self.plans_listed and self.node.rules is not None:
+                self._verify_doubts()
+                for service in self.node.rules.services.values():
+                    if service.model is not None:
+                        self._advance(service, service.model)
             await asyncio.sleep(TICK_S)
 
     async def give_up(self) -> None:
@@ -131,24 +171,6 @@
         except client.StoreError as error:
             _log.info("lease_not_given_up", error=str(error))
 
-    async def _tick(self) -> None:
-        self.node.registry.expire(time.monotonic())
-        wanted = self._is_candidate()
-        if not wanted and not self.leads:
-            return
-        led = self.leads
-        await leases.step(self.store, LEASE_NAME, self.lease, wanted)
-        if self.leads and not led:
-            _log.info("control_acquired", fence=self.lease.fence)
-        if led and not self.leads:
-            _log.info("control_lost", fence=self.lease.fence)
-        if not self.leads or not self.plans_listed or self.node.rules is None:
-            return
-        self._verify_doubts()
-        for service in self.node.rules.services.values():
-            if service.model is not None:
-                await self._advance(service, service.model)
-
     def _is_candidate(self) -> bool:
         """Returns whether this instance is among the first that can lead."""
         if self.node.leaving or not self.node.watch_up:
@@ -161,9 +183,7 @@
         names.append(self.node.settings.name)
         return self.node.settings.name in sorted(names)[:CANDIDATES]
 
-    async def _advance(
-        self, service: rules.Service, model: rules.Model
-    ) -> None:
+    def _advance(self, service: rules.Service, model: rules.Model) -> None:
         usable = [
             u
             for u in self.node.registry.known.values()
@@ -174,9 +194,9 @@
         previous = self.node.plans.get(service.name, pipelines.Plan())
         if not previous.pipelines and not self._settled(len(usable)):
             return
-        plan = pipelines.plan(model, usable, previous)
+        plan = pipelines.plan(model, usable, previous, self.lease.fence)
         if plan is not previous:
-            await self._write(service.name, plan)
+            self._put_in_force(service.name, plan)
         by_name = {u.name: u for u in usable}
         for pipeline in plan.pipelines:
             for stage in pipeline.stages:
@@ -197,24 +217,44 @@
             or now - self.first_seen_at >= SETTLE_MOST_S
         )
 
-    async def _write(self, service: str, plan: pipelines.Plan) -> None:
-        try:
-            stored = await self.store.put(
-                plans.KIND,
-                service,
-                plans.to_spec(plan),
-                {},
-                self.versions.get(service, 0),
-            )
-        except (client.ConflictError, client.UncertainError):
-            # Another holder's plan, or this one: the store's version decides.
-            self.on_plan(await self.store.get(plans.KIND, service))
-            return
+    def _put_in_force(self, service: str, plan: pipelines.Plan) -> None:
+        """Uses a plan at once and brings it to the store.
+
+        While nobody reaches the store, the plan goes to the other instances
+        only; engines refuse orders with an outdated fencing number, so a plan
+        of a later holder of the lease wins.
+        """
         self._log_changes(service, plan)
-        self.versions[service] = max(
-            stored.version, self.versions.get(service, 0)
-        )
-        self._put_in_force(service, plan)
+        self.node.apply_plan(service, plan)
+        self.fleet.unsaved_plans[service] = plan
+
+    async def _save_plans(self) -> None:
+        """Writes plans that the store does not have yet."""
+        if not self.lease.valid(leases.now_s()):
+            return
+        for service, plan in list(self.fleet.unsaved_plans.items()):
+            try:
+                stored = await self.store.put(
+                    plans.KIND,
+                    service,
+                    plans.to_spec(plan),
+                    {},
+                    self.versions.get(service, 0),
+                )
+            except (client.ConflictError, client.UncertainError):
+                # Another holder's plan, or this one: the store's state decides.
+                self.on_plan(await self.store.get(plans.KIND, service))
+                continue
+            self.versions[service] = max(
+                stored.version, self.versions.get(service, 0)
+            )
+            self._note_saved(service, plan)
+
+    def _note_saved(self, service: str, plan: pipelines.Plan) -> None:
+        """Forgets a plan that the store has, or has a later one than."""
+        unsaved = self.fleet.unsaved_plans.get(service)
+        if unsaved is not None and plan.rank >= unsaved.rank:
+            del self.fleet.unsaved_plans[service]
 
     def _log_changes(self, service: str, plan: pipelines.Plan) -> None:
         previous = self.node.plans.get(service, pipelines.Plan()).stages
@@ -233,21 +273,6 @@
                     ),
                 )
 
-    def _put_in_force(self, service: str, plan: pipelines.Plan) -> None:
-        known = self.node.plans.get(service)
-        if known is not None and known.generation >= plan.generation:
-            return
-        self.node.plans[service] = plan
-        self.node.changed.set()
-        _log.info(
-            "plan_in_force",
-            service=service,
-            generation=plan.generation,
-            pipelines=",".join(
-                f"{p.name}:{len(p.stages)}" for p in plan.pipelines
-            ),
-        )
-
     def _order(
         self,
         engine: upstreams.Upstream,
@@ -335,11 +360,47 @@
 
     def _verify_doubts(self) -> None:
         now = time.monotonic()
-        for engine in list(self.fleet.doubts):
-            if now - self.verified_at.get(engine, -VERIFY_S) < VERIFY_S:
-                continue
-            self.verified_at[engine] = now
-            self.fleet.spawn(self._verify(engine))
+        for verify, noted in (
+            (self._verify, self.fleet.doubts),
+            (self._verify_refuser, self.fleet.refusers),
+        ):
+            for engine in noted:
+                key = (verify.__name__, engine)
+                if now - self.verified_at.get(key, -VERIFY_S) >= VERIFY_S:
+                    self.verified_at[key] = now
+                    self.fleet.spawn(verify(engine))
+
+    async def _verify_refuser(self, doubted: beats.Engine) -> None:
+        """Asks an engine that refuses whether it is leaving."""
+        engine = self.node.registry.known.get(doubted.name)
+        if engine is None or engine.born_ms != doubted.born_ms:
+            return
+        in_force = self.node.rules
+        service = in_force.services.get(engine.service) if in_force else None
+        if service is None:
+            return
+        try:
+            report = await engines.report(self.session, engine)
+            healthy = await engines.is_healthy(
+                self.session, engine, service.health
+            )
+            _log.info(
+                "refuser_checked",
+                engine=engine.name,
+                healthy=healthy,
+                running=report.running,
+                waiting=report.waiting,
+                used=report.used_token_layers,
+                total=report.total_token_layers,
+                layers=str(report.layers),
+            )
+            # A full engine refuses health checks as well.
+            if healthy or report.running + report.waiting >= engine.slots:
+                return
+        except engines.ReportError as error:
+            self._lose(engine, str(error))
+            return
+        self._lose(engine, "refuses requests and health checks")
 
     async def _verify(self, doubted: beats.Engine) -> None:
         """Asks an engine in doubt for a report; plans without it if silent."""
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -19,8 +20,10 @@
 from yuccatally.store import client
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
+    from yuccatally.core.forwarding import pipelines
     from yuccatally.forwarding import state
     from yuccatally.forwarding import watches
 
@@ -31,12 +34,16 @@
 EXCHANGE_TIMEOUT_S = 0.5
 # An instance that was not heard of for this long is taken for gone.
 LIVE_S = 1.5
+# A finding counts for this long unless requests make it again.
+FINDING_S = 1.5
 # Entries of instances that were silent for this long are deleted.
 FORGET_S = 20.0
 PULL_TIMEOUT_S = 1.0
 # Decompressed size up to which a configuration of a peer is taken.
 RULES_LIMIT_BYTES = 16 * 1024 * 1024
 REGISTER_RETRY_S = 0.5
+# The store is looked at this often while another instance has lost it.
+CHECK_STORE_S = 3.0
 # An outage of the whole store is noticed by all instances within this time.
 OUTAGE_NOTICED_S = 2.5
 
@@ -49,7 +56,9 @@
     Attributes:
         contacts: Known instances by name, without this one.
         heard_at: Time at which each was last heard of.
-        doubts: Engines that requests found at fault, with the time.
+        own: Engines that requests of this instance found at fault.
+        heard: The same of other instances.
+        unsaved_plans: Plans of this instance that are not in the store.
         peers_up: Whether the store's watch is up, by instance.
     """
 
@@ -61,8 +70,14 @@
         self.contacts: dict[str, beats.Contact] = {}
         self.heard_at: dict[str, float] = {}
         self.store_up: dict[str, bool] = {}
-        self.doubts: dict[beats.Engine, float] = {}
+        self.own = _Findings()
+        # Kept apart, since findings that are passed on would never end.
+        self.heard = _Findings()
+        self.unsaved_plans: dict[str, pipelines.Plan] = {}
         self.peer_up_at = 0.0
+        self.checked_at = 0.0
+        # Called when another instance has lost the store and this one has not.
+        self.on_peer_lost_store: Callable[[], None] = lambda: None
         self.upstream_watch: watches.KindWatch | None = None
         self.leads = False
         self.lost: dict[beats.Engine, float] = {}
@@ -123,11 +138,31 @@
         """Returns whether other instances had the store during an outage."""
         return self.peer_up_at > outage.started_at + OUTAGE_NOTICED_S
 
-    def doubt(self, engine: upstreams.Upstream | None) -> None:
+    def doubt(self, engine: upstreams.Upstream) -> None:
         """Notes an engine that a request found at fault."""
-        if engine is not None:
-            key = beats.Engine(engine.name, engine.born_ms)
-            self.doubts[key] = time.monotonic()
+        key = beats.Engine(engine.name, engine.born_ms)
+        self.own.doubts[key] = time.monotonic()
+
+    def note_refusal(self, engine: upstreams.Upstream) -> None:
+        """Notes an engine that a request was refused for."""
+        key = beats.Engine(engine.name, engine.born_ms)
+        self.own.refusers[key] = time.monotonic()
+
+    @property
+    def doubts(self) -> set[beats.Engine]:
+        """Engines that requests found at fault."""
+        return {*self.own.doubts, *self.heard.doubts}
+
+    @property
+    def refusers(self) -> set[beats.Engine]:
+        """Engines that requests were refused for."""
+        return {*self.own.refusers, *self.heard.refusers}
+
+    def any_reaches_store(self) -> bool:
+        """Returns whether this or another live instance has the store."""
+        if self.node.watch_up:
+            return True
+        return any(self.store_up.get(c.name) for c in self.live())
 
     async def run(self) -> None:
         """Exchanges beats until cancelled."""
@@ -235,10 +270,12 @@
                 self.upstream_watch.newest if self.upstream_watch else 0
             ),
             loads={n: beats.Load(v.requests, v.tokens) for n, v in own.items()},
-            doubts=tuple(self.doubts),
+            doubts=tuple(self.own.doubts),
             leads=self.leads,
             lost=tuple(self.lost) if self.leads else (),
             held=held,
+            plans=dict(self.unsaved_plans) if self.leads else {},
+            refusers=tuple(self.own.refusers),
             others=tuple(self.live()),
         )
 
@@ -256,6 +293,10 @@
         self.store_up[name] = beat.store_up
         if beat.store_up:
             self.peer_up_at = now
+        elif self.node.watch_up and now - self.checked_at > CHECK_STORE_S:
+            # An idle watch does not show that the store has fallen silent.
+            self.checked_at = now
+            self.on_peer_lost_store()
         if self.upstream_watch is not None:
             self.upstream_watch.on_peer(beat.upstreams_revision)
         loads = {
@@ -267,13 +308,17 @@
             if contact.name != self.node.settings.name:
                 self._learn(contact)
         for engine in beat.doubts:
-            self.doubts.setdefault(engine, now)
+            self.heard.doubts[engine] = now
+        for engine in beat.refusers:
+            self.heard.refusers[engine] = now
         if beat.leads:
             self._take_lead(beat)
         self._compare_rules(beat, now)
         self.node.instances = 1 + len(self.contacts)
 
     def _take_lead(self, beat: beats.Beat) -> None:
+        for service, plan in beat.plans.items():
+            self.node.apply_plan(service, plan)
         for engine in beat.lost:
             known = self.node.registry.known.get(engine.name)
             if known is not None and known.born_ms == engine.born_ms:
@@ -339,10 +384,27 @@
                 self.heard_at.pop(name, None)
                 self.store_up.pop(name, None)
                 self.node.dispatcher.forget(name)
-        self.doubts = {e: t for e, t in self.doubts.items() if now - t < LIVE_S}
+        self.own.expire(now)
+        self.heard.expire(now)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs work in the background."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+
+
+@dataclasses.dataclass
+class _Findings:
+    """Engines with the time at which they were found."""
+
+    doubts: dict[beats.Engine, float] = dataclasses.field(default_factory=dict)
+    refusers: dict[beats.Engine, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def expire(self, now: float) -> None:
+        for found in (self.doubts, self.refusers):
+            for engine, noted_at in list(found.items()):
+                if now - noted_at >= FINDING_S:
+                    del found[engine]
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -68,6 +68,8 @@
         self.fleet = fleet.Fleet(self.state, self.store)
         self.metrics = metrics.Metrics()
         self.stopping = asyncio.Event()
+        # Whether a part has ended with an error.
+        self.failed = False
         self.tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -147,6 +149,7 @@
         for work in (
             self.fleet.run(),
             self.fleet.register(),
+            self.control.keep_lease(),
             self.control.run(),
             finder.run(),
             *(watch.run() for watch in self.watches),
@@ -238,7 +241,10 @@
             rng,
         )
         self.fleet.upstream_watch = upstreams
-        self.control.on_store_silent = self._restart_watches
+        self.control.on_store_lost = self._restart_watches
+        self.fleet.on_peer_lost_store = lambda: configuration.restart(
+            "a peer lost the store"
+        )
         return [configuration, upstreams, instances, plans]
 
     def _on_watch_up(self, up: bool) -> None:
@@ -296,7 +302,7 @@
 
     def _restart_watches(self) -> None:
         for watch in self.watches:
-            watch.restart("another call got no answer")
+            watch.restart("another call failed")
 
     def metrics_text(self) -> str:
         """Returns the metrics with the present state as counters."""
@@ -309,20 +315,22 @@
     def _on_connection_refused(self, reason: str) -> None:
         self.metrics.count("connections_refused", reason)
 
+    def _on_task_end(self, task: asyncio.Task[None]) -> None:
+        """Drains an instance that has lost a part of itself."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            _log.error("task_failed", exc_info=error)
+            self.failed = True
+            self.start_drain()
+
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
-        task.add_done_callback(_report_end)
+        task.add_done_callback(self._on_task_end)
         self.tasks.append(task)
 
 
-def _report_end(task: asyncio.Task[None]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        _log.error("task_failed", task=task.get_name(), exc_info=error)
-
-
 def _upstream(item: client.Stored) -> Any:
     try:
         return documents.upstream_from(item.name, item.spec)
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -81,6 +81,23 @@
             call(found)
         self.changed.set()
 
+    def apply_plan(self, service: str, plan: pipelines.Plan) -> None:
+        """Puts a plan in force unless a later one is."""
+        known = self.plans.get(service)
+        if known is not None and known.rank >= plan.rank:
+            return
+        self.plans[service] = plan
+        self.changed.set()
+        _log.info(
+            "plan_in_force",
+            service=service,
+            fence=plan.fence,
+            generation=plan.generation,
+            pipelines=",".join(
+                f"{p.name}:{len(p.stages)}" for p in plan.pipelines
+            ),
+        )
+
     def is_current(self) -> bool:
         """Returns whether no newer rules than those in force are known of.
 
@@ -108,7 +125,7 @@
         if plan is None or service.model is None:
             return []
         key = (
-            plan.generation,
+            plan.rank,
             self.registry.generation,
             self.held_generation,
             id(service),
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -29,8 +29,11 @@
 # that comes later is worth less to a caller than one at once.
 ROOM_WAIT_SHARE = 0.1
 ROOM_POLL_S = 0.02
-# Pause before a stream goes on over the path that it broke off on.
+# Pause before a stream goes on over the path that it broke off on; control
+# repairs the path or finds it sound meanwhile.
 SAME_PATH_S = 0.2
+# Longest pause in which a stream waits to go on; clients leave after 2 s.
+RESUME_WAIT_S = 1.5
 ERROR_LIMIT_BYTES = 1024 * 1024
 
 
@@ -110,15 +113,13 @@
         splitter = events.EventSplitter(ticket.request.last_event_id)
         tried: frozenset[str] = frozenset()
         while True:
-            path = await self._path(ticket, tried)
-            if isinstance(path, dispatch.Nothing) and progress.ran == 1:
-                # A stream that broke off may go on over the only path there
-                # is, once; control repairs it or finds it sound meanwhile.
-                await asyncio.sleep(SAME_PATH_S)
-                path = await self._path(ticket, frozenset())
+            path = await self._path(ticket, reply, progress, tried)
             if not isinstance(path, dispatch.Path):
                 why = "full" if isinstance(path, dispatch.Full) else "no-path"
-                await answers.end(reply, attempts.not_run(progress), why)
+                step = attempts.not_run(
+                    progress, self._retry_after_s(ticket, path)
+                )
+                await answers.end(reply, step, why)
                 return
             tried |= {path.name}
             reply.attempts += 1
@@ -153,19 +154,42 @@
             return
 
     async def _path(
-        self, ticket: tickets.Ticket, tried: frozenset[str]
+        self,
+        ticket: tickets.Ticket,
+        reply: tickets.Reply,
+        progress: attempts.Progress,
+        tried: frozenset[str],
     ) -> dispatch.Path | dispatch.Full | dispatch.Nothing:
-        """Chooses a path; waits a short time while all are full."""
+        """Chooses a path; waits a while if there is none with room.
+
+        A request that has not run waits a short time and is then better
+        refused, so that its client can plan. One that has run waits as long
+        as its client does, and may go over a path that it has tried.
+        """
         tokens = self._tokens(ticket)
-        until = time.monotonic() + ROOM_WAIT_SHARE * ticket.route.objective_s
+        started_at = time.monotonic()
+        until = started_at + ROOM_WAIT_SHARE * ticket.route.objective_s
+        if progress.ran:
+            until = (reply.last_at or ticket.started_at) + RESUME_WAIT_S
         while True:
             now = time.monotonic()
             paths = self.node.paths(ticket.service)
             found = self.node.dispatcher.path(paths, tokens, tried, now)
             if isinstance(found, dispatch.Path) or now >= until:
                 return found
+            if progress.ran and now - started_at >= SAME_PATH_S:
+                tried = frozenset()
             await asyncio.sleep(ROOM_POLL_S)
 
+    def _retry_after_s(
+        self, ticket: tickets.Ticket, found: dispatch.Full | dispatch.Nothing
+    ) -> float:
+        return attempts.retry_after_s(
+            isinstance(found, dispatch.Full),
+            ticket.left_s(),
+            self.node.rng.random(),
+        )
+
     async def _attempt(
         self,
         ticket: tickets.Ticket,
--- a/src/yuccatally/forwarding/troubles.py
+++ b/src/yuccatally/forwarding/troubles.py
@@ -23,8 +23,6 @@
 AVOID_S = 1.0
 # The same stall is acted on this often.
 AGAIN_S = 0.4
-# A refusal on a path that is this full is taken as lack of memory.
-CROWDED_SHARE = 0.7
 # Well below the shortest time that counts as a stall.
 TICK_S = 0.03
 
@@ -62,7 +60,7 @@
         self.node.dispatcher.avoid(path.name, now + AVOID_S)
         match result.failure:
             case attempts.Refused():
-                self._on_refused(path, result.faulty_address, now)
+                self._on_refused(path, result.faulty_address)
             case attempts.NotSent() | attempts.Lost(timed_out=False):
                 self.fleet.doubt(path.hops[0])
             case attempts.Lost() | attempts.Failed():
@@ -119,14 +117,6 @@
                 return isinstance(found, dispatch.Path)
         return False
 
-    def _on_refused(
-        self, path: dispatch.Path, faulty_address: str, now: float
-    ) -> None:
-        load = self.node.dispatcher.load(path.name, now)
-        if load.tokens > CROWDED_SHARE * path.tokens:
-            return
-        for hop in path.hops:
-            if hop.address == faulty_address:
-                self.fleet.doubt(hop)
-                return
-        self.fleet.doubt(path.hops[0])
+    def _on_refused(self, path: dispatch.Path, faulty_address: str) -> None:
+        named = [h for h in path.hops if h.address == faulty_address]
+        self.fleet.note_refusal(named[0] if named else path.hops[0])
--- a/src/yuccatally/peers/beats.py
+++ b/src/yuccatally/peers/beats.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from yuccatally.core.forwarding import pipelines  # noqa: TC001
+
 
 class Contact(msgspec.Struct, array_like=True, frozen=True):
     """How an instance is reached.
@@ -62,9 +64,12 @@
         upstreams_revision: Newest change of an upstream's entry that it saw.
         loads: Requests under way by path or upstream.
         doubts: Engines that its requests found at fault.
+        refusers: Engines that its requests were refused for.
         leads: Whether it holds the lease of control.
         lost: Engines that do not answer; only from the holder of the lease.
         held: Layers of engines; only from the holder of the lease.
+        plans: Plans by service that the store does not have yet; only from
+            the holder of the lease.
         others: Instances that it knows.
     """
 
@@ -76,9 +81,11 @@
     upstreams_revision: int = 0
     loads: dict[str, Load] = {}
     doubts: tuple[Engine, ...] = ()
+    refusers: tuple[Engine, ...] = ()
     leads: bool = False
     lost: tuple[Engine, ...] = ()
     held: tuple[Held, ...] = ()
+    plans: dict[str, pipelines.Plan] = {}
     others: tuple[Contact, ...] = ()
 
 
--- a/src/yuccatally/platform/documents.py
+++ b/src/yuccatally/platform/documents.py
@@ -88,6 +88,7 @@
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     max_connections: int = 64
+    health_path: str = "/healthz"
     engine: _Engine | None = None
 
 
@@ -289,7 +290,7 @@
 def _service(raw: _Service) -> rules.Service:
     engine = raw.engine
     if engine is None or not engine.layers or not engine.kinds:
-        return rules.Service(raw.name, raw.max_connections)
+        return rules.Service(raw.name, raw.max_connections, raw.health_path)
     cards = {
         c.name: rules.Card(c.name, c.size_mb, c.pace, c.read_factor)
         for c in engine.kinds
@@ -312,7 +313,7 @@
         answer_tokens=engine.usual.answer,
         cards=cards,
     )
-    return rules.Service(raw.name, raw.max_connections, model)
+    return rules.Service(raw.name, raw.max_connections, raw.health_path, model)
 
 
 def _layers(raw: _Layers | None) -> upstreams.Layers | None:
--- a/src/yuccatally/platform/engines.py
+++ b/src/yuccatally/platform/engines.py
@@ -67,6 +67,31 @@
         raise ReportError(f"{type(error).__name__}: {error}") from error
 
 
+async def is_healthy(
+    session: aiohttp.ClientSession, engine: upstreams.Upstream, path: str
+) -> bool:
+    """Returns whether an engine says that it is healthy and stays.
+
+    Args:
+        session: HTTP client.
+        engine: The engine.
+        path: Path of the health check.
+
+    Raises:
+        ReportError: It did not answer in time.
+    """
+    try:
+        async with session.get(
+            f"http://{engine.address}{path}",
+            headers={headers.EXPECTED_UPSTREAM: engine.name},
+            timeout=aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S),
+        ) as response:
+            await response.read()
+            return response.status == 200
+    except _ERRORS as error:
+        raise ReportError(f"{type(error).__name__}: {error}") from error
+
+
 async def order(
     session: aiohttp.ClientSession,
     engine: upstreams.Upstream,
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -28,6 +28,7 @@
         unframed: How an answer without a stated length ends: ``close`` or
             ``reset``; empty for answers with a length.
         mute: Whether a request that was run gets no answer.
+        leaving: Whether it refuses requests and health checks.
     """
 
     stalled: bool = False
@@ -38,6 +39,7 @@
     unsigned: bool = False
     unframed: str = ""
     mute: bool = False
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,6 +101,7 @@
         app = web.Application()
         app.router.add_get("/report", self._report)
         app.router.add_post("/order", self._order)
+        app.router.add_get("/healthz", self._health)
         app.router.add_route("*", "/{path:.*}", self._serve)
         self.runner = web.AppRunner(
             app, handler_cancellation=True, shutdown_timeout=0.1
@@ -147,6 +150,9 @@
             }
         )
 
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(status=503 if self.behaviour.leaving else 200)
+
     async def _order(self, request: web.Request) -> web.Response:
         body = await request.json()
         if body["fencingToken"] < self.fence:
@@ -171,8 +177,8 @@
         missing = self._missing(path) if self.card else None
         if missing is not None:
             return self._answer(request, 421, b"", signed=False, faulty=missing)
-        if self.behaviour.refuse:
-            status = self.behaviour.refuse
+        if self.behaviour.refuse or self.behaviour.leaving:
+            status = self.behaviour.refuse or 503
             return self._answer(request, status, b"", signed=False, ran=False)
         body = await request.read()
         headers = {n.lower(): v for n, v in request.headers.items()}
--- a/src/yuccatally_standins/path_site.py
+++ b/src/yuccatally_standins/path_site.py
@@ -134,7 +134,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for started in self.nodes:
-            await started.fleet.close()
+            assert not started.failed
         for engine in self.engines.values():
             await engine.stop()
 
--- a/tests/core/control/test_lease.py
+++ b/tests/core/control/test_lease.py
@@ -131,3 +131,16 @@
     assert isinstance(member.step(0.1, candidate=True), lease.Read)
     member.on_read(write.record, 1, 0.2)
     assert member.valid(0.3)
+
+
+def test_unavailable_platform_is_not_called_at_once() -> None:
+    """Guards against a candidate that calls ten times a second.
+
+    A free lease was written again with every tick of an outage.
+    """
+    candidate = lease.Lease("a")
+    candidate.on_read(None, 0, 0.0)
+    assert isinstance(candidate.step(0.0, True), lease.Write)
+    candidate.on_unavailable(0.0, 1.0)
+    assert candidate.step(0.5, True) is None
+    assert isinstance(candidate.step(1.0, True), lease.Write)
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from yuccatally.forwarding import control
+from yuccatally.platform import documents
 from yuccatally_standins import path_engine
 from yuccatally_standins import path_site
 
@@ -255,3 +257,97 @@
     found = served.nodes[0]
     line = 'yuccatally_forwarded_total{label="200 complete"} 1'
     await path_site.until(lambda: line in found.metrics_text())
+
+
+async def test_lost_engine_is_replaced_while_the_store_is_away(
+    site: path_site.Site,
+) -> None:
+    """Guards against waiting for the store with a repair.
+
+    In an outage of eight seconds the lease ran out, nobody gave orders, and
+    every pipeline that had lost an engine stayed broken.
+    """
+    first = await site.add_engine("e1")
+    started = await site.start_node()
+    other = await site.start_node("n2")
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: started.state.paths(service))
+    spare = await site.add_engine("e2", data_centre="south")
+    await path_site.until(lambda: spare.held)
+    site.store.faults.status = 503
+    await path_site.until(lambda: not any(n.state.watch_up for n in site.nodes))
+    await asyncio.sleep(control.LEASE_TERM_S)
+    await first.stop()
+    third = path_engine.PathEngine(site.fleet, "e3", "model", "big")
+    third.data_centre = "north"
+    await third.start()
+    site.engines["e3"] = third
+    entry = documents.upstream_from("e3", third.entry())
+    for found in site.nodes:
+        found.state.registry.announce(entry)
+    for number in range(4):
+        await site.request("/ask/x", f"l{number}")
+    await path_site.until(
+        lambda: (
+            {p.hops[0].name for p in other.state.paths(service)} == {"e2", "e3"}
+        )
+    )
+    assert {third.fence} == {spare.fence}
+    site.store.faults.status = 0
+    await path_site.until(lambda: not started.fleet.unsaved_plans)
+    stored = site.store.objects[("placement", "model")]["spec"]
+    assert "e3" in str(stored)
+
+
+async def test_engine_that_leaves_without_an_entry_is_replaced(
+    site: path_site.Site,
+) -> None:
+    """Guards against a refusing engine that stays while the store is away.
+
+    Engines left in an outage and could not say so: their pipelines refused
+    every request until the store was back.
+    """
+    first = await site.add_engine("e1")
+    started = await site.start_node()
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: started.state.paths(service))
+    await site.add_engine("e2", data_centre="south")
+    await path_site.until(lambda: len(started.state.paths(service)) == 2)
+    first.behaviour.leaving = True
+    for number in range(6):
+        await site.request("/ask/x", f"v{number}")
+    await path_site.until(
+        lambda: [p.hops[0].name for p in started.state.paths(service)] == ["e2"]
+    )
+
+
+async def test_leader_gives_no_orders_while_another_reaches_the_store(
+    served: path_site.Site,
+) -> None:
+    """Guards against two instances that lead in a partial outage."""
+    other = await served.start_node("n2")
+    first = served.nodes[0]
+    await path_site.until(lambda: other.state.watch_up)
+    first.store.http.base = "http://127.0.0.1:1"
+    for watch in first.watches:
+        watch.restart("test")
+    await path_site.until(lambda: other.control.leads)
+    assert not first.control.leads
+    assert other.control.lease.fence > first.control.lease.fence
+
+
+async def test_findings_end_when_requests_no_longer_make_them(
+    served: path_site.Site,
+) -> None:
+    """Guards against findings that instances hand to and fro for ever.
+
+    Each instance passed on what it had heard, so that every engine once in
+    doubt was asked for reports until the end of the day.
+    """
+    for name in ("n2", "n3"):
+        await served.start_node(name)
+    first = served.nodes[0]
+    engine = next(iter(first.state.registry.known.values()))
+    first.fleet.doubt(engine)
+    await path_site.until(lambda: served.nodes[2].fleet.doubts)
+    await path_site.until(lambda: not any(n.fleet.doubts for n in served.nodes))
