--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -245,6 +245,8 @@
         self.fleet.on_peer_lost_store = lambda: configuration.restart(
             "a peer lost the store"
         )
+        for watch in (upstreams, instances, plans):
+            watch.first = configuration
         return [configuration, upstreams, instances, plans]
 
     def _on_watch_up(self, up: bool) -> None:
--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -22,6 +22,8 @@
 WAIT_S = 10.0
 RETRY_FIRST_S = 0.15
 RETRY_LAST_S = 1.5
+# A watch tries by itself after this time without the first one.
+FIRST_WAIT_S = 5.0
 # Changes within this time come with one call instead of one call each.
 GATHER_S = 0.05
 # Entries may still be coming back for this long after a call has succeeded.
@@ -91,6 +93,9 @@
         self.last_outage: Outage | None = None
         self.behind_since: float | None = None
         self.waiting: asyncio.Task[client.Listing] | None = None
+        # The watch that looks for a lost store on behalf of this one.
+        self.first: KindWatch | None = None
+        self.reached = asyncio.Event()
 
     async def run(self) -> None:
         """Watches until cancelled."""
@@ -110,6 +115,7 @@
                 self._note_down(error)
                 retry.on_closed(0.0)
                 await asyncio.sleep(retry.delay(self.rng.random()))
+                await self._wait_for_first()
 
     def on_peer(self, newest: int) -> None:
         """Takes in the newest change that another instance has seen.
@@ -135,6 +141,19 @@
         self.listed = False
         self.waiting.cancel()
 
+    async def _wait_for_first(self) -> None:
+        """Waits while the store is away for the watch that looks for it.
+
+        One watch that tries is enough; each call of the others would count.
+        """
+        if self.first is None:
+            return
+        try:
+            async with asyncio.timeout(FIRST_WAIT_S):
+                await self.first.reached.wait()
+        except TimeoutError:
+            pass  # the first watch may fail for a reason of its own
+
     @property
     def outage(self) -> Outage | None:
         """Outage whose lapsed entries may still come back."""
@@ -191,12 +210,14 @@
             _log.info("store_reached", kind=self.kind, revision=self.cursor)
             self.notify_up(True)
         self.up = True
+        self.reached.set()
 
     def _note_down(self, error: client.StoreError) -> None:
         if self.up:
             _log.warning("store_lost", kind=self.kind, error=str(error))
             self.notify_up(False)
         self.up = False
+        self.reached.clear()
         if self.cursor and self.down_since is None:
             self.down_since = time.monotonic()
         if isinstance(error, client.SilentError):
