Name why requests end, and measure recovery of answers under way only

A request cut by the end of its process was logged without a reason; an exception in a request reached nobody, since the server's own log is silenced. Both are logged now. A path abandoned twice within one tick would have raised out of the search for stalls.

scripts/measure recovery ended with "max() arg is an empty sequence" on a busy machine: an answer had ended before the fault came, and its longest interruption after the fault was looked for. Such answers are left out; an answer that does not go on counts as infinite; a fault that interrupts nothing is named.

--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -95,6 +95,16 @@
                 await self._forward(found, receive, reply)
         except ClientGoneError:
             reply.reason = "client-gone"
+        except asyncio.CancelledError:
+            reply.reason = "stopped"
+            raise
+        except Exception:
+            # An answer that has begun is cut off by the return; the request
+            # may have run, so a failure promises nothing.
+            _log.exception("request_failed", request=request.id)
+            reply.reason = "internal-error"
+            if not reply.started:
+                await reply.refuse(500, reply.reason)
         finally:
             self.node.in_flight -= 1
             self._record(request, route, reply, started_at)
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -47,6 +47,7 @@
         scope: Ends the attempt when it is rescheduled.
         answer: The answer, once its headers are there.
         begun: Whether an event has come.
+        abandoned: Whether it was told to end.
     """
 
     path: dispatch.Path
@@ -54,6 +55,7 @@
     scope: asyncio.Timeout | None = None
     answer: exchange.Answer | None = None
     begun: bool = False
+    abandoned: bool = False
 
 
 class StreamForwarder:
@@ -97,8 +99,13 @@
             Number of attempts.
         """
         now = asyncio.get_running_loop().time()
-        found = [a for a in self.running if a.path.name == path and a.scope]
+        found = [
+            a
+            for a in self.running
+            if a.path.name == path and a.scope and not a.abandoned
+        ]
         for attempt in found:
+            attempt.abandoned = True
             attempt.scope.reschedule(now)
         return len(found)
 
--- a/src/yuccatally_bench/recovery.py
+++ b/src/yuccatally_bench/recovery.py
@@ -200,7 +200,7 @@
     layers = STAGES[VICTIM[0]][1] - STAGES[VICTIM[0]][0]
     return Result(
         step_s=statistics.median(gaps),
-        next_s=tuple(_longest_gap_end(a.times, at) - at for a in affected),
+        next_s=interruptions([a.times for a in affected], at),
         full_s=_full_rate_at([t for a in answers for t in a.times], at) - at,
         prefill_s=sum(known) * layers * TOKEN_LAYER_S,
         whole=sum(a.whole for a in answers) / len(answers),
@@ -208,6 +208,38 @@
     )
 
 
+class NothingInterruptedError(Exception):
+    """No answer was under way when the fault came."""
+
+
+def interruptions(times: list[list[float]], at: float) -> tuple[float, ...]:
+    """Returns when the longest interruption of each answer ended.
+
+    Answers that had ended before the fault are left out: on a busy machine a
+    fault can come late.
+
+    Args:
+        times: Times of the tokens of each answer, in seconds.
+        at: Time of the fault.
+
+    Returns:
+        Seconds after the fault, infinite if an answer did not go on.
+
+    Raises:
+        NothingInterruptedError: All answers had ended.
+
+    >>> interruptions([[0.0, 1.0, 3.0], [0.0, 0.5]], 1.5)
+    (1.5,)
+    """
+    under_way = [t for t in times if t and t[-1] > at]
+    if not under_way:
+        raise NothingInterruptedError(
+            f"all {len(times)} answers had ended before the fault; "
+            "measure with more tokens or on an idle machine"
+        )
+    return tuple(_longest_gap_end(t, at) - at for t in under_way)
+
+
 def _longest_gap_end(times: list[float], at: float) -> float:
     """Returns when the longest interruption after the fault ended."""
     ends = [
@@ -215,7 +247,7 @@
         for earlier, later in itertools.pairwise(times)
         if at < later < at + STEADY_TO_S
     ]
-    return max(ends)[1]
+    return max(ends)[1] if ends else float("inf")
 
 
 def _full_rate_at(times: list[float], at: float) -> float:
--- /dev/null
+++ b/tests/forwarding/test_reload.py
@@ -0,0 +1,75 @@
+"""Reload of a settings file."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from click import testing
+import pytest
+
+from yuccatally.cli import main
+from yuccatally.forwarding import reload
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from yuccatally.core.forwarding import node
+
+SETTINGS = """
+nodeName = "n"
+zone = "z"
+[listen]
+frontend = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+controlPlane = "10.1.0.40:8229"
+directoryService = "10.1.0.40:8224"
+[bounds]
+graceS = 8
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+@pytest.fixture
+def file(tmp_path: pathlib.Path) -> pathlib.Path:
+    """A settings file as the platform writes it."""
+    found = tmp_path / "local.toml"
+    found.write_text(SETTINGS)
+    return found
+
+
+def test_changed_file_is_applied_once(file: pathlib.Path) -> None:
+    """Guards against settings that hold only after a restart."""
+    applied: list[node.Node] = []
+    reloads = reload.Reloads(file, applied.append)
+    reloads.check()
+    file.write_text(SETTINGS.replace("graceS = 8", "graceS = 5"))
+    reloads.check()
+    reloads.check()
+    assert [a.bounds.grace_s for a in applied] == [5.0]
+
+
+def test_bad_file_leaves_the_settings_in_force(file: pathlib.Path) -> None:
+    """Guards against a half-written file that ends an instance."""
+    applied: list[node.Node] = []
+    reloads = reload.Reloads(file, applied.append)
+    for bad in ("nodeName = ", "[listen]\n"):
+        file.write_text(bad)
+        reloads.check()
+    file.unlink()
+    reloads.check()
+    assert applied == []
+
+
+def test_check_names_every_problem(file: pathlib.Path) -> None:
+    """Guards against one start for each mistake in a settings file."""
+    good = testing.CliRunner().invoke(
+        main.main, ["check", "--platform", str(file)]
+    )
+    assert (good.exit_code, good.output) == (0, f"{file}: ok\n")
+    file.write_text(SETTINGS.replace('"10.1.0.40:8220"', "8220"))
+    bad = testing.CliRunner().invoke(
+        main.main, ["check", "--platform", str(file)]
+    )
+    assert bad.exit_code == 2
+    assert "listen.ready" in bad.output
