--- a/src/yuccatally/core/forwarding/retries.py
+++ b/src/yuccatally/core/forwarding/retries.py
@@ -34,8 +34,8 @@
         self.requests.append(now)
         _expire(self.requests, now - self.window_s)
 
-    def withdraw(self, now: float, instances: int) -> bool:
-        """Returns whether a request may be sent once more, and counts it.
+    def left(self, now: float, instances: int) -> int:
+        """Returns how many requests may be sent once more now.
 
         Args:
             now: Monotonic time in seconds.
@@ -45,7 +45,11 @@
         _expire(self.repeats, now - self.window_s)
         earned = self.share * len(self.requests)
         allowed = SAFETY * (earned + self.reserve / max(1, instances))
-        if len(self.repeats) + 1 > allowed:
+        return max(0, int(allowed) - len(self.repeats))
+
+    def withdraw(self, now: float, instances: int) -> bool:
+        """Returns whether a request may be sent once more, and counts it."""
+        if not self.left(now, instances):
             self.refused += 1
             return False
         self.repeats.append(now)
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -43,7 +43,8 @@
 
     Attributes:
         path: The path.
-        tokens: Memory counted for it.
+        service: Service of the path.
+        may_move: Whether the request may be sent to another path.
         scope: Ends the attempt when it is rescheduled.
         answer: The answer, once its headers are there.
         begun: Whether an event has come.
@@ -51,7 +52,8 @@
     """
 
     path: dispatch.Path
-    tokens: float
+    service: str
+    may_move: bool
     scope: asyncio.Timeout | None = None
     answer: exchange.Answer | None = None
     begun: bool = False
@@ -93,17 +95,27 @@
             await answers.end(reply, step, "deadline")
 
     def abandon(self, path: str) -> int:
-        """Ends the attempts on a path, so that they go on elsewhere.
+        """Ends attempts on a path, so that they go on elsewhere.
+
+        Those that could not go on, because of their route or of the retry
+        budget, stay: the path may move again.
 
         Returns:
-            Number of attempts.
+            Number of attempts that were ended.
         """
         now = asyncio.get_running_loop().time()
         found = [
             a
             for a in self.running
-            if a.path.name == path and a.scope and not a.abandoned
+            if a.path.name == path
+            and a.scope
+            and a.may_move
+            and not a.abandoned
         ]
+        if found:
+            budget = self.node.budget(found[0].service)
+            left = budget.left(time.monotonic(), self.node.instances)
+            found = found[:left]
         for attempt in found:
             attempt.abandoned = True
             attempt.scope.reschedule(now)
@@ -208,8 +220,13 @@
         """Returns None once the stream is whole, else what went wrong."""
         tokens = self._tokens(ticket)
         self.node.dispatcher.start(path.name, tokens, time.monotonic())
-        attempt = RunningAttempt(path, tokens)
         progress.ran += 1
+        route = ticket.route
+        attempt = RunningAttempt(
+            path,
+            ticket.service.name,
+            route.repeat.may_run_again and progress.ran < route.attempts,
+        )
         try:
             async with asyncio.timeout(None) as attempt.scope:
                 self.running.add(attempt)
@@ -235,7 +252,7 @@
         path = attempt.path
         try:
             answer = await self.client.open(
-                self._exchange(ticket, path, splitter)
+                self._exchange(ticket, attempt, splitter)
             )
             attempt.answer = answer
             unusable = answers.judge_head(ticket, answer)
@@ -285,19 +302,20 @@
     def _exchange(
         self,
         ticket: tickets.Ticket,
-        path: dispatch.Path,
+        attempt: RunningAttempt,
         splitter: events.EventSplitter,
     ) -> exchange.Exchange:
+        path = attempt.path
         first = path.hops[0]
-        resumable = ticket.route.repeat.may_run_again
         return exchange.Exchange(
             method=ticket.method,
             address=first.address,
             target=ticket.target,
             headers=ticket.outgoing(first.name, splitter.last_id, path),
             body=ticket.body,
-            silence_s=SILENCE_S if resumable else ticket.left_s(),
-            fresh=not resumable,
+            # An answer that cannot go on elsewhere may still move here.
+            silence_s=SILENCE_S if attempt.may_move else ticket.left_s(),
+            fresh=not ticket.route.repeat.may_run_again,
         )
 
     def _tokens(self, ticket: tickets.Ticket) -> float:
--- a/tests/forwarding/test_ends.py
+++ b/tests/forwarding/test_ends.py
@@ -272,3 +272,26 @@
     status, _, _ = await site.request("/ask/x")
     assert status == 503
     assert len(started.state.budget("model").repeats) <= 1
+
+
+async def test_stream_stays_on_a_stalled_path_when_it_may_not_move(
+    served: path_site.Site,
+) -> None:
+    """Guards against a stall that the instance turns into an end.
+
+    Streams were taken off a path although the retry budget was used up, and
+    were broken off 0.2 s after their last event.
+    """
+    node = served.nodes[0]
+    budget = node.state.budget("model")
+    budget.reserve = budget.share = 0.0
+    tasks = [
+        asyncio.create_task(served.request("/ask/x", f"s{n}")) for n in range(6)
+    ]
+    await path_site.until(lambda: _runs(served) == 6)
+    for engine in served.engines.values():
+        engine.behaviour.stalled = engine.name == "e1"
+    await asyncio.sleep(0.5)
+    served.engines["e1"].behaviour.stalled = False
+    answers = await asyncio.gather(*tasks)
+    assert [(s, b) for s, _, b in answers] == [(200, WHOLE)] * 6
