--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -249,7 +249,6 @@
         splitter: events.EventSplitter,
         progress: attempts.Progress,
     ) -> answers.Unusable | None:
-        path = attempt.path
         try:
             answer = await self.client.open(
                 self._exchange(ticket, attempt, splitter)
