--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -46,3 +46,16 @@
         path = pages.ROOT / page
         for target in re.findall(r"\]\(([^)#]+)", path.read_text()):
             assert (path.parent / target).exists(), f"{page}: {target}"
+
+
+def test_table_of_ends_names_tests_that_exist() -> None:
+    """Guards against an end of a request whose test was renamed or removed."""
+    root = pages.ROOT
+    table = (root / "docs/platform.md").read_text()
+    table = table.split("## How a request ends")[1].split("\n## ")[0]
+    files = (root / "tests/forwarding").glob("test_*.py")
+    tests = "".join(f.read_text() for f in files)
+    named = re.findall(r"`(test_\w+)`", table)
+    assert len(named) > 12
+    for name in named:
+        assert f"async def {name}(" in tests, name
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -351,3 +351,15 @@
     first.fleet.doubt(engine)
     await path_site.until(lambda: served.nodes[2].fleet.doubts)
     await path_site.until(lambda: not any(n.fleet.doubts for n in served.nodes))
+
+
+async def test_late_request_of_a_drain_is_refused(
+    served: path_site.Site,
+) -> None:
+    """Guards against a request that the forced end would cut off."""
+    found = served.nodes[0]
+    found.application.refusing = True
+    for target in ("/ask/x", "/book/x"):
+        status, headers, _ = await served.request(target)
+        assert (status, headers["retry-after"]) == (503, "0")
+    assert not any(e.runs for e in served.engines.values())
