Plan only when the engines of the plan can be known

A leader that had just started planned with the engines listed so far: without any it would have dropped every pipeline and ordered the layers anew. Found by reading; the test fails without the guard. Leading through an outage needs engines that enforce fencing numbers. Entries of instances that are gone are deleted.

--- a/src/yuccatally/core/forwarding/node.py
+++ b/src/yuccatally/core/forwarding/node.py
@@ -37,6 +37,7 @@
         retry_window_s: Length of the window of the two.
         stall_s: Time for which an engine waits for a lost one of its path.
         directory_ttl_s: Longest time for which callers keep addresses.
+        fences_enforced: Whether engines refuse outdated fencing numbers.
     """
 
     drain_s: float = 2.0
@@ -47,6 +48,7 @@
     retry_window_s: float = 10.0
     stall_s: float = 2.0
     directory_ttl_s: float = 5.0
+    fences_enforced: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -12,9 +12,10 @@
 from yuccatally.core.control import lease
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import plans
-from yuccatally.core.forwarding import reports
+from yuccatally.forwarding import inspection
+from yuccatally.forwarding import orders
+from yuccatally.forwarding import watches
 from yuccatally.peers import beats
-from yuccatally.platform import engines
 from yuccatally.store import client
 from yuccatally.store import leases
 
@@ -24,10 +25,8 @@
     import aiohttp
 
     from yuccatally.core.forwarding import rules
-    from yuccatally.core.forwarding import upstreams
     from yuccatally.forwarding import fleet
     from yuccatally.forwarding import state
-    from yuccatally.forwarding import watches
 
 LEASE_NAME = "control"
 PLAN_KIND = plans.KIND
@@ -42,13 +41,6 @@
 # instances see half of the engines at first, and the rest seconds later.
 SETTLE_S = 1.5
 SETTLE_MOST_S = 6.0
-# An engine that did not answer a report is left out of plans for this long.
-LOST_S = 6.0
-# Engines in doubt are asked for a report this often.
-VERIFY_S = 0.8
-# An order whose engine has not shown the layers is looked at this often.
-ORDER_POLL_S = 0.5
-ORDER_TRIES = 40
 
 _log = structlog.get_logger()
 
@@ -75,9 +67,10 @@
         self.grew_at = 0.0
         self.engines_seen = 0
         self.first_seen_at = 0.0
-        self.orders: dict[tuple[str, int], asyncio.Task[None]] = {}
-        self.accepted: dict[tuple[str, int], int] = {}
-        self.verified_at: dict[tuple[str, beats.Engine], float] = {}
+        self.orders = orders.Orders(node, session, self)
+        self.inspection = inspection.Inspection(
+            node, others, session, self.orders
+        )
         self.held_at: float | None = None
         # Called when a call to the store has failed.
         self.on_store_lost: Callable[[], None] = lambda: None
@@ -97,6 +90,7 @@
         return (
             self.held_at is not None
             and now - self.held_at < OUTAGE_LEAD_S
+            and self.node.settings.bounds.fences_enforced
             and self.lease.is_mine
             and not self.node.leaving
             and not self.fleet.any_reaches_store()
@@ -158,7 +152,7 @@
                 _log.info(event, fence=self.lease.fence)
             led = leads
             if leads and self.plans_listed and self.node.rules is not None:
-                self._verify_doubts()
+                self.inspection.check()
                 for service in self.node.rules.services.values():
                     if service.model is not None:
                         self._advance(service, service.model)
@@ -192,7 +186,10 @@
             and beats.Engine(u.name, u.born_ms) not in self.fleet.lost
         ]
         previous = self.node.plans.get(service.name, pipelines.Plan())
-        if not previous.pipelines and not self._settled(len(usable)):
+        if previous.pipelines:
+            if not self._knows_engines(previous):
+                return
+        elif not self._settled(len(usable)):
             return
         plan = pipelines.plan(model, usable, previous, self.lease.fence)
         if plan is not previous:
@@ -201,7 +198,20 @@
         for pipeline in plan.pipelines:
             for stage in pipeline.stages:
                 if not self.node.holds(stage):
-                    self._order(by_name[stage.engine], stage, model)
+                    self.orders.start(by_name[stage.engine], stage, model)
+
+    def _knows_engines(self, plan: pipelines.Plan) -> bool:
+        """Returns whether engines of a plan that are missing are gone.
+
+        An instance that has just started may not have their entries yet; a
+        plan without them would move layers that serve.
+        """
+        watch = self.fleet.upstream_watch
+        if watch is None or watch.listed_at is None:
+            return False
+        if time.monotonic() - watch.listed_at >= watches.REJOIN_S:
+            return True
+        return all(name in self.node.registry.known for name in plan.stages)
 
     def _settled(self, engines_now: int) -> bool:
         now = time.monotonic()
@@ -272,161 +282,3 @@
                         f"{s.engine}={s.first}-{s.last}" for s in changed
                     ),
                 )
-
-    def _order(
-        self,
-        engine: upstreams.Upstream,
-        stage: pipelines.Stage,
-        model: rules.Model,
-    ) -> None:
-        key = (engine.name, engine.born_ms)
-        running = self.orders.get(key)
-        if running is not None and not running.done():
-            return
-        self.orders[key] = asyncio.create_task(
-            self._carry_out(engine, stage, model)
-        )
-
-    async def _carry_out(
-        self,
-        engine: upstreams.Upstream,
-        stage: pipelines.Stage,
-        model: rules.Model,
-    ) -> None:
-        """Orders an engine to hold a range and waits until it does."""
-        key = (engine.name, engine.born_ms)
-        share = (stage.last - stage.first) / model.layers
-        for number in range(ORDER_TRIES):
-            if not self.leads or not self._is_planned(stage):
-                return
-            wanted = reports.LayersOrder(
-                stage.layers, self.lease.fence, self.accepted.get(key, 0)
-            )
-            outcome = await engines.order(self.session, engine, wanted)
-            _log.info(
-                "order",
-                engine=engine.name,
-                first=stage.first,
-                last=stage.last,
-                fence=wanted.fence,
-                expected=wanted.expected_orders,
-                outcome=outcome.name,
-            )
-            if outcome is engines.Outcome.STALE_FENCE:
-                self.lease.on_conflict()
-                return
-            if outcome is engines.Outcome.HOLDS_ALREADY:
-                self.node.set_held(key, stage.layers)
-                return
-            if outcome is engines.Outcome.BEGUN:
-                self.accepted[key] = wanted.expected_orders + 1
-            wait_s = model.load_s * share if number else 0.0
-            await asyncio.sleep(min(ORDER_POLL_S, max(wait_s / 2, 0.2)))
-            if await self._shows(engine, stage):
-                return
-
-    async def _shows(
-        self, engine: upstreams.Upstream, stage: pipelines.Stage
-    ) -> bool:
-        """Waits while an order is carried out; returns whether layers hold."""
-        key = (engine.name, engine.born_ms)
-        while self._is_planned(stage) and self.leads:
-            if self.node.holds(stage):
-                return True
-            try:
-                report = await engines.report(self.session, engine)
-            except engines.ReportError as error:
-                _log.info(
-                    "report_missing", engine=engine.name, error=str(error)
-                )
-                return False
-            self.accepted[key] = report.orders
-            if report.layers and report.layers.covers(stage.first, stage.last):
-                self.node.set_held(key, stage.layers)
-                return True
-            if not report.busy:
-                return False
-            await asyncio.sleep(ORDER_POLL_S)
-        return False
-
-    def _is_planned(self, stage: pipelines.Stage) -> bool:
-        known = self.node.registry.known.get(stage.engine)
-        if known is None or known.born_ms != stage.born_ms or known.draining:
-            return False
-        return any(
-            p.stages.get(stage.engine) == stage
-            for p in self.node.plans.values()
-        )
-
-    def _verify_doubts(self) -> None:
-        now = time.monotonic()
-        for verify, noted in (
-            (self._verify, self.fleet.doubts),
-            (self._verify_refuser, self.fleet.refusers),
-        ):
-            for engine in noted:
-                key = (verify.__name__, engine)
-                if now - self.verified_at.get(key, -VERIFY_S) >= VERIFY_S:
-                    self.verified_at[key] = now
-                    self.fleet.spawn(verify(engine))
-
-    async def _verify_refuser(self, doubted: beats.Engine) -> None:
-        """Asks an engine that refuses whether it is leaving."""
-        engine = self.node.registry.known.get(doubted.name)
-        if engine is None or engine.born_ms != doubted.born_ms:
-            return
-        in_force = self.node.rules
-        service = in_force.services.get(engine.service) if in_force else None
-        if service is None:
-            return
-        try:
-            report = await engines.report(self.session, engine)
-            healthy = await engines.is_healthy(
-                self.session, engine, service.health
-            )
-            _log.info(
-                "refuser_checked",
-                engine=engine.name,
-                healthy=healthy,
-                running=report.running,
-                waiting=report.waiting,
-                used=report.used_token_layers,
-                total=report.total_token_layers,
-                layers=str(report.layers),
-            )
-            # A full engine refuses health checks as well.
-            if healthy or report.running + report.waiting >= engine.slots:
-                return
-        except engines.ReportError as error:
-            self._lose(engine, str(error))
-            return
-        self._lose(engine, "refuses requests and health checks")
-
-    async def _verify(self, doubted: beats.Engine) -> None:
-        """Asks an engine in doubt for a report; plans without it if silent."""
-        engine = self.node.registry.known.get(doubted.name)
-        if engine is None or engine.born_ms != doubted.born_ms:
-            return
-        key = (engine.name, engine.born_ms)
-        try:
-            report = await engines.report(self.session, engine)
-        except engines.ReportError as error:
-            self._lose(engine, str(error))
-            return
-        for address in set(report.stalled.values()):
-            # It may answer here and still be cut off from its neighbours.
-            waited_for = self.node.registry.at(address)
-            if waited_for is not None:
-                self._lose(waited_for, f"{engine.name} waits for it")
-        self.accepted[key] = report.orders
-        held = self.node.held.get(key)
-        if held is not None and report.layers != held:
-            self.node.set_held(key, None)
-        self.fleet.lost.pop(doubted, None)
-
-    def _lose(self, engine: upstreams.Upstream, reason: str) -> None:
-        key = beats.Engine(engine.name, engine.born_ms)
-        if key not in self.fleet.lost:
-            _log.warning("engine_lost", engine=engine.name, reason=reason)
-        self.fleet.lost[key] = time.monotonic() + LOST_S
-        self.node.avoid(engine, LOST_S, reason)
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -230,10 +230,15 @@
             return
         self._learn(contact)
 
-    async def silent_entries(self) -> list[str]:
-        """Returns instances whose entries can be deleted."""
-        now = time.monotonic()
-        return [n for n in self.contacts if now - self.heard_at[n] > FORGET_S]
+    async def _delete_entry(self, name: str) -> None:
+        """Deletes the entry of an instance that is gone."""
+        try:
+            stored = await self.store.get(KIND, name)
+            await self.store.delete(KIND, name, stored.version)
+        except client.StoreError as error:
+            _log.info("entry_not_deleted", name=name, reason=str(error))
+        else:
+            _log.info("entry_deleted", name=name)
 
     async def _version(self) -> int:
         try:
@@ -261,6 +266,7 @@
             held = tuple(
                 beats.Held(name, born_ms, layers.first, layers.last)
                 for (name, born_ms), layers in self.node.held.items()
+                if self.node.registry.usable(name, born_ms) is not None
             )
         return beats.Beat(
             sender=self.me,
@@ -384,6 +390,8 @@
                 self.heard_at.pop(name, None)
                 self.store_up.pop(name, None)
                 self.node.dispatcher.forget(name)
+                if self.leads:
+                    self.spawn(self._delete_entry(name))
         self.own.expire(now)
         self.heard.expire(now)
 
--- /dev/null
+++ b/src/yuccatally/forwarding/inspection.py
@@ -0,0 +1,121 @@
+"""Reports and health checks of engines that requests found at fault."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from yuccatally.peers import beats
+from yuccatally.platform import engines
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from yuccatally.core.forwarding import upstreams
+    from yuccatally.forwarding import fleet
+    from yuccatally.forwarding import orders
+    from yuccatally.forwarding import state
+
+# An engine that did not answer a report is left out of plans for this long.
+LOST_S = 6.0
+# Engines in doubt are asked for a report this often.
+VERIFY_S = 0.8
+
+_log = structlog.get_logger()
+
+
+class Inspection:
+    """Decides which engines in doubt are lost.
+
+    Attributes:
+        verified_at: Time of the last question by kind and engine.
+    """
+
+    def __init__(
+        self,
+        node: state.State,
+        others: fleet.Fleet,
+        session: aiohttp.ClientSession,
+        given: orders.Orders,
+    ) -> None:
+        self.node = node
+        self.fleet = others
+        self.session = session
+        self.orders = given
+        self.verified_at: dict[tuple[str, beats.Engine], float] = {}
+
+    def check(self) -> None:
+        """Asks engines in doubt, each no more often than is useful."""
+        now = time.monotonic()
+        for verify, noted in (
+            (self._verify, self.fleet.doubts),
+            (self._verify_refuser, self.fleet.refusers),
+        ):
+            for engine in noted:
+                key = (verify.__name__, engine)
+                if now - self.verified_at.get(key, -VERIFY_S) >= VERIFY_S:
+                    self.verified_at[key] = now
+                    self.fleet.spawn(verify(engine))
+
+    async def _verify_refuser(self, doubted: beats.Engine) -> None:
+        """Asks an engine that refuses whether it is leaving."""
+        engine = self.node.registry.known.get(doubted.name)
+        if engine is None or engine.born_ms != doubted.born_ms:
+            return
+        in_force = self.node.rules
+        service = in_force.services.get(engine.service) if in_force else None
+        if service is None:
+            return
+        try:
+            report = await engines.report(self.session, engine)
+            healthy = await engines.is_healthy(
+                self.session, engine, service.health
+            )
+            _log.info(
+                "refuser_checked",
+                engine=engine.name,
+                healthy=healthy,
+                running=report.running,
+                waiting=report.waiting,
+                used=report.used_token_layers,
+                total=report.total_token_layers,
+                layers=str(report.layers),
+            )
+            # A full engine refuses health checks as well.
+            if healthy or report.running + report.waiting >= engine.slots:
+                return
+        except engines.ReportError as error:
+            self._lose(engine, str(error))
+            return
+        self._lose(engine, "refuses requests and health checks")
+
+    async def _verify(self, doubted: beats.Engine) -> None:
+        """Asks an engine in doubt for a report; plans without it if silent."""
+        engine = self.node.registry.known.get(doubted.name)
+        if engine is None or engine.born_ms != doubted.born_ms:
+            return
+        key = (engine.name, engine.born_ms)
+        try:
+            report = await engines.report(self.session, engine)
+        except engines.ReportError as error:
+            self._lose(engine, str(error))
+            return
+        for address in set(report.stalled.values()):
+            # It may answer here and still be cut off from its neighbours.
+            waited_for = self.node.registry.at(address)
+            if waited_for is not None:
+                self._lose(waited_for, f"{engine.name} waits for it")
+        self.orders.accepted[key] = report.orders
+        held = self.node.held.get(key)
+        if held is not None and report.layers != held:
+            self.node.set_held(key, None)
+        self.fleet.lost.pop(doubted, None)
+
+    def _lose(self, engine: upstreams.Upstream, reason: str) -> None:
+        key = beats.Engine(engine.name, engine.born_ms)
+        if key not in self.fleet.lost:
+            _log.warning("engine_lost", engine=engine.name, reason=reason)
+        self.fleet.lost[key] = time.monotonic() + LOST_S
+        self.node.avoid(engine, LOST_S, reason)
--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -89,6 +89,8 @@
         self.newest = 0
         self.up = False
         self.listed = False
+        # Monotonic time of the first complete list.
+        self.listed_at: float | None = None
         self.down_since: float | None = None
         self.last_outage: Outage | None = None
         self.behind_since: float | None = None
@@ -172,6 +174,8 @@
         self._end_outage()
         self.cursor = listing.revision
         self.listed = True
+        if self.listed_at is None:
+            self.listed_at = time.monotonic()
         self.on_list(listing.items, self.outage)
         self._note_newest(listing)
 
--- a/src/yuccatally/platform/settings.py
+++ b/src/yuccatally/platform/settings.py
@@ -103,6 +103,7 @@
         directory_ttl_s=reader.number(
             "bounds.ttl_max_s", default.directory_ttl_s
         ),
+        fences_enforced=reader.value("bounds.fencingEnforced") is not False,
     )
 
 
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -363,3 +363,27 @@
         status, headers, _ = await served.request(target)
         assert (status, headers["retry-after"]) == (503, "0")
     assert not any(e.runs for e in served.engines.values())
+
+
+async def test_plan_stays_while_the_engines_are_not_known_yet(
+    served: path_site.Site,
+) -> None:
+    """Guards against a restarted leader that plans without its engines.
+
+    It would drop every pipeline and order layers anew on engines that serve.
+    """
+    first = served.nodes[0]
+    before = first.state.plans["model"]
+    names = ("e1", "e2")
+    for name in names:
+        del served.store.objects[("servers", name)]
+    first.start_drain()
+    late = await served.start_node("n2")
+    await path_site.until(lambda: late.control.leads)
+    await asyncio.sleep(3 * control.TICK_S)
+    assert late.state.plans["model"] == before
+    for name in names:
+        await served.announce(served.engines[name])
+    service = late.state.rules.services["model"]
+    await path_site.until(lambda: len(late.state.paths(service)) == 2)
+    assert late.state.plans["model"].pipelines == before.pipelines
