--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -17,7 +17,6 @@
 from yuccatally.peers import beats
 from yuccatally.peers import transport
 from yuccatally.platform import documents
-from yuccatally.store import client
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,7 +26,6 @@
     from yuccatally.forwarding import state
     from yuccatally.forwarding import watches
 
-KIND = "instances"
 PERIOD_S = 0.25
 # Exchanges a period; with eight instances each pair meets every 0.3 s.
 FANOUT = 3
@@ -41,7 +39,6 @@
 PULL_TIMEOUT_S = 1.0
 # Decompressed size up to which a configuration of a peer is taken.
 RULES_LIMIT_BYTES = 16 * 1024 * 1024
-REGISTER_RETRY_S = 0.5
 # The store is looked at this often while another instance has lost it.
 CHECK_STORE_S = 3.0
 # An outage of the whole store is noticed by all instances within this time.
@@ -62,9 +59,8 @@
         peers_up: Whether the store's watch is up, by instance.
     """
 
-    def __init__(self, node: state.State, store: client.StoreClient) -> None:
+    def __init__(self, node: state.State) -> None:
         self.node = node
-        self.store = store
         self.transport = transport.PeerTransport(node.settings.listen.peers)
         self.born_ms = int(time.time() * 1e3)
         self.contacts: dict[str, beats.Contact] = {}
@@ -74,6 +70,8 @@
         # Kept apart, since findings that are passed on would never end.
         self.heard = _Findings()
         self.unsaved_plans: dict[str, pipelines.Plan] = {}
+        # Called with the name of an instance that is taken for gone.
+        self.on_forgotten: Callable[[str], None] = lambda name: None
         self.peer_up_at = 0.0
         self.checked_at = 0.0
         # Called when another instance has lost the store and this one has not.
@@ -186,67 +184,6 @@
         addresses = [c.peers for c in self.contacts.values()]
         await asyncio.gather(*(self._exchange(a) for a in addresses))
 
-    async def register(self) -> None:
-        """Writes this instance's entry; tries until it succeeds."""
-        spec = msgspec.to_builtins(self.me)
-        version = 0
-        while True:
-            try:
-                await self.store.put(
-                    KIND,
-                    self.node.settings.name,
-                    {"contact": spec},
-                    {},
-                    version,
-                )
-                return
-            except (client.ConflictError, client.UncertainError):
-                version = await self._version()
-            except client.StoreError as error:
-                _log.info("registration_delayed", error=str(error))
-            await asyncio.sleep(
-                REGISTER_RETRY_S * self.node.rng.uniform(0.5, 1.5)
-            )
-
-    def on_list(
-        self,
-        items: tuple[client.Stored, ...],
-        outage: watches.Outage | None,
-    ) -> None:
-        """Takes in the entries of all instances."""
-        for item in items:
-            self.on_change(item, outage)
-
-    def on_change(
-        self, item: client.Stored, outage: watches.Outage | None
-    ) -> None:
-        """Takes in the entry of an instance."""
-        if item.deleted or item.name == self.node.settings.name:
-            return
-        try:
-            contact = msgspec.convert(item.spec["contact"], beats.Contact)
-        except (msgspec.MsgspecError, KeyError, TypeError) as error:
-            _log.warning("entry_ignored", name=item.name, reason=str(error))
-            return
-        self._learn(contact)
-
-    async def _delete_entry(self, name: str) -> None:
-        """Deletes the entry of an instance that is gone."""
-        try:
-            stored = await self.store.get(KIND, name)
-            await self.store.delete(KIND, name, stored.version)
-        except client.StoreError as error:
-            _log.info("entry_not_deleted", name=name, reason=str(error))
-        else:
-            _log.info("entry_deleted", name=name)
-
-    async def _version(self) -> int:
-        try:
-            stored = await self.store.get(KIND, self.node.settings.name)
-        except client.StoreError:
-            return 0
-        return stored.version
-
     async def _exchange(self, address: str) -> None:
         try:
             reply = await self.transport.exchange(
@@ -294,7 +231,7 @@
         name = beat.sender.name
         if name == self.node.settings.name:
             return
-        self._learn(beat.sender)
+        self.learn(beat.sender)
         self.heard_at[name] = now
         self.store_up[name] = beat.store_up
         if beat.store_up:
@@ -312,7 +249,7 @@
         self.node.dispatcher.on_remote(name, loads, now)
         for contact in beat.others:
             if contact.name != self.node.settings.name:
-                self._learn(contact)
+                self.learn(contact)
         for engine in beat.doubts:
             self.heard.doubts[engine] = now
         for engine in beat.refusers:
@@ -369,7 +306,8 @@
         raw = msgspec.json.encode(self.node.rules_spec)
         return beats.RulesReply(in_force.version, zlib.compress(raw))
 
-    def _learn(self, contact: beats.Contact) -> None:
+    def learn(self, contact: beats.Contact) -> None:
+        """Takes in how an instance is reached."""
         known = self.contacts.get(contact.name)
         if known is not None and known.born_ms > contact.born_ms:
             return
@@ -390,8 +328,7 @@
                 self.heard_at.pop(name, None)
                 self.store_up.pop(name, None)
                 self.node.dispatcher.forget(name)
-                if self.leads:
-                    self.spawn(self._delete_entry(name))
+                self.on_forgotten(name)
         self.own.expire(now)
         self.heard.expire(now)
 
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -15,6 +15,7 @@
 from yuccatally.forwarding import calls
 from yuccatally.forwarding import control
 from yuccatally.forwarding import fleet
+from yuccatally.forwarding import registration
 from yuccatally.forwarding import state
 from yuccatally.forwarding import streams
 from yuccatally.forwarding import troubles
@@ -65,7 +66,9 @@
         self.settings = settings
         self.state = state.State(settings)
         self.store = platform_store.PlatformStore(settings.store)
-        self.fleet = fleet.Fleet(self.state, self.store)
+        self.fleet = fleet.Fleet(self.state)
+        self.registration = registration.Registration(self.fleet, self.store)
+        self.fleet.on_forgotten = self.registration.forget
         self.metrics = metrics.Metrics()
         self.stopping = asyncio.Event()
         # Whether a part has ended with an error.
@@ -148,7 +151,7 @@
         self.fleet.open()
         for work in (
             self.fleet.run(),
-            self.fleet.register(),
+            self.registration.register(),
             self.control.keep_lease(),
             self.control.run(),
             finder.run(),
@@ -227,9 +230,9 @@
         )
         instances = watches.KindWatch(
             self.store,
-            fleet.KIND,
-            self.fleet.on_list,
-            self.fleet.on_change,
+            registration.KIND,
+            self.registration.on_list,
+            self.registration.on_change,
             rng,
             gather_s=UPSTREAM_GATHER_S,
         )
--- /dev/null
+++ b/src/yuccatally/forwarding/registration.py
@@ -0,0 +1,92 @@
+"""Entries of instances in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from yuccatally.peers import beats
+from yuccatally.store import client
+
+if TYPE_CHECKING:
+    from yuccatally.forwarding import fleet
+    from yuccatally.forwarding import watches
+
+KIND = "instances"
+RETRY_S = 0.5
+
+_log = structlog.get_logger()
+
+
+class Registration:
+    """Writes the entry of this instance and reads those of the others."""
+
+    def __init__(self, others: fleet.Fleet, store: client.StoreClient) -> None:
+        self.fleet = others
+        self.store = store
+
+    async def register(self) -> None:
+        """Writes this instance's entry; tries until it succeeds."""
+        spec = msgspec.to_builtins(self.fleet.me)
+        version = 0
+        while True:
+            try:
+                await self.store.put(
+                    KIND,
+                    self.fleet.node.settings.name,
+                    {"contact": spec},
+                    {},
+                    version,
+                )
+                return
+            except (client.ConflictError, client.UncertainError):
+                version = await self._version()
+            except client.StoreError as error:
+                _log.info("registration_delayed", error=str(error))
+            await asyncio.sleep(RETRY_S * self.fleet.node.rng.uniform(0.5, 1.5))
+
+    def on_list(
+        self,
+        items: tuple[client.Stored, ...],
+        outage: watches.Outage | None,
+    ) -> None:
+        """Takes in the entries of all instances."""
+        for item in items:
+            self.on_change(item, outage)
+
+    def on_change(
+        self, item: client.Stored, outage: watches.Outage | None
+    ) -> None:
+        """Takes in the entry of an instance."""
+        if item.deleted or item.name == self.fleet.node.settings.name:
+            return
+        try:
+            contact = msgspec.convert(item.spec["contact"], beats.Contact)
+        except (msgspec.MsgspecError, KeyError, TypeError) as error:
+            _log.warning("entry_ignored", name=item.name, reason=str(error))
+            return
+        self.fleet.learn(contact)
+
+    def forget(self, name: str) -> None:
+        """Deletes the entry of an instance that is gone, if this one leads."""
+        if self.fleet.leads:
+            self.fleet.spawn(self._delete_entry(name))
+
+    async def _delete_entry(self, name: str) -> None:
+        try:
+            stored = await self.store.get(KIND, name)
+            await self.store.delete(KIND, name, stored.version)
+        except client.StoreError as error:
+            _log.info("entry_not_deleted", name=name, reason=str(error))
+        else:
+            _log.info("entry_deleted", name=name)
+
+    async def _version(self) -> int:
+        try:
+            stored = await self.store.get(KIND, self.fleet.node.settings.name)
+        except client.StoreError:
+            return 0
+        return stored.version
