--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,111 @@
+"""Contract of the platform's store, against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from yuccatally.platform import store as platform_store
+from yuccatally.store import client
+from yuccatally_standins import object_store
+from yuccatally_standins import path_site
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+Pair = tuple[object_store.ObjectStore, platform_store.PlatformStore]
+
+
+@pytest.fixture
+async def pair() -> AsyncIterator[Pair]:
+    """A store and its client."""
+    async with path_site.running_store() as (store, address):
+        found = platform_store.PlatformStore(address)
+        yield store, found
+        await found.close()
+
+
+async def test_list_takes_all_pages(pair: Pair) -> None:
+    """Guards against objects that are taken for gone with the first page."""
+    store, found = pair
+    names = [f"n{number:04}" for number in range(2 * object_store.PAGE + 1)]
+    for name in names:
+        await store.set("k", name, {})
+    listing = await found.list_objects("k")
+    assert [i.name for i in listing.items] == names
+    assert listing.revision == store.revision
+
+
+async def test_write_is_conditional(pair: Pair) -> None:
+    """Guards against a write over another instance's."""
+    _, found = pair
+    made = await found.put("k", "n", {"a": 1}, {}, 0)
+    with pytest.raises(client.ConflictError):
+        await found.put("k", "n", {"a": 2}, {}, 0)
+    await found.put("k", "n", {"a": 3}, {}, made.version)
+    with pytest.raises(client.ConflictError):
+        await found.put("k", "n", {"a": 4}, {}, made.version)
+    assert (await found.get("k", "n")).spec == {"a": 3}
+
+
+async def test_watch_reports_changes_and_deletions(pair: Pair) -> None:
+    """Guards against changes that are missed between two watches."""
+    store, found = pair
+    await store.set("k", "n", 1)
+    since = store.revision - 1
+    first = await found.watch(since, 1.0, "k")
+    await store.remove("k", "n")
+    second = await found.watch(first.revision, 1.0, "k")
+    assert [i.deleted for i in (*first.items, *second.items)] == [False, True]
+
+
+async def test_forgotten_history_is_told(pair: Pair) -> None:
+    """Guards against a watch that goes on after a gap."""
+    store, found = pair
+    await store.set("k", "n", 1)
+    await store.compact()
+    with pytest.raises(client.CompactedError):
+        await found.watch(0, 1.0, "k")
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_refusal_did_nothing(pair: Pair, status: int) -> None:
+    """Guards against reading back what was plainly refused."""
+    store, found = pair
+    store.faults.status = status
+    with pytest.raises(client.StoreError) as caught:
+        await found.put("k", "n", {}, {}, 0)
+    assert not isinstance(caught.value, client.UncertainError)
+
+
+async def test_lost_reply_is_uncertain(pair: Pair) -> None:
+    """Guards against taking a write that may have been done for not done."""
+    store, found = pair
+    store.faults.lose_replies = 1
+    with pytest.raises(client.UncertainError):
+        await found.put("k", "n", {"a": 1}, {}, 0)
+    assert (await found.get("k", "n")).spec == {"a": 1}
+
+
+async def test_silent_watch_ends_with_an_error(
+    pair: Pair, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a watch that waits for ever on a silent connection."""
+    store, found = pair
+    monkeypatch.setattr("yuccatally.store.calls.WATCH_MARGIN_S", 0.1)
+    store.faults.silent = True
+    with pytest.raises(client.SilentError):
+        async with asyncio.timeout(5):
+            await found.watch(0, 0.1, "k")
+
+
+async def test_foreign_objects_do_not_end_a_list(pair: Pair) -> None:
+    """Guards against an object that no list can be read beyond."""
+    store, found = pair
+    await store.set("k", "a", None)
+    store.objects[("k", "b")] = {"spec": {}}
+    await store.set("k", "c", [1])
+    listing = await found.list_objects("k")
+    assert [i.name for i in listing.items] == ["a", "c"]
