Use ports below the ephemeral range for the stand-in site

The stand-in site took ports as a connection would get them, although the project has a function for ports that stay free until their process listens. Once, beside five other test processes, a part of an instance ended with an error at the start. The error is now raised by the stand-in site. Whether a port clash was the cause is being looked for.

--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -71,8 +71,8 @@
         self.fleet.on_forgotten = self.registration.forget
         self.metrics = metrics.Metrics()
         self.stopping = asyncio.Event()
-        # Whether a part has ended with an error.
-        self.failed = False
+        # Error with which a part has ended.
+        self.failure: BaseException | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -332,7 +332,7 @@
         error = task.exception()
         if error is not None:
             _log.error("task_failed", exc_info=error)
-            self.failed = True
+            self.failure = error
             self.start_drain()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/yuccatally_standins/path_site.py
+++ b/src/yuccatally_standins/path_site.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -17,6 +16,7 @@
 from yuccatally.forwarding import node
 from yuccatally_standins import object_store
 from yuccatally_standins import path_engine
+from yuccatally_standins import site as site_module
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -134,7 +134,8 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for started in self.nodes:
-            assert not started.failed
+            if started.failure is not None:
+                raise started.failure
         for engine in self.engines.values():
             await engine.stop()
 
@@ -242,6 +243,4 @@
 
 
 def _address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{site_module.free_port()}"
