Send streams and calls through one sequence of attempts

Cause: streams and calls each had their own loop for choosing, counting, logging and ending, and counted attempts that may have run in two ways. The kind of a route also decided where its service ran: a stream of a plain service was held until it was whole, a call of a model went to one engine without a path.

A plain upstream is now a path of its own. One function chooses, one loop sends again; an attempt counts as run until the contrary is known. Ruled out: a subclass for streams, since only the attempt itself differs.

The test with the kinds exchanged failed before.

--- a/src/yuccatally/core/forwarding/attempts.py
+++ b/src/yuccatally/core/forwarding/attempts.py
@@ -96,11 +96,21 @@
 
     Attributes:
         ran: Upstreams that ran it or may have run it.
-        arrived: Whether any upstream was reached.
     """
 
     ran: int = 0
-    arrived: bool = False
+
+    def start(self) -> None:
+        """Counts an attempt, which may run until the contrary is known."""
+        self.ran += 1
+
+    def settle(self, failure: Failure) -> None:
+        """Takes an attempt back that did not run."""
+        match failure:
+            case NotSent() | Refused():
+                self.ran -= 1
+            case Lost() | Failed():
+                pass
 
 
 def after(
--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -41,7 +41,8 @@
     Attributes:
         name: Name of the pipeline.
         hops: Engines in order.
-        ranges: First layer and the one after the last, for each hop.
+        ranges: First layer and the one after the last, for each hop; none for
+            a plain upstream.
         step_s: Time of a decode step without load, over all stages.
         sequence_s: What each request adds to it.
         tokens: Tokens for which its weakest stage has memory.
@@ -190,7 +191,7 @@
         candidates: list[upstreams.Upstream],
         excluded: frozenset[str],
         now: float,
-    ) -> upstreams.Upstream | Nothing:
+    ) -> Path | Nothing:
         """Returns the upstream of a plain service with the least work."""
         usable = [u for u in candidates if u.name not in excluded]
         if not usable:
@@ -202,7 +203,7 @@
             far = found.data_centre != self.data_centre
             return (share, far, self.rng.random())
 
-        return min(usable, key=cost)
+        return _direct(min(usable, key=cost))
 
     def is_stalled(self, name: str, now: float) -> bool:
         """Returns whether streams of this instance wait on a path."""
@@ -288,6 +289,20 @@
     )
 
 
+def _direct(upstream: upstreams.Upstream) -> Path:
+    """Returns the path that is a plain upstream alone."""
+    return Path(
+        name=upstream.name,
+        hops=(upstream,),
+        ranges=(),
+        step_s=0.0,
+        sequence_s=0.0,
+        tokens=float("inf"),
+        slots=upstream.slots,
+        data_centre=upstream.data_centre,
+    )
+
+
 def _fits(path: Path, load: Load, tokens: float) -> bool:
     if load.requests >= path.slots:
         return False
--- a/src/yuccatally/forwarding/answers.py
+++ b/src/yuccatally/forwarding/answers.py
@@ -80,18 +80,6 @@
     return whole
 
 
-def count(progress: attempts.Progress, failure: attempts.Failure) -> None:
-    """Adds a failed attempt to the progress of its request."""
-    match failure:
-        case attempts.Lost() | attempts.Failed():
-            progress.ran += 1
-            progress.arrived = True
-        case attempts.Refused():
-            progress.arrived = True
-        case attempts.NotSent():
-            pass
-
-
 def reason(failure: attempts.Failure) -> str:
     """Returns a short reason for logs and clients."""
     match failure:
--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -113,9 +113,8 @@
         self, found: tickets.Ticket, receive: Receive, reply: tickets.Reply
     ) -> None:
         """Forwards a request until it ends or its client leaves."""
-        forwarder = self.calls
-        if found.route.repeat.is_stream and found.service.model is not None:
-            forwarder = self.streams
+        is_stream = found.route.repeat.is_stream
+        forwarder = self.streams if is_stream else self.calls
         work = asyncio.create_task(forwarder.run(found, reply))
         gone = asyncio.create_task(_until_gone(receive))
         try:
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -148,7 +148,7 @@
         self.application = application.Application(
             self.state,
             forwarder,
-            calls.CallForwarder(self.state, client),
+            calls.CallForwarder(self.state, client, finder.on_failure),
             self.metrics,
         )
         listeners = self._listeners()
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -11,16 +11,14 @@
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import events
 from yuccatally.forwarding import answers
+from yuccatally.forwarding import retrying
 from yuccatally.upstreams import exchange
 from yuccatally.upstreams import services
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from yuccatally.forwarding import state
     from yuccatally.forwarding import ticket as tickets
 
-    OnTrouble = Callable[[dispatch.Path, str, answers.Unusable], None]
 
 # A stream without an event for this long goes on elsewhere. Clients leave
 # after a pause of two seconds, and a new engine first reads the prompt again.
@@ -67,19 +65,18 @@
         self,
         node: state.State,
         client: exchange.ExchangeClient,
-        on_trouble: OnTrouble,
+        on_failure: retrying.OnFailure,
     ) -> None:
         """Creates a forwarder.
 
         Args:
             node: Shared state.
             client: Client of the engines.
-            on_trouble: Called with the path, the request and what happened
-                when an attempt fails.
+            on_failure: Called when an attempt has failed.
         """
         self.node = node
         self.client = client
-        self.on_trouble = on_trouble
+        self.on_failure = on_failure
         self.running: set[RunningAttempt] = set()
 
     async def run(self, ticket: tickets.Ticket, reply: tickets.Reply) -> None:
@@ -87,7 +84,7 @@
         progress = attempts.Progress()
         try:
             async with asyncio.timeout(ticket.left_s()):
-                await self._attempts(ticket, reply, progress)
+                await self._forward(ticket, reply, progress)
         except TimeoutError:
             step = attempts.not_run(progress)
             if progress.ran:
@@ -121,56 +118,31 @@
             attempt.scope.reschedule(now)
         return len(found)
 
-    async def _attempts(
+    async def _forward(
         self,
         ticket: tickets.Ticket,
         reply: tickets.Reply,
         progress: attempts.Progress,
     ) -> None:
-        budget = self.node.budget(ticket.service.name)
-        budget.on_request(time.monotonic())
         splitter = events.EventSplitter(ticket.request.last_event_id)
-        tried: frozenset[str] = frozenset()
-        while True:
-            path = await self._path(ticket, reply, progress, tried)
-            if not isinstance(path, dispatch.Path):
-                why = "full" if isinstance(path, dispatch.Full) else "no-path"
-                step = attempts.not_run(
-                    progress, self._retry_after_s(ticket, path)
-                )
-                await answers.end(reply, step, why)
-                return
-            tried |= {path.name}
-            reply.attempts += 1
-            reply.upstream = path.name
+
+        async def attempt(path: dispatch.Path) -> answers.Unusable | None:
+            splitter.restart()
             result = await self._attempt(
                 ticket, reply, path, splitter, progress
             )
             reply.events = splitter.events
-            if result is None:
-                return
-            self.on_trouble(path, ticket.request.id, result)
-            step = attempts.after(
-                result.failure,
-                progress,
-                ticket.route,
-                ticket.left_s(),
-                lambda: budget.withdraw(time.monotonic(), self.node.instances),
-            )
-            answers.log_failure(ticket, path.name, result.failure, step)
-            if isinstance(step, attempts.SendAgain):
-                splitter.restart()
-                continue
-            if (
-                isinstance(step, attempts.PassOn)
-                and result.answer is not None
-                and not reply.started
-            ):
-                answer = result.answer
-                await reply.whole(answer.status, answer.headers, answer.body)
-                return
-            await answers.end(reply, step, answers.reason(result.failure))
-            return
+            return result
+
+        await retrying.forward(
+            self.node,
+            ticket,
+            reply,
+            progress,
+            lambda tried: self._path(ticket, reply, progress, tried),
+            attempt,
+            self.on_failure,
+        )
 
     async def _path(
         self,
@@ -185,30 +157,19 @@
         refused, so that its client can plan. One that has run waits as long
         as its client does, and may go over a path that it has tried.
         """
-        tokens = self._tokens(ticket)
         started_at = time.monotonic()
         until = started_at + ROOM_WAIT_SHARE * ticket.route.objective_s
         if progress.ran:
             until = (reply.last_at or ticket.started_at) + RESUME_WAIT_S
         while True:
             now = time.monotonic()
-            paths = self.node.paths(ticket.service)
-            found = self.node.dispatcher.path(paths, tokens, tried, now)
+            found = retrying.choose(self.node, ticket, tried)
             if isinstance(found, dispatch.Path) or now >= until:
                 return found
             if progress.ran and now - started_at >= SAME_PATH_S:
                 tried = frozenset()
             await asyncio.sleep(ROOM_POLL_S)
 
-    def _retry_after_s(
-        self, ticket: tickets.Ticket, found: dispatch.Full | dispatch.Nothing
-    ) -> float:
-        return attempts.retry_after_s(
-            isinstance(found, dispatch.Full),
-            ticket.left_s(),
-            self.node.rng.random(),
-        )
-
     async def _attempt(
         self,
         ticket: tickets.Ticket,
@@ -217,10 +178,12 @@
         splitter: events.EventSplitter,
         progress: attempts.Progress,
     ) -> answers.Unusable | None:
-        """Returns None once the stream is whole, else what went wrong."""
-        tokens = self._tokens(ticket)
+        """Returns None once the stream is whole, else what went wrong.
+
+        The attempt is counted in ``progress`` already.
+        """
+        tokens = retrying.memory_tokens(ticket)
         self.node.dispatcher.start(path.name, tokens, time.monotonic())
-        progress.ran += 1
         route = ticket.route
         attempt = RunningAttempt(
             path,
@@ -230,9 +193,7 @@
         try:
             async with asyncio.timeout(None) as attempt.scope:
                 self.running.add(attempt)
-                return await self._exchanged(
-                    ticket, reply, attempt, splitter, progress
-                )
+                return await self._exchanged(ticket, reply, attempt, splitter)
         except TimeoutError:
             return answers.Unusable(attempts.Lost("path stalled", True))
         finally:
@@ -247,7 +208,6 @@
         reply: tickets.Reply,
         attempt: RunningAttempt,
         splitter: events.EventSplitter,
-        progress: attempts.Progress,
     ) -> answers.Unusable | None:
         try:
             answer = await self.client.open(
@@ -256,8 +216,6 @@
             attempt.answer = answer
             unusable = answers.judge_head(ticket, answer)
             if unusable is not None:
-                if isinstance(unusable.failure, attempts.Refused):
-                    progress.ran -= 1
                 return unusable
             if answer.status >= 300:
                 body = await answer.body(ERROR_LIMIT_BYTES)
@@ -265,7 +223,6 @@
                 return answers.Unusable(attempts.Failed(answer.status), whole)
             await self._relay(answer, reply, attempt, splitter)
         except services.NotSentError as error:
-            progress.ran -= 1
             return answers.Unusable(attempts.NotSent(str(error)))
         except exchange.LostError as error:
             return answers.Unusable(attempts.Lost(str(error), error.timed_out))
@@ -304,20 +261,13 @@
         attempt: RunningAttempt,
         splitter: events.EventSplitter,
     ) -> exchange.Exchange:
-        path = attempt.path
-        first = path.hops[0]
         return exchange.Exchange(
             method=ticket.method,
-            address=first.address,
+            address=attempt.path.hops[0].address,
             target=ticket.target,
-            headers=ticket.outgoing(first.name, splitter.last_id, path),
+            headers=ticket.outgoing(splitter.last_id, attempt.path),
             body=ticket.body,
             # An answer that cannot go on elsewhere may still move here.
             silence_s=SILENCE_S if attempt.may_move else ticket.left_s(),
             fresh=not ticket.route.repeat.may_run_again,
         )
-
-    def _tokens(self, ticket: tickets.Ticket) -> float:
-        model = ticket.service.model
-        usual = model.answer_tokens if model else 0.0
-        return ticket.request.memory_tokens(usual)
--- a/src/yuccatally/forwarding/ticket.py
+++ b/src/yuccatally/forwarding/ticket.py
@@ -56,15 +56,12 @@
         """Returns the time left, in seconds."""
         return self.deadline - time.monotonic()
 
-    def outgoing(
-        self, upstream: str, last_event_id: str, path: dispatch.Path | None
-    ) -> Headers:
+    def outgoing(self, last_event_id: str, path: dispatch.Path) -> Headers:
         """Returns the headers for an upstream; see the adapter."""
         return platform_headers.outgoing(
             self.headers,
             self.account,
             self.left_s(),
-            upstream,
             last_event_id,
             path,
         )
--- a/src/yuccatally/forwarding/troubles.py
+++ b/src/yuccatally/forwarding/troubles.py
@@ -21,6 +21,9 @@
 # New requests pass over a path for this long after it failed one; control
 # needs about as long to find out which engine is lost.
 AVOID_S = 1.0
+# A plain upstream that could not be reached is left alone for this long: a
+# restart takes about as long, and the others carry its requests.
+UNREACHABLE_S = 1.0
 # The same stall is acted on this often.
 AGAIN_S = 0.4
 # Well below the shortest time that counts as a stall.
@@ -52,11 +55,15 @@
                 if self.node.dispatcher.is_stalled(path.name, now):
                     self._on_stall(path, now)
 
-    def on_failure(
-        self, path: dispatch.Path, request: str, result: answers.Unusable
-    ) -> None:
+    def on_failure(self, path: dispatch.Path, result: answers.Unusable) -> None:
         """Takes in a failed attempt."""
         now = time.monotonic()
+        if not path.ranges:
+            if isinstance(result.failure, attempts.NotSent):
+                self.node.avoid(
+                    path.hops[0], UNREACHABLE_S, result.failure.reason
+                )
+            return
         self.node.dispatcher.avoid(path.name, now + AVOID_S)
         match result.failure:
             case attempts.Refused():
--- a/src/yuccatally/platform/headers.py
+++ b/src/yuccatally/platform/headers.py
@@ -71,9 +71,8 @@
     headers: Iterable[tuple[str, str]],
     account: str,
     left_s: float,
-    upstream: str,
     last_event_id: str,
-    path: dispatch.Path | None,
+    path: dispatch.Path,
 ) -> Headers:
     """Returns the headers for an upstream.
 
@@ -81,18 +80,17 @@
         headers: End-to-end headers of the client.
         account: Client account; empty for none.
         left_s: Time left, in seconds.
-        upstream: Name of the upstream that may run the request.
         last_event_id: Event after which a stream goes on; empty for none.
-        path: Engines that the request passes; None for a plain service.
+        path: Upstreams that the request passes; only the first may run it.
     """
     kept = [(n, v) for n, v in headers if n.lower() not in _OWN]
     kept.append((DEADLINE_MS, str(max(1, int(left_s * 1e3)))))
-    kept.append((EXPECTED_UPSTREAM, upstream))
+    kept.append((EXPECTED_UPSTREAM, path.hops[0].name))
     if account:
         kept.append((ACCOUNT, account))
     if last_event_id:
         kept.append((LAST_EVENT_ID, last_event_id))
-    if path is not None:
+    if path.ranges:
         kept.append((PATH, path_text(path)))
     return tuple(kept)
 
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -64,6 +64,7 @@
 
     Attributes:
         fleet: All engines by address, to look at the others of a path.
+        streams: Whether its answers are streams of events.
         held: Layers that it holds as first and last, exclusive.
         orders: Orders accepted.
         runs: Requests that it has run.
@@ -85,6 +86,7 @@
         self.card = card
         self.data_centre = data_centre
         self.events = events
+        self.streams = bool(card)
         self.address = ""
         self.born = 1000
         self.behaviour = Behaviour()
@@ -189,7 +191,7 @@
                 await asyncio.sleep(3600)
             if self.behaviour.fail:
                 return self._answer(request, self.behaviour.fail, b"failed")
-            if not self.card:
+            if not self.streams:
                 return await self._whole(request, b"done " + attempt.encode())
             return await self._stream(request, path)
         except asyncio.CancelledError:
--- a/tests/core/forwarding/test_dispatch.py
+++ b/tests/core/forwarding/test_dispatch.py
@@ -147,6 +147,8 @@
     """Guards against a queue at one upstream while another is idle."""
     chooser = _dispatcher("a")
     near, far = _engine("near", "a"), _engine("far", "b")
-    assert chooser.upstream([near, far], NONE, 0.0) is near
+    chosen = chooser.upstream([near, far], NONE, 0.0)
+    assert chosen.hops == (near,)
     chooser.on_remote("other", {"near": dispatch.Load(1)}, 0.0)
-    assert chooser.upstream([near, far], NONE, 0.0) is far
+    chosen = chooser.upstream([near, far], NONE, 0.0)
+    assert chosen.hops == (far,)
--- a/tests/forwarding/test_ends.py
+++ b/tests/forwarding/test_ends.py
@@ -295,3 +295,32 @@
     served.engines["e1"].behaviour.stalled = False
     answers = await asyncio.gather(*tasks)
     assert [(s, b) for s, _, b in answers] == [(200, WHOLE)] * 6
+
+
+async def test_plain_services_stream_and_engines_answer_calls(
+    served: path_site.Site,
+) -> None:
+    """Guards against a route whose kind decides where its service runs.
+
+    A stream of a plain service was held back until it was whole, and a call
+    of a model went to one engine without its path.
+    """
+    changed = path_site.configuration(2)["routes"]
+    services = {"ask": "desk", "book": "model"}
+    for route in changed:
+        route["service"] = services.get(route["name"], route["service"])
+    await served.configure(2, routes=changed)
+    node = served.nodes[0]
+    await path_site.until(lambda: node.state.rules.version == 2)
+    desk = served.engines["d1"]
+    desk.streams = True
+    desk.behaviour.break_after = 3
+    status, _, body = await served.request("/ask/x", "stream")
+    assert (status, body) == (200, WHOLE)
+    assert [r.headers.get("last-event-id") for r in desk.runs] == [None, "3"]
+    assert "yuccatally-hop-count" not in desk.runs[0].headers
+    status, _, body = await served.request("/book/x", "call")
+    assert (status, body) == (200, WHOLE)
+    sent = [r for n in ("e1", "e2") for r in served.engines[n].runs]
+    assert len(sent) == 1
+    assert sent[0].headers["yuccatally-hop-count"].endswith("=0-4")
