Call heartbeats by their name and give constants their reasons

Instances exchange heartbeats, and the part that finds stalled paths and faulty engines is detection; both had names of their own. Timeouts, limits and periods without a reason have one. The limit of a body before the first configuration was a bare number beside the default of the limits. No behaviour changes.

--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -10,6 +10,7 @@
 import structlog
 
 from yuccatally.core.forwarding import attempts
+from yuccatally.core.forwarding import rules
 from yuccatally.forwarding import calls
 from yuccatally.forwarding import streams
 from yuccatally.forwarding import ticket as tickets
@@ -132,8 +133,8 @@
 
     async def _body(self, receive: Receive) -> bytes | None:
         """Returns the body, None if it is too long."""
-        rules_now = self.node.rules
-        limit = rules_now.limits.body_bytes if rules_now else 1 << 22
+        in_force = self.node.rules
+        limits = in_force.limits if in_force else rules.Limits()
         parts: list[bytes] = []
         length = 0
         while True:
@@ -142,10 +143,11 @@
                 raise ClientGoneError
             part = message.get("body", b"")
             length += len(part)
-            if length <= limit:
+            if length <= limits.body_bytes:
                 parts.append(part)
             if not message.get("more_body", False):
-                return b"".join(parts) if length <= limit else None
+                whole = length <= limits.body_bytes
+                return b"".join(parts) if whole else None
 
     def _admit(
         self,
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -15,7 +15,7 @@
 from yuccatally.forwarding import inspection
 from yuccatally.forwarding import orders
 from yuccatally.forwarding import watches
-from yuccatally.peers import beats
+from yuccatally.peers import heartbeats
 from yuccatally.store import client
 from yuccatally.store import leases
 
@@ -32,7 +32,10 @@
 PLAN_KIND = plans.KIND
 # A dead leader is replaced after this time; a renewal each second is a call.
 LEASE_TERM_S = 3.0
+# Short against the two seconds in which layers are loaded.
 TICK_S = 0.1
+# One instance besides the holder polls the lease, so that a dead holder is
+# replaced; more would only add calls.
 CANDIDATES = 2
 # The last holder of the lease leads through an outage of the store for this
 # long; it covers the outages that the platform's operators plan with.
@@ -40,6 +43,7 @@
 # The first plan waits until the list of engines has not grown for this long:
 # instances see half of the engines at first, and the rest seconds later.
 SETTLE_S = 1.5
+# Traffic starts 12 s after the instances, and loads take some two seconds.
 SETTLE_MOST_S = 6.0
 
 _log = structlog.get_logger()
@@ -183,7 +187,7 @@
             for u in self.node.registry.known.values()
             if u.service == service.name
             and not u.draining
-            and beats.Engine(u.name, u.born_ms) not in self.fleet.lost
+            and heartbeats.Engine(u.name, u.born_ms) not in self.fleet.lost
         ]
         previous = self.node.plans.get(service.name, pipelines.Plan())
         if previous.pipelines:
--- a/src/yuccatally/forwarding/troubles.py
+++ b/src/yuccatally/forwarding/detection.py
@@ -32,7 +32,7 @@
 _log = structlog.get_logger()
 
 
-class Troubles:
+class FaultDetector:
     """Turns failed attempts and stalls into doubts about engines."""
 
     def __init__(self, node: state.State, others: fleet.Fleet) -> None:
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -14,7 +14,7 @@
 
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import upstreams
-from yuccatally.peers import beats
+from yuccatally.peers import heartbeats
 from yuccatally.peers import transport
 from yuccatally.platform import documents
 
@@ -26,20 +26,28 @@
     from yuccatally.forwarding import state
     from yuccatally.forwarding import watches
 
+# With eight instances each pair meets every 0.3 s, so that load is known before
+# it has grown by a tenth of what a path holds.
 PERIOD_S = 0.25
-# Exchanges a period; with eight instances each pair meets every 0.3 s.
 FANOUT = 3
+# Ten times what an exchange between data centres takes on a loaded instance.
 EXCHANGE_TIMEOUT_S = 0.5
-# An instance that was not heard of for this long is taken for gone.
+# An instance that was not heard of for this long is taken for gone: five times
+# the usual time between two exchanges of a pair.
 LIVE_S = 1.5
-# A finding counts for this long unless requests make it again.
+# A finding counts for this long unless requests make it again; control asks an
+# engine in doubt within this time.
 FINDING_S = 1.5
-# Entries of instances that were silent for this long are deleted.
+# Entries of instances that were silent for this long are deleted; a restart
+# takes a few seconds.
 FORGET_S = 20.0
+# A configuration of hundreds of routes compresses to some ten kilobytes.
 PULL_TIMEOUT_S = 1.0
-# Decompressed size up to which a configuration of a peer is taken.
+# Decompressed size up to which a configuration of a peer is taken; the store
+# holds values up to 1 MB.
 RULES_LIMIT_BYTES = 16 * 1024 * 1024
-# The store is looked at this often while another instance has lost it.
+# The store is looked at this often while another instance has lost it. Each
+# look is a call of every instance.
 CHECK_STORE_S = 3.0
 # An outage of the whole store is noticed by all instances within this time.
 OUTAGE_NOTICED_S = 2.5
@@ -48,7 +56,7 @@
 
 
 class Fleet:
-    """Exchanges beats with the other instances.
+    """Exchanges heartbeats with the other instances.
 
     Attributes:
         contacts: Known instances by name, without this one.
@@ -63,7 +71,7 @@
         self.node = node
         self.transport = transport.PeerTransport(node.settings.listen.peers)
         self.born_ms = int(time.time() * 1e3)
-        self.contacts: dict[str, beats.Contact] = {}
+        self.contacts: dict[str, heartbeats.Contact] = {}
         self.heard_at: dict[str, float] = {}
         self.store_up: dict[str, bool] = {}
         self.own = _Findings()
@@ -78,15 +86,15 @@
         self.on_peer_lost_store: Callable[[], None] = lambda: None
         self.upstream_watch: watches.KindWatch | None = None
         self.leads = False
-        self.lost: dict[beats.Engine, float] = {}
+        self.lost: dict[heartbeats.Engine, float] = {}
         self.pulling = False
         self.logged_live: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def open(self) -> None:
         """Starts to answer other instances."""
-        self.transport.register(beats.Beat, self._on_beat)
-        self.transport.register(beats.RulesPull, self._on_pull)
+        self.transport.register(heartbeats.Heartbeat, self._on_heartbeat)
+        self.transport.register(heartbeats.RulesPull, self._on_pull)
         self.transport.open()
 
     async def close(self) -> None:
@@ -94,10 +102,10 @@
         await self.transport.close()
 
     @property
-    def me(self) -> beats.Contact:
+    def me(self) -> heartbeats.Contact:
         """This instance."""
         settings = self.node.settings
-        return beats.Contact(
+        return heartbeats.Contact(
             name=settings.name,
             born_ms=self.born_ms,
             data_centre=settings.data_centre,
@@ -107,7 +115,7 @@
             leaving=self.node.leaving,
         )
 
-    def live(self) -> list[beats.Contact]:
+    def live(self) -> list[heartbeats.Contact]:
         """Returns instances that were heard of a short time ago."""
         now = time.monotonic()
         return [
@@ -139,21 +147,21 @@
 
     def doubt(self, engine: upstreams.Upstream) -> None:
         """Notes an engine that a request found at fault."""
-        key = beats.Engine(engine.name, engine.born_ms)
+        key = heartbeats.Engine(engine.name, engine.born_ms)
         self.own.doubts[key] = time.monotonic()
 
     def note_refusal(self, engine: upstreams.Upstream) -> None:
         """Notes an engine that a request was refused for."""
-        key = beats.Engine(engine.name, engine.born_ms)
+        key = heartbeats.Engine(engine.name, engine.born_ms)
         self.own.refusers[key] = time.monotonic()
 
     @property
-    def doubts(self) -> set[beats.Engine]:
+    def doubts(self) -> set[heartbeats.Engine]:
         """Engines that requests found at fault."""
         return {*self.own.doubts, *self.heard.doubts}
 
     @property
-    def refusers(self) -> set[beats.Engine]:
+    def refusers(self) -> set[heartbeats.Engine]:
         """Engines that requests were refused for."""
         return {*self.own.refusers, *self.heard.refusers}
 
@@ -164,7 +172,7 @@
         return any(self.store_up.get(c.name) for c in self.live())
 
     async def run(self) -> None:
-        """Exchanges beats until cancelled."""
+        """Exchanges heartbeats until cancelled."""
         while True:
             self._forget()
             others = list(self.contacts.values())
@@ -188,32 +196,34 @@
     async def _exchange(self, address: str) -> None:
         try:
             reply = await self.transport.exchange(
-                address, self._beat(), EXCHANGE_TIMEOUT_S
+                address, self._heartbeat(), EXCHANGE_TIMEOUT_S
             )
         except transport.PeerError:
             return  # silence shows in ``heard_at``
         self._take(reply)
 
-    def _beat(self) -> beats.Beat:
+    def _heartbeat(self) -> heartbeats.Heartbeat:
         now = time.monotonic()
         own = self.node.dispatcher.own
         in_force = self.node.rules
         self.lost = {e: t for e, t in self.lost.items() if t > now}
-        held: tuple[beats.Held, ...] = ()
+        held: tuple[heartbeats.Held, ...] = ()
         if self.leads:
             held = tuple(
-                beats.Held(name, born_ms, layers.first, layers.last)
+                heartbeats.Held(name, born_ms, layers.first, layers.last)
                 for (name, born_ms), layers in self.node.held.items()
                 if self.node.registry.usable(name, born_ms) is not None
             )
-        return beats.Beat(
+        return heartbeats.Heartbeat(
             sender=self.me,
             rules_version=in_force.version if in_force else 0,
             store_up=self.node.watch_up,
             upstreams_revision=(
                 self.upstream_watch.newest if self.upstream_watch else 0
             ),
-            loads={n: beats.Load(v.requests, v.tokens) for n, v in own.items()},
+            loads={
+                n: heartbeats.Load(v.requests, v.tokens) for n, v in own.items()
+            },
             doubts=tuple(self.own.doubts),
             leads=self.leads,
             lost=tuple(self.lost) if self.leads else (),
@@ -223,67 +233,71 @@
             others=tuple(self.live()),
         )
 
-    def _on_beat(self, beat: beats.Beat) -> beats.Beat:
-        self._take(beat)
-        return self._beat()
+    def _on_heartbeat(
+        self, heartbeat: heartbeats.Heartbeat
+    ) -> heartbeats.Heartbeat:
+        self._take(heartbeat)
+        return self._heartbeat()
 
-    def _take(self, beat: beats.Beat) -> None:
+    def _take(self, heartbeat: heartbeats.Heartbeat) -> None:
         now = time.monotonic()
-        name = beat.sender.name
+        name = heartbeat.sender.name
         if name == self.node.settings.name:
             return
-        self.learn(beat.sender)
+        self.learn(heartbeat.sender)
         self.heard_at[name] = now
-        self.store_up[name] = beat.store_up
-        if beat.store_up:
+        self.store_up[name] = heartbeat.store_up
+        if heartbeat.store_up:
             self.peer_up_at = now
         elif self.node.watch_up and now - self.checked_at > CHECK_STORE_S:
             # An idle watch does not show that the store has fallen silent.
             self.checked_at = now
             self.on_peer_lost_store()
         if self.upstream_watch is not None:
-            self.upstream_watch.on_peer(beat.upstreams_revision)
+            self.upstream_watch.on_peer(heartbeat.upstreams_revision)
         loads = {
             n: dispatch.Load(v.requests, v.tokens)
-            for n, v in beat.loads.items()
+            for n, v in heartbeat.loads.items()
         }
         self.node.dispatcher.on_remote(name, loads, now)
-        for contact in beat.others:
+        for contact in heartbeat.others:
             if contact.name != self.node.settings.name:
                 self.learn(contact)
-        for engine in beat.doubts:
+        for engine in heartbeat.doubts:
             self.heard.doubts[engine] = now
-        for engine in beat.refusers:
+        for engine in heartbeat.refusers:
             self.heard.refusers[engine] = now
-        if beat.leads:
-            self._take_lead(beat)
-        self._compare_rules(beat, now)
+        if heartbeat.leads:
+            self._take_lead(heartbeat)
+        self._compare_rules(heartbeat, now)
         self.node.instances = 1 + len(self.contacts)
 
-    def _take_lead(self, beat: beats.Beat) -> None:
-        for service, plan in beat.plans.items():
+    def _take_lead(self, heartbeat: heartbeats.Heartbeat) -> None:
+        for service, plan in heartbeat.plans.items():
             self.node.apply_plan(service, plan)
-        for engine in beat.lost:
+        for engine in heartbeat.lost:
             known = self.node.registry.incarnation(engine.name, engine.born_ms)
             if known is not None:
                 self.node.avoid(known, LIVE_S, "reported by control")
-        for held in beat.held:
+        for held in heartbeat.held:
             layers = upstreams.Layers(held.first, held.last)
             self.node.set_held((held.name, held.born_ms), layers)
 
-    def _compare_rules(self, beat: beats.Beat, now: float) -> None:
+    def _compare_rules(
+        self, heartbeat: heartbeats.Heartbeat, now: float
+    ) -> None:
         in_force = self.node.rules
         version = in_force.version if in_force else 0
-        if beat.store_up and beat.rules_version <= version:
+        if heartbeat.store_up and heartbeat.rules_version <= version:
             self.node.confirmed_at = now
-        if beat.rules_version > version and not self.pulling:
+        if heartbeat.rules_version > version and not self.pulling:
             self.pulling = True
-            self.spawn(self._pull(beat.sender.peers, version))
+            self.spawn(self._pull(heartbeat.sender.peers, version))
 
     async def _pull(self, address: str, known: int) -> None:
         try:
             reply = await self.transport.exchange(
-                address, beats.RulesPull(known), PULL_TIMEOUT_S
+                address, heartbeats.RulesPull(known), PULL_TIMEOUT_S
             )
             if reply.version <= known:
                 return
@@ -300,14 +314,14 @@
         finally:
             self.pulling = False
 
-    def _on_pull(self, pull: beats.RulesPull) -> beats.RulesReply:
+    def _on_pull(self, pull: heartbeats.RulesPull) -> heartbeats.RulesReply:
         in_force = self.node.rules
         if in_force is None or in_force.version <= pull.known:
-            return beats.RulesReply(0, b"")
+            return heartbeats.RulesReply(0, b"")
         raw = msgspec.json.encode(self.node.rules_spec)
-        return beats.RulesReply(in_force.version, zlib.compress(raw))
+        return heartbeats.RulesReply(in_force.version, zlib.compress(raw))
 
-    def learn(self, contact: beats.Contact) -> None:
+    def learn(self, contact: heartbeats.Contact) -> None:
         """Takes in how an instance is reached."""
         known = self.contacts.get(contact.name)
         if known is not None and known.born_ms > contact.born_ms:
@@ -359,8 +373,10 @@
 class _Findings:
     """Engines with the time at which they were found."""
 
-    doubts: dict[beats.Engine, float] = dataclasses.field(default_factory=dict)
-    refusers: dict[beats.Engine, float] = dataclasses.field(
+    doubts: dict[heartbeats.Engine, float] = dataclasses.field(
+        default_factory=dict
+    )
+    refusers: dict[heartbeats.Engine, float] = dataclasses.field(
         default_factory=dict
     )
 
--- a/src/yuccatally/forwarding/inspection.py
+++ b/src/yuccatally/forwarding/inspection.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from yuccatally.peers import beats
+from yuccatally.peers import heartbeats
 from yuccatally.platform import engines
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
         self.fleet = others
         self.session = session
         self.orders = given
-        self.verified_at: dict[tuple[str, beats.Engine], float] = {}
+        self.verified_at: dict[tuple[str, heartbeats.Engine], float] = {}
 
     def check(self) -> None:
         """Asks engines in doubt, each no more often than is useful."""
@@ -59,7 +59,7 @@
                     self.verified_at[key] = now
                     self.fleet.spawn(verify(engine))
 
-    async def _verify_refuser(self, doubted: beats.Engine) -> None:
+    async def _verify_refuser(self, doubted: heartbeats.Engine) -> None:
         """Asks an engine that refuses whether it is leaving."""
         engine = self.node.registry.incarnation(doubted.name, doubted.born_ms)
         if engine is None:
@@ -91,7 +91,7 @@
             return
         self._lose(engine, "refuses requests and health checks")
 
-    async def _verify(self, doubted: beats.Engine) -> None:
+    async def _verify(self, doubted: heartbeats.Engine) -> None:
         """Asks an engine in doubt for a report; plans without it if silent."""
         engine = self.node.registry.incarnation(doubted.name, doubted.born_ms)
         if engine is None:
@@ -114,7 +114,7 @@
         self.fleet.lost.pop(doubted, None)
 
     def _lose(self, engine: upstreams.Upstream, reason: str) -> None:
-        key = beats.Engine(engine.name, engine.born_ms)
+        key = heartbeats.Engine(engine.name, engine.born_ms)
         if key not in self.fleet.lost:
             _log.warning("engine_lost", engine=engine.name, reason=reason)
         self.fleet.lost[key] = time.monotonic() + LOST_S
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -14,11 +14,11 @@
 from yuccatally.forwarding import application
 from yuccatally.forwarding import calls
 from yuccatally.forwarding import control
+from yuccatally.forwarding import detection
 from yuccatally.forwarding import fleet
 from yuccatally.forwarding import registration
 from yuccatally.forwarding import state
 from yuccatally.forwarding import streams
-from yuccatally.forwarding import troubles
 from yuccatally.forwarding import watches
 from yuccatally.instance import protocol
 from yuccatally.instance import servers
@@ -44,16 +44,22 @@
 # Requests that come later than this after the start of a drain come from
 # callers that could not ask for addresses; a long answer would be cut off.
 REFUSE_AFTER_S = 3.2
-# Time before the forced end in which the process ends by itself.
+# Time before the forced end in which the process ends by itself; closing takes
+# some tens of milliseconds.
 END_MARGIN_S = 0.3
+# Short against the time in which an answer ends.
 POLL_S = 0.05
 # Connections are kept well beyond the idle time that clients are told, so
 # that none is closed while a request is on its way.
 IDLE_FACTOR = 2.0
+# Longer than any route waits, so that a route's own timeout ends a request.
 BODY_TIMEOUT_S = 30.0
+# Clients leave a stream after a pause of a few seconds themselves.
 WRITE_TIMEOUT_S = 10.0
+# Below the 4,100 descriptors of the smallest machines, with room for upstreams.
 CONNECTIONS = 3000
-# Changes of many upstreams at once come with one call.
+# Changes of many upstreams at once come with one call; a release changes an
+# entry every second, and leaving upstreams may be used for two seconds.
 UPSTREAM_GATHER_S = 0.15
 
 _log = structlog.get_logger()
@@ -140,15 +146,15 @@
         self.control = control.Control(
             self.state, self.fleet, self.store, session
         )
-        finder = troubles.Troubles(self.state, self.fleet)
+        detector = detection.FaultDetector(self.state, self.fleet)
         forwarder = streams.StreamForwarder(
-            self.state, client, finder.on_failure
+            self.state, client, detector.on_failure
         )
-        finder.abandon = forwarder.abandon
+        detector.abandon = forwarder.abandon
         self.application = application.Application(
             self.state,
             forwarder,
-            calls.CallForwarder(self.state, client, finder.on_failure),
+            calls.CallForwarder(self.state, client, detector.on_failure),
             self.metrics,
         )
         listeners = self._listeners()
@@ -159,7 +165,7 @@
             self.registration.register(),
             self.control.keep_lease(),
             self.control.run(),
-            finder.run(),
+            detector.run(),
             *(watch.run() for watch in self.watches),
             *(listener.serve() for listener in listeners),
         ):
--- a/src/yuccatally/forwarding/orders.py
+++ b/src/yuccatally/forwarding/orders.py
@@ -22,6 +22,8 @@
 
 # An order whose engine has not shown the layers is looked at this often.
 POLL_S = 0.5
+# Loads before the first request take a tenth of the declared time.
+FIRST_POLL_S = 0.2
 # Loads take some seconds; control orders again what is still missing.
 TRIES = 40
 
@@ -107,8 +109,8 @@
                 return
             if outcome is engines.Outcome.BEGUN:
                 self.accepted[key] = wanted.expected_orders + 1
-            wait_s = model.load_s * share if number else 0.0
-            await asyncio.sleep(min(POLL_S, max(wait_s / 2, 0.2)))
+            load_s = model.load_s * share if number else 0.0
+            await asyncio.sleep(min(POLL_S, max(load_s / 2, FIRST_POLL_S)))
             if await self._shows(engine, stage):
                 return
 
--- a/src/yuccatally/forwarding/registration.py
+++ b/src/yuccatally/forwarding/registration.py
@@ -8,7 +8,7 @@
 import msgspec
 import structlog
 
-from yuccatally.peers import beats
+from yuccatally.peers import heartbeats
 from yuccatally.store import client
 
 if TYPE_CHECKING:
@@ -16,6 +16,7 @@
     from yuccatally.forwarding import watches
 
 KIND = "instances"
+# Other instances learn of this one by heartbeats meanwhile.
 RETRY_S = 0.5
 
 _log = structlog.get_logger()
@@ -64,7 +65,7 @@
         if item.deleted or item.name == self.fleet.node.settings.name:
             return
         try:
-            contact = msgspec.convert(item.spec["contact"], beats.Contact)
+            contact = msgspec.convert(item.spec["contact"], heartbeats.Contact)
         except (msgspec.MsgspecError, KeyError, TypeError) as error:
             _log.warning("entry_ignored", name=item.name, reason=str(error))
             return
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -26,12 +26,14 @@
 # Longest wait for room on a pipeline, as a share of the objective. A refusal
 # that comes later is worth less to a caller than one at once.
 ROOM_WAIT_SHARE = 0.1
+# Room comes with the end of an answer, some ten times a second.
 ROOM_POLL_S = 0.02
 # Pause before a stream goes on over the path that it broke off on; control
 # repairs the path or finds it sound meanwhile.
 SAME_PATH_S = 0.2
 # Longest pause in which a stream waits to go on; clients leave after 2 s.
 RESUME_WAIT_S = 1.5
+# Longest failure of an engine that is passed on.
 ERROR_LIMIT_BYTES = 1024 * 1024
 
 
--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -19,16 +19,21 @@
     Listed = Callable[[tuple[client.Stored, ...], "Outage | None"], None]
     Changed = Callable[[client.Stored, "Outage | None"], None]
 
+# Each return is a call; a watch that falls silent is found by other signs.
 WAIT_S = 10.0
+# A lost store is looked for again within the two seconds in which changes have
+# to be in force.
 RETRY_FIRST_S = 0.15
 RETRY_LAST_S = 1.5
 # A watch tries by itself after this time without the first one.
 FIRST_WAIT_S = 5.0
 # Changes within this time come with one call instead of one call each.
 GATHER_S = 0.05
-# Entries may still be coming back for this long after a call has succeeded.
+# Entries may still be coming back for this long after a call has succeeded:
+# the platform's two seconds and the time of two calls.
 REJOIN_S = 2.2
-# A peer may be ahead for this long before the own watch is taken for silent.
+# A peer may be ahead for this long before the own watch is taken for silent:
+# the pause between two calls and the time of a heartbeat, twice.
 BEHIND_S = 0.6
 
 _log = structlog.get_logger()
--- a/src/yuccatally/peers/beats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -54,7 +54,7 @@
     tokens: float
 
 
-class Beat(msgspec.Struct, array_like=True, frozen=True):
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
     """State of the sender; the reply is that of the receiver.
 
     Attributes:
@@ -89,7 +89,7 @@
     others: tuple[Contact, ...] = ()
 
 
-Beat.reply = Beat
+Heartbeat.reply = Heartbeat
 
 
 class RulesReply(msgspec.Struct, array_like=True, frozen=True):
--- a/src/yuccatally/platform/engines.py
+++ b/src/yuccatally/platform/engines.py
@@ -16,6 +16,7 @@
 
 # Engines answer reports without a slot, within a few milliseconds.
 REPORT_TIMEOUT_S = 0.4
+# An order is only taken in this time, not carried out.
 ORDER_TIMEOUT_S = 1.0
 
 _ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
--- a/src/yuccatally/store/calls.py
+++ b/src/yuccatally/store/calls.py
@@ -10,8 +10,10 @@
 from yuccatally.store import client
 from yuccatally.store import once
 
+# The store answers in milliseconds, and within some 300 ms when it is slow.
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+# Time for the answer of a watch whose wait has ended.
 WATCH_MARGIN_S = 1.0
 
 
--- a/src/yuccatally/store/leases.py
+++ b/src/yuccatally/store/leases.py
@@ -11,6 +11,7 @@
 from yuccatally.store import client
 
 KIND = "lease"
+# A renewal is due every second or less often.
 UNAVAILABLE_DELAY_S = 1.0
 
 
--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -19,6 +19,8 @@
     from aiohttp import client_proto
     from aiohttp import connector
 
+# Connections within a region take milliseconds; a dropped opening packet is
+# sent again after a second or more.
 CONNECT_TIMEOUT_S = 1.0
 # Kept below the idle time after which upstreams close a connection, so that
 # no request meets that close.
