Read lenient settings and name order outcomes outside the adapter

The adapter held a reader of settings that knows nothing of the platform, the outcomes of orders, and the choice of a port for metrics. Metrics are on the first internal port.

--- a/src/yuccatally/core/forwarding/reports.py
+++ b/src/yuccatally/core/forwarding/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -52,3 +53,15 @@
     layers: upstreams.Layers
     fence: int
     expected_orders: int
+
+
+class Outcome(enum.Enum):
+    """What became of an order."""
+
+    BEGUN = enum.auto()
+    HOLDS_ALREADY = enum.auto()
+    STATE_DIFFERS = enum.auto()
+    STALE_FENCE = enum.auto()
+    REFUSED = enum.auto()
+    # It may be carried out at any later time.
+    UNKNOWN = enum.auto()
--- a/src/yuccatally/forwarding/orders.py
+++ b/src/yuccatally/forwarding/orders.py
@@ -101,13 +101,13 @@
                 expected=wanted.expected_orders,
                 outcome=outcome.name,
             )
-            if outcome is engines.Outcome.STALE_FENCE:
+            if outcome is reports.Outcome.STALE_FENCE:
                 self.leader.lease.on_conflict()
                 return
-            if outcome is engines.Outcome.HOLDS_ALREADY:
+            if outcome is reports.Outcome.HOLDS_ALREADY:
                 self.node.set_held(key, stage.layers)
                 return
-            if outcome is engines.Outcome.BEGUN:
+            if outcome is reports.Outcome.BEGUN:
                 self.accepted[key] = wanted.expected_orders + 1
             load_s = model.load_s * share if number else 0.0
             await asyncio.sleep(min(POLL_S, max(load_s / 2, FIRST_POLL_S)))
--- a/src/yuccatally/platform/engines.py
+++ b/src/yuccatally/platform/engines.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
 import aiohttp
 
+from yuccatally.core.forwarding import reports
 from yuccatally.platform import documents
 from yuccatally.platform import headers
 
 if TYPE_CHECKING:
-    from yuccatally.core.forwarding import reports
     from yuccatally.core.forwarding import upstreams
 
 # Engines answer reports without a slot, within a few milliseconds.
@@ -26,23 +25,11 @@
     """An engine did not report."""
 
 
-class Outcome(enum.Enum):
-    """What became of an order."""
-
-    BEGUN = enum.auto()
-    HOLDS_ALREADY = enum.auto()
-    STATE_DIFFERS = enum.auto()
-    STALE_FENCE = enum.auto()
-    REFUSED = enum.auto()
-    # It may be carried out at any later time.
-    UNKNOWN = enum.auto()
-
-
 _OUTCOMES = {
-    200: Outcome.HOLDS_ALREADY,
-    202: Outcome.BEGUN,
-    409: Outcome.STATE_DIFFERS,
-    412: Outcome.STALE_FENCE,
+    200: reports.Outcome.HOLDS_ALREADY,
+    202: reports.Outcome.BEGUN,
+    409: reports.Outcome.STATE_DIFFERS,
+    412: reports.Outcome.STALE_FENCE,
 }
 
 
@@ -97,7 +84,7 @@
     session: aiohttp.ClientSession,
     engine: upstreams.Upstream,
     wanted: reports.LayersOrder,
-) -> Outcome:
+) -> reports.Outcome:
     """Orders an engine to hold a range of layers."""
     try:
         async with session.post(
@@ -110,8 +97,8 @@
             timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
         ) as response:
             await response.read()
-            return _OUTCOMES.get(response.status, Outcome.REFUSED)
+            return _OUTCOMES.get(response.status, reports.Outcome.REFUSED)
     except aiohttp.ClientConnectorError:
-        return Outcome.REFUSED
+        return reports.Outcome.REFUSED
     except _ERRORS:
-        return Outcome.UNKNOWN
+        return reports.Outcome.UNKNOWN
--- a/src/yuccatally/platform/settings.py
+++ b/src/yuccatally/platform/settings.py
@@ -7,17 +7,13 @@
 from typing import Any
 
 import expression
-import structlog
 
+from yuccatally.core import lenient
 from yuccatally.core import strict
 from yuccatally.core.forwarding import node
 
 PATH_VARIABLE = "YUCCATALLY_NODE_FILE"
 DEFAULT_PATH = "/etc/yuccatally/local.toml"
-# Offset of the metrics listener from the first port free for the instances.
-METRICS_PORT_OFFSET = 5
-
-_log = structlog.get_logger()
 
 
 def path() -> pathlib.Path:
@@ -61,7 +57,7 @@
     Returns:
         The settings, or the problems.
     """
-    reader = _Reader(raw)
+    reader = lenient.LenientReader(raw)
     zones = reader.table("zones")
     found = node.Node(
         name=reader.text("nodeName"),
@@ -77,14 +73,14 @@
         seeds=reader.addresses("seeds"),
         store=reader.address("platform.address"),
         bounds=_bounds(reader),
-        metrics=_metrics(reader),
+        metrics=_first_internal(reader),
     )
     if reader.problems:
         return expression.Error(tuple(reader.problems))
     return expression.Ok(found)
 
 
-def _bounds(reader: _Reader) -> node.Bounds:
+def _bounds(reader: lenient.LenientReader) -> node.Bounds:
     default = node.Bounds()
     return node.Bounds(
         grace_s=reader.number("bounds.graceS", default.grace_s),
@@ -104,7 +100,8 @@
     )
 
 
-def _metrics(reader: _Reader) -> str:
+def _first_internal(reader: lenient.LenientReader) -> str:
+    """Returns the first address that is free for traffic of the instances."""
     ports = reader.value("internalPorts")
     ip = reader.text("ip", "")
     if not ip or not isinstance(ports, list) or not ports:
@@ -112,80 +109,4 @@
     if not isinstance(ports[0], int):
         reader.ignore("internalPorts", "expected two port numbers")
         return ""
-    return f"{ip}:{ports[0] + METRICS_PORT_OFFSET}"
-
-
-class _Reader:
-    """Reads values by dotted key and collects problems."""
-
-    def __init__(self, raw: dict[str, Any]) -> None:
-        self.raw = raw
-        self.problems: list[strict.Problem] = []
-
-    def value(self, key: str) -> Any:
-        found: Any = self.raw
-        for part in key.split("."):
-            if not isinstance(found, dict):
-                return None
-            found = found.get(part)
-        return found
-
-    def text(self, key: str, default: str | None = None) -> str:
-        found = self.value(key)
-        if isinstance(found, str) and found:
-            return found
-        if default is None:
-            self._reject(key, "expected a text that is not empty")
-            return ""
-        if found not in (None, ""):
-            self.ignore(key, "expected a text")
-        return default
-
-    def number(self, key: str, default: float) -> float:
-        found = self.value(key)
-        if found is None:
-            return default
-        if isinstance(found, bool) or not isinstance(found, int | float):
-            self.ignore(key, "expected a number")
-            return default
-        if not 0 <= found < float("inf"):
-            self.ignore(key, "expected a number of at least 0")
-            return default
-        return float(found)
-
-    def table(self, key: str) -> dict[str, Any]:
-        found = self.value(key)
-        if found is not None and not isinstance(found, dict):
-            self.ignore(key, "expected a table")
-        return found if isinstance(found, dict) else {}
-
-    def address(self, key: str) -> str:
-        found = self.text(key)
-        if found and not _is_address(found):
-            self._reject(key, "expected IP:PORT")
-            return ""
-        return found
-
-    def addresses(self, key: str) -> tuple[str, ...]:
-        found = self.value(key)
-        if not isinstance(found, list):
-            if found is not None:
-                self.ignore(key, "expected a list of IP:PORT")
-            return ()
-        good = tuple(a for a in found if isinstance(a, str) and _is_address(a))
-        if len(good) != len(found):
-            self.ignore(key, "skipped entries that are not IP:PORT")
-        return good
-
-    def ignore(self, key: str, message: str) -> None:
-        _log.warning("setting_ignored", setting=key, reason=message)
-
-    def _reject(self, key: str, message: str) -> None:
-        self.problems.append(strict.Problem(key, message))
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return (
-        bool(host) and port.isascii() and port.isdigit() and int(port) < 65536
-    )
+    return f"{ip}:{ports[0]}"
