Wait for the count of a stream that was cut before checking it

An instance settles a streamed request after its last byte was handed over, and the test asked another process for the count at once. Settling before the last byte would let a drain end while that byte is on its way. The test now waits until nothing is in flight, as the others in the file do, and compares the same counts.

--- a/tests/instance/test_recovery.py
+++ b/tests/instance/test_recovery.py
@@ -150,7 +150,7 @@
             running.set_faults(plan.name, frozen=False)
     assert streams.disagreements(running, answers) == []
     assert streams.leaked(running) == {}
-    assert balanced(running)["in_flight"] == 0
+    await settled(running)
 
 
 async def test_stream_that_cannot_be_finished_says_so(
@@ -169,7 +169,8 @@
             await task
     assert (answer.outcome, answer.error) == ("unknown", "upstream-failed")
     assert answer.right
-    assert balanced(running)["unknown"] == before["unknown"] + 1
+    # The instance counts a request after it has sent the last byte.
+    assert (await settled(running))["unknown"] == before["unknown"] + 1
     assert streams.leaked(running) == {}
 
 
