Answer requests that are accepted at the end of a drain

The listeners were cancelled as soon as nothing was under way, so a request that had just been read ended without an answer. Listeners now stop accepting, wait 0.2 s for requests of connections that were accepted, and end when those are answered.

--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -44,9 +44,9 @@
 # Requests that come later than this after the start of a drain come from
 # callers that could not ask for addresses; a long answer would be cut off.
 REFUSE_AFTER_S = 3.2
-# Time before the forced end in which the process ends by itself; closing takes
-# some tens of milliseconds.
-END_MARGIN_S = 0.3
+# Time before the forced end in which the process ends by itself: the listeners
+# wait 0.2 s for a last request, and closing takes some tens of milliseconds.
+END_MARGIN_S = 0.5
 # Short against the time in which an answer ends.
 POLL_S = 0.05
 # Connections are kept well beyond the idle time that clients are told, so
@@ -126,9 +126,7 @@
         try:
             listeners = self._open(client, session)
             await self.stopping.wait()
-            await self._drain()
-            for listener in listeners:
-                listener.close_idle()
+            await self._drain(listeners)
         finally:
             for task in self.tasks:
                 task.cancel()
@@ -172,13 +170,21 @@
             self._start(work)
         return listeners
 
-    async def _drain(self) -> None:
+    async def _drain(self, listeners: list[servers.Listener]) -> None:
         """Serves until nobody is expected and nothing is in flight."""
         started_at = time.monotonic()
         await asyncio.gather(self.fleet.announce(), self.control.give_up())
         await asyncio.sleep(REFUSE_AFTER_S)
         self.application.refusing = True
         ends_at = started_at + self.settings.bounds.grace_s - END_MARGIN_S
+        await self._until_idle(ends_at)
+        for listener in listeners:
+            listener.close_idle()
+        # A request that has just been accepted still gets its answer.
+        await asyncio.gather(*(listener.stop() for listener in listeners))
+        await self._until_idle(ends_at)
+
+    async def _until_idle(self, ends_at: float) -> None:
         # A poll keeps the count of requests free of I/O.
         while self.state.in_flight and time.monotonic() < ends_at:  # noqa: ASYNC110
             await asyncio.sleep(POLL_S)
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -65,6 +65,7 @@
     Attributes:
         fleet: All engines by address, to look at the others of a path.
         streams: Whether its answers are streams of events.
+        delay_s: Time that it works on a request, in seconds.
         held: Layers that it holds as first and last, exclusive.
         orders: Orders accepted.
         runs: Requests that it has run.
@@ -87,6 +88,7 @@
         self.data_centre = data_centre
         self.events = events
         self.streams = bool(card)
+        self.delay_s = 0.0
         self.address = ""
         self.born = 1000
         self.behaviour = Behaviour()
@@ -187,6 +189,7 @@
         run = Run(attempt, request.raw_path, headers, body)
         self.runs.append(run)
         try:
+            await asyncio.sleep(self.delay_s)
             if self.behaviour.mute:
                 await asyncio.sleep(3600)
             if self.behaviour.fail:
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 from typing import TYPE_CHECKING
 from typing import Any
 
+import aiohttp
 import pytest
 import structlog
 
@@ -437,3 +439,26 @@
         await path_site.until(
             lambda: any(e["event"] == "instance_lost" for e in logs)
         )
+
+
+async def test_request_at_the_end_of_a_drain_is_answered(
+    served: path_site.Site,
+) -> None:
+    """Guards against a request that is read and ends without an answer.
+
+    Listeners were cancelled as soon as nothing was under way.
+    """
+    found = served.nodes[0]
+    desk = served.engines["d1"]
+    desk.delay_s = 0.1
+    found.start_drain()
+    statuses: list[int] = []
+    async with asyncio.timeout(found.settings.bounds.grace_s + 2.0):
+        with contextlib.suppress(aiohttp.ClientConnectorError):
+            while True:
+                request_id = f"x{len(statuses)}"
+                status, _, _ = await served.request("/book/x", request_id)
+                statuses.append(status)
+    # A connection that ends without an answer raises another error.
+    assert statuses.count(200) > 10
+    assert set(statuses) <= {200, 503}
