Tell engines the rank of each request

Routes and client accounts state how urgent a request is, and engines admit urgent requests first if they are told. They were not: a client account's rank was decoded and never read. The new test failed for lack of the header.

--- a/src/yuccatally/core/forwarding/rules.py
+++ b/src/yuccatally/core/forwarding/rules.py
@@ -177,6 +177,19 @@
     priority: int | None = None
 
 
+def rank(route: Route, account: Account | None) -> int:
+    """Returns the rank of a request; 0 is the most urgent.
+
+    >>> desk = Account("desk", ("key",), priority=4)
+    >>> route = Route("r", "h", "/", (), Repeat.STREAM, 1, 1, 1, 1, False, 2)
+    >>> rank(route, desk), rank(route, None)
+    (4, 2)
+    """
+    if account is not None and account.priority is not None:
+        return account.priority
+    return route.priority
+
+
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """What a client may send and how long it may take.
--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -189,6 +189,7 @@
             route=route,
             service=service,
             account=account.name if account else "",
+            priority=rules.rank(route, account),
             started_at=started_at,
             deadline=started_at + wait_s,
         )
--- a/src/yuccatally/forwarding/ticket.py
+++ b/src/yuccatally/forwarding/ticket.py
@@ -37,6 +37,7 @@
         route: Route that it matched.
         service: Service that was drawn for it.
         account: Name of the client account; empty for none.
+        priority: Rank of the request; 0 is the most urgent.
         started_at: Monotonic time of its arrival, in seconds.
         deadline: Monotonic time at which nobody waits any more.
     """
@@ -49,6 +50,7 @@
     route: rules.Route
     service: rules.Service
     account: str
+    priority: int
     started_at: float
     deadline: float
 
@@ -61,6 +63,7 @@
         return platform_headers.outgoing(
             self.headers,
             self.account,
+            self.priority,
             self.left_s(),
             last_event_id,
             path,
--- a/src/yuccatally/platform/headers.py
+++ b/src/yuccatally/platform/headers.py
@@ -24,6 +24,8 @@
 EXPECTED_UPSTREAM = "yuccatally-expect-instance"
 EXPECTED_VERSION = "yuccatally-expect-version"
 PRIORITY = "yuccatally-request-priority"
+# Engines know ranks from 0, the most urgent, to this one.
+LEAST_URGENT = 9
 NOT_RUN = "yuccatally-not-executed"
 # Address of the engine at fault in a refusal.
 FAULTY_ADDRESS = "at-server"
@@ -70,6 +72,7 @@
 def outgoing(
     headers: Iterable[tuple[str, str]],
     account: str,
+    priority: int,
     left_s: float,
     last_event_id: str,
     path: dispatch.Path,
@@ -79,6 +82,7 @@
     Args:
         headers: End-to-end headers of the client.
         account: Client account; empty for none.
+        priority: Rank of the request; 0 is the most urgent.
         left_s: Time left, in seconds.
         last_event_id: Event after which a stream goes on; empty for none.
         path: Upstreams that the request passes; only the first may run it.
@@ -91,6 +95,7 @@
     if last_event_id:
         kept.append((LAST_EVENT_ID, last_event_id))
     if path.ranges:
+        kept.append((PRIORITY, str(min(max(priority, 0), LEAST_URGENT))))
         kept.append((PATH, path_text(path)))
     return tuple(kept)
 
--- a/tests/forwarding/test_ends.py
+++ b/tests/forwarding/test_ends.py
@@ -39,6 +39,26 @@
     assert 0 < int(sent["yuccatally-deadline-ms"]) <= 3000
 
 
+@pytest.mark.parametrize(
+    ("of_account", "expected"), [(None, "1"), (4, "4"), (12, "9"), (0, "0")]
+)
+async def test_engines_are_told_the_rank(
+    served: path_site.Site, of_account: int | None, expected: str
+) -> None:
+    """Guards against urgent requests that engines treat like all others."""
+    account = {"name": "desk-one", "apiKeys": [path_site.KEY]}
+    if of_account is not None:
+        account["priority"] = of_account
+    await served.configure(5, tenants=[account])
+    state = served.nodes[0].state
+    await path_site.until(lambda: state.rules and state.rules.version == 5)
+    forged = {"Yuccatally-Request-Priority": "3"}
+    status, _, _ = await served.request("/ask/x", headers=forged)
+    assert status == 200
+    runs = [r for e in served.engines.values() for r in e.runs]
+    assert runs[0].headers["yuccatally-request-priority"] == expected
+
+
 async def test_client_cannot_name_account_or_path(
     served: path_site.Site,
 ) -> None:
