Reroute streams around a lost later engine

Streams that could not go on over another pipeline (their route does not allow it, the attempts or the retry budget are used up, or nothing has room) waited on a stalled path until their client left. Engines of other pipelines often hold the lost layers, under other boundaries, so the first engine can be ordered to go on over them; only these read the stream again. It counts as a repeated send.

Without the change the three new tests of tests/forwarding/test_rerouting.py fail.

--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -59,6 +59,10 @@
     slots: int
     data_centre: str
 
+    def has(self, address: str) -> bool:
+        """Returns whether an engine with an address is on the path."""
+        return any(h.address == address for h in self.hops)
+
 
 @dataclasses.dataclass
 class Pace:
--- a/src/yuccatally/core/forwarding/reports.py
+++ b/src/yuccatally/core/forwarding/reports.py
@@ -55,6 +55,25 @@
     expected_orders: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Rerouted:
+    """A request goes on over another path."""
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRerouted:
+    """An order to reroute a request was not carried out.
+
+    Attributes:
+        reason: What the engine said, for logs.
+        faulty_address: Engine of the path that cannot take its part; empty
+            if another one might be tried in vain.
+    """
+
+    reason: str
+    faulty_address: str = ""
+
+
 class Outcome(enum.Enum):
     """What became of an order."""
 
--- a/src/yuccatally/forwarding/detection.py
+++ b/src/yuccatally/forwarding/detection.py
@@ -41,6 +41,8 @@
         self.noted_at: dict[str, float] = {}
         # Ends the attempts on a path; returns how many there were.
         self.abandon: Callable[[str], int] = lambda path: 0
+        # Sends the attempts that stay on a path around its lost engine.
+        self.reroute: Callable[[dispatch.Path], None] = lambda path: None
 
     async def run(self) -> None:
         """Looks for stalled paths until cancelled.
@@ -93,6 +95,7 @@
         moved = 0
         if self._has_alternative(path, now):
             moved = self.abandon(path.name)
+        self.reroute(path)
         load = self.node.dispatcher.load(path.name, now)
         _log.warning(
             "path_stalled",
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -17,6 +17,7 @@
 from yuccatally.forwarding import detection
 from yuccatally.forwarding import fleet
 from yuccatally.forwarding import registration
+from yuccatally.forwarding import rerouting
 from yuccatally.forwarding import state
 from yuccatally.forwarding import streams
 from yuccatally.forwarding import watches
@@ -149,6 +150,8 @@
             self.state, client, detector.on_failure
         )
         detector.abandon = forwarder.abandon
+        rerouter = rerouting.Rerouter(self.state, forwarder, session)
+        detector.reroute = lambda path: self.fleet.spawn(rerouter.run(path))
         self.application = application.Application(
             self.state,
             forwarder,
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -10,6 +10,7 @@
 
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import reroute
 from yuccatally.core.forwarding import retries
 from yuccatally.core.forwarding import upstreams
 
@@ -148,6 +149,22 @@
         held = self.held.get((stage.engine, stage.born_ms))
         return held is not None and held.covers(stage.first, stage.last)
 
+    def holdings(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[reroute.Holding]:
+        """Returns what the usable engines of a service hold.
+
+        Args:
+            service: Name of the service.
+            excluded: Addresses of engines to leave out.
+        """
+        found = []
+        for engine in self.registry.of(service):
+            held = self.held.get((engine.name, engine.born_ms), engine.layers)
+            if held is not None and engine.address not in excluded:
+                found.append(reroute.Holding(engine, held))
+        return found
+
     def set_held(
         self, engine: tuple[str, int], layers: upstreams.Layers | None
     ) -> None:
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -42,6 +42,7 @@
     """A request that is under way on a path.
 
     Attributes:
+        request: Id of the client's attempt.
         path: The path.
         service: Service of the path.
         may_move: Whether the request may be sent to another path.
@@ -51,6 +52,7 @@
         abandoned: Whether it was told to end.
     """
 
+    request: str
     path: dispatch.Path
     service: str
     may_move: bool
@@ -120,6 +122,14 @@
             attempt.scope.reschedule(now)
         return len(found)
 
+    def on_path(self, path: str) -> dict[str, RunningAttempt]:
+        """Returns the attempts that stay on a path, by request."""
+        return {
+            a.request: a
+            for a in self.running
+            if a.path.name == path and not a.abandoned
+        }
+
     async def _forward(
         self,
         ticket: tickets.Ticket,
@@ -188,6 +198,7 @@
         self.node.dispatcher.start(path.name, tokens, time.monotonic())
         route = ticket.route
         attempt = RunningAttempt(
+            ticket.request.id,
             path,
             ticket.service.name,
             route.repeat.may_run_again and progress.ran < route.attempts,
--- a/src/yuccatally/platform/documents.py
+++ b/src/yuccatally/platform/documents.py
@@ -141,6 +141,11 @@
     address: str
 
 
+class _RefusedOrder(msgspec.Struct):
+    # The engine of the path that lacks its part.
+    address: str = ""
+
+
 class _Report(msgspec.Struct, rename="camel"):
     # Orders accepted since the start of the engine.
     sequence: int
@@ -253,6 +258,29 @@
     )
 
 
+def reroute_body(request: str, path: str) -> bytes:
+    """Encodes an order to send a request over another path.
+
+    Args:
+        request: Id of the client's attempt.
+        path: The path as engines read it.
+    """
+    return msgspec.json.encode(
+        {"operation": "repath", "id": request, "path": path}
+    )
+
+
+def faulty_address(body: bytes) -> str:
+    """Returns the address of the engine at fault in a refused order.
+
+    Empty if the refusal names none.
+    """
+    try:
+        return msgspec.json.decode(body, type=_RefusedOrder).address
+    except DECODE_ERRORS:
+        return ""
+
+
 def _route(raw: _Route) -> rules.Route:
     if not raw.path_prefix.startswith("/") or not raw.path_prefix.endswith("/"):
         raise FormatError(f"route {raw.name}: prefix {raw.path_prefix!r}")
--- a/src/yuccatally/platform/engines.py
+++ b/src/yuccatally/platform/engines.py
@@ -11,6 +11,7 @@
 from yuccatally.platform import headers
 
 if TYPE_CHECKING:
+    from yuccatally.core.forwarding import dispatch
     from yuccatally.core.forwarding import upstreams
 
 # Engines answer reports without a slot, within a few milliseconds.
@@ -80,6 +81,36 @@
         raise ReportError(f"{type(error).__name__}: {error}") from error
 
 
+async def reroute(
+    session: aiohttp.ClientSession, request: str, path: dispatch.Path
+) -> reports.Rerouted | reports.NotRerouted:
+    """Orders the first engine of a path to send a request over that path.
+
+    Args:
+        session: HTTP client.
+        request: Id of the client's attempt.
+        path: New path with the same first part as before.
+    """
+    first = path.hops[0]
+    try:
+        async with session.post(
+            f"http://{first.address}/order",
+            data=documents.reroute_body(request, headers.path_text(path)),
+            headers={
+                headers.EXPECTED_UPSTREAM: first.name,
+                "Content-Type": "application/json",
+            },
+            timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
+        ) as response:
+            body = await response.read()
+    except _ERRORS as error:
+        return reports.NotRerouted(f"{type(error).__name__}: {error}")
+    if response.status < 300:
+        return reports.Rerouted()
+    faulty = documents.faulty_address(body) if response.status == 409 else ""
+    return reports.NotRerouted(f"status {response.status}", faulty)
+
+
 async def order(
     session: aiohttp.ClientSession,
     engine: upstreams.Upstream,
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -70,6 +70,9 @@
         orders: Orders accepted.
         runs: Requests that it has run.
         cancelled: Requests whose connection was closed before their end.
+        loads: Ranges that it was ordered to hold.
+        paths: Paths of the streams that it sends as their first engine.
+        rerouted: Paths over which requests were ordered to go on.
     """
 
     def __init__(
@@ -98,6 +101,8 @@
         self.runs: list[Run] = []
         self.cancelled: list[str] = []
         self.loads: list[tuple[int, int]] = []
+        self.paths: dict[str, str] = {}
+        self.rerouted: list[str] = []
         self.runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -151,6 +156,12 @@
                 "layers": self._layers(),
                 "waiting": 0,
                 "running": 0,
+                "stalled": [
+                    {"id": attempt, "address": part.address}
+                    for attempt, path in self.paths.items()
+                    for part in self._parts(path)[1:]
+                    if part.behaviour.stalled
+                ],
             }
         )
 
@@ -159,6 +170,8 @@
 
     async def _order(self, request: web.Request) -> web.Response:
         body = await request.json()
+        if body["operation"] == "repath":
+            return self._reroute(body["id"], body["path"])
         if body["fencingToken"] < self.fence:
             return web.Response(status=412)
         self.fence = body["fencingToken"]
@@ -172,6 +185,18 @@
         self.loads.append(wanted)
         return web.Response(status=202)
 
+    def _reroute(self, attempt: str, path: str) -> web.Response:
+        if attempt not in self.paths:
+            return web.Response(status=404)
+        if not path.startswith(f"{self.address}="):
+            return web.Response(status=400)
+        missing = self._missing(path)
+        if missing is not None:
+            return web.json_response({"address": missing}, status=409)
+        self.paths[attempt] = path
+        self.rerouted.append(path)
+        return web.Response(status=200)
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         attempt = request.headers.get("Yuccatally-Attempt-Id", "")
         expected = request.headers.get("Yuccatally-Expect-Instance", self.name)
@@ -208,19 +233,39 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        parts = [self.fleet[p.split("=")[0]] for p in path.split(",") if p]
-        await response.prepare(request)
+        attempt = request.headers.get("Yuccatally-Attempt-Id", "")
+        self.paths[attempt] = path
+        try:
+            await response.prepare(request)
+            await self._send_events(request, response, first, attempt)
+        finally:
+            del self.paths[attempt]
+        return response
+
+    async def _send_events(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        first: int,
+        attempt: str,
+    ) -> None:
         for number in range(first, self.events + 1):
-            while any(p.behaviour.stalled for p in parts):  # noqa: ASYNC110
+            while self._is_stalled(attempt):  # noqa: ASYNC110
                 await asyncio.sleep(EVENT_PAUSE_S)
             if self.behaviour.break_after == number - first:
                 await response.write(b"id: %d\ndata: half" % number)
                 request.transport.abort()
-                return response
+                return
             await response.write(b"id: %d\ndata: e%d\n\n" % (number, number))
             await asyncio.sleep(EVENT_PAUSE_S)
         await response.write_eof()
-        return response
+
+    def _is_stalled(self, attempt: str) -> bool:
+        parts = self._parts(self.paths[attempt])
+        return any(p.behaviour.stalled for p in parts)
+
+    def _parts(self, path: str) -> list[PathEngine]:
+        return [self.fleet[p.split("=")[0]] for p in path.split(",") if p]
 
     async def _whole(
         self, request: web.Request, body: bytes
--- /dev/null
+++ b/tests/core/forwarding/test_reroute.py
@@ -0,0 +1,112 @@
+"""Paths around lost engines."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import reroute
+from yuccatally.core.forwarding import upstreams
+
+
+def _engine(name: str, home: str = "a") -> upstreams.Upstream:
+    return upstreams.Upstream(name, 1, "s", f"{name}:1", home, 8, False)
+
+
+def _path(*stages: tuple[str, int, int]) -> dispatch.Path:
+    return dispatch.Path(
+        name="a-1",
+        hops=tuple(_engine(n) for n, _, _ in stages),
+        ranges=tuple((f, t) for _, f, t in stages),
+        step_s=0.01,
+        sequence_s=0.0,
+        tokens=60e3,
+        slots=96,
+        data_centre="a",
+    )
+
+
+def _holding(
+    name: str, first: int, last: int, home: str = "b"
+) -> reroute.Holding:
+    return reroute.Holding(_engine(name, home), upstreams.Layers(first, last))
+
+
+def _parts(found: dispatch.Path | None) -> list[tuple[str, int, int]]:
+    assert found is not None
+    return [(h.name, *r) for h, r in zip(found.hops, found.ranges, strict=True)]
+
+
+PATH = _path(("x", 0, 20), ("y", 20, 50), ("z", 50, 80))
+
+
+def test_lost_layers_come_from_engines_of_another_pipeline() -> None:
+    """Guards against streams that end though their layers are held.
+
+    Load pattern: the middle of three engines dies and the other pipeline is
+    full, with other boundaries between its stages.
+    """
+    held = [
+        _holding("p", 0, 30),
+        _holding("q", 30, 60),
+        _holding("r", 60, 80),
+    ]
+    found = reroute.around(PATH, "y:1", held)
+    assert _parts(found) == [
+        ("x", 0, 20),
+        ("p", 20, 30),
+        ("q", 30, 50),
+        ("z", 50, 80),
+    ]
+
+
+def test_near_engines_are_preferred() -> None:
+    """Guards against a detour over the shared link between data centres."""
+    held = [_holding("far", 20, 50), _holding("near", 10, 50, "a")]
+    assert _parts(reroute.around(PATH, "y:1", held))[1] == ("near", 20, 50)
+
+
+def test_first_engine_cannot_be_replaced() -> None:
+    """Guards against an order to an engine that has no such request."""
+    held = [_holding("p", 0, 80)]
+    assert reroute.around(PATH, "x:1", held) is None
+    assert reroute.around(PATH, "other:1", held) is None
+
+
+def test_missing_layers_and_engines_of_the_path_give_no_way() -> None:
+    """Guards against a path with a gap or with an engine that comes twice."""
+    held = [_holding("p", 20, 40), _holding("z", 0, 80, "a")]
+    assert reroute.around(PATH, "y:1", held) is None
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 79), strategies.integers(1, 80)
+        ),
+        max_size=12,
+    )
+)
+def test_every_layer_is_run_once_and_in_order(
+    ranges: list[tuple[int, int]],
+) -> None:
+    """Guards against tokens that are made without a layer or with one twice."""
+    held = [
+        _holding(f"h{n}", first, min(80, first + size))
+        for n, (first, size) in enumerate(ranges)
+    ]
+    found = reroute.around(PATH, "y:1", held)
+    if found is None:
+        covered = {
+            i for h in held for i in range(h.layers.first, h.layers.last)
+        }
+        assert not covered >= set(range(20, 50))
+        return
+    reached = 0
+    for first, last in found.ranges:
+        assert first == reached < last
+        reached = last
+    assert reached == 80
+    names = [h.name for h in found.hops]
+    assert len(set(names)) == len(names)
--- /dev/null
+++ b/tests/forwarding/test_rerouting.py
@@ -0,0 +1,121 @@
+"""Streams whose path has lost a later engine."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+import pytest
+
+from yuccatally_standins import path_engine
+from yuccatally_standins import path_site
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+EVENTS = 60
+WHOLE = b"".join(
+    b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, EVENTS + 1)
+)
+
+
+@pytest.fixture
+async def staged(site: path_site.Site) -> path_site.Site:
+    """The site with a pipeline of two engines in each of three places.
+
+    Streams cannot be resumed, so they cannot go on over another pipeline.
+    """
+    changed = path_site.configuration(2)
+    changed["routes"][0]["resumable"] = False
+    changed["services"][1]["engine"]["layers"] = 8
+    await site.configure(**changed)
+    for home in ("north", "south", "west"):
+        for number in (1, 2):
+            await site.add_engine(
+                f"{home}-{number}", data_centre=home, events=EVENTS
+            )
+    started = await site.start_node()
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: len(started.state.paths(service)) == 3)
+    return site
+
+
+@pytest.fixture
+async def running(
+    staged: path_site.Site,
+) -> AsyncIterator[tuple[path_site.Site, asyncio.Task[tuple]]]:
+    """A stream that is under way on the pipeline of the north."""
+    task = asyncio.create_task(staged.request("/ask/x"))
+    await path_site.until(lambda: _first(staged).paths)
+    yield staged, task
+    task.cancel()
+
+
+def _first(site: path_site.Site) -> path_engine.PathEngine:
+    """Returns the first engine of the pipeline of the north."""
+    return next(
+        e
+        for e in site.engines.values()
+        if e.data_centre == "north" and e.held == (0, 4)
+    )
+
+
+def _second(site: path_site.Site, home: str) -> path_engine.PathEngine:
+    return next(
+        e
+        for e in site.engines.values()
+        if e.data_centre == home and e.held == (4, 8)
+    )
+
+
+async def test_stream_goes_on_around_a_lost_engine(
+    running: tuple[path_site.Site, asyncio.Task[tuple]],
+) -> None:
+    """Guards against a stream that ends though only a later engine is lost."""
+    site, task = running
+    _second(site, "north").behaviour.stalled = True
+    status, _, body = await task
+    assert (status, body) == (200, WHOLE)
+    assert sum(len(e.runs) for e in site.engines.values()) == 1
+    (path,) = _first(site).rerouted
+    used = [p.partition("=")[0] for p in path.split(",")]
+    assert used[0] == _first(site).address
+    assert used[1] in {_second(site, h).address for h in ("south", "west")}
+
+
+async def test_engine_that_lacks_its_part_is_passed_over(
+    running: tuple[path_site.Site, asyncio.Task[tuple]],
+) -> None:
+    """Guards against one outdated belief that ends a stream.
+
+    Entries of engines are seconds old; the one chosen first has restarted.
+    """
+    site, task = running
+    lost = _second(site, "north")
+    restarted = [_second(site, h) for h in ("south", "west")]
+    # Each of them may be the first choice; only one still holds its layers.
+    restarted[0].held = None
+    lost.behaviour.stalled = True
+    status, _, body = await task
+    assert (status, body) == (200, WHOLE)
+    assert restarted[1].address in _first(site).rerouted[0]
+
+
+async def test_rerouting_draws_on_the_retry_budget(
+    running: tuple[path_site.Site, asyncio.Task[tuple]],
+) -> None:
+    """Guards against a loss that multiplies the work of all engines."""
+    site, task = running
+    found = site.nodes[0]
+    bounds = dataclasses.replace(
+        found.settings.bounds, retry_share=0.0, retry_reserve=0.0
+    )
+    found.reload(dataclasses.replace(found.settings, bounds=bounds))
+    lost = _second(site, "north")
+    lost.behaviour.stalled = True
+    await path_site.until(lambda: found.state.budget("model").refused)
+    assert not _first(site).rerouted
+    lost.behaviour.stalled = False
+    status, _, body = await task
+    assert (status, body) == (200, WHOLE)
