Tell instances without the store which upstreams there are

An instance that the store turned away heard of new configurations from the others, but not of upstreams that left or came, and one that started in an outage knew none and refused everything. Both now ask an instance that hears from the store, or failing that one that knows any list, at most twice a second. A list is taken over only if it reaches at least as far as what is known, and the next call to the store is for a complete list, so that no change is lost or replayed.

Pulls of configurations moved to the same module from fleet.py.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -62,6 +62,8 @@
         missing: Time until which an entry that lapsed in an outage of the
             store may come back, by name.
         suspects: End of the suspicion by name and birth.
+        generation: Number of the last change of entries or suspicions.
+        entries_generation: Number of the last change of entries.
     """
 
     def __init__(self) -> None:
@@ -69,6 +71,7 @@
         self.missing: dict[str, float] = {}
         self.suspects: dict[tuple[str, int], float] = {}
         self.generation = 0
+        self.entries_generation = 0
 
     def announce(self, entry: Upstream) -> bool:
         """Takes in an entry; returns whether anything changed."""
@@ -76,7 +79,7 @@
         if self.known.get(entry.name) == entry:
             return False
         self.known[entry.name] = entry
-        self.generation += 1
+        self._note_change()
         return True
 
     def remove(self, name: str, rejoin_until: float | None) -> None:
@@ -163,4 +166,8 @@
     def _drop(self, name: str) -> None:
         del self.known[name]
         self.missing.pop(name, None)
+        self._note_change()
+
+    def _note_change(self) -> None:
         self.generation += 1
+        self.entries_generation += 1
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -7,16 +7,14 @@
 import time
 from typing import TYPE_CHECKING
 from typing import Any
-import zlib
 
-import msgspec
 import structlog
 
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import upstreams
+from yuccatally.forwarding import catchup
 from yuccatally.peers import heartbeats
 from yuccatally.peers import transport
-from yuccatally.platform import documents
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,11 +39,6 @@
 # Entries of instances that were silent for this long are deleted; a restart
 # takes a few seconds.
 FORGET_S = 20.0
-# A configuration of hundreds of routes compresses to some ten kilobytes.
-PULL_TIMEOUT_S = 1.0
-# Decompressed size up to which a configuration of a peer is taken; the store
-# holds values up to 1 MB.
-RULES_LIMIT_BYTES = 16 * 1024 * 1024
 # The store is looked at this often while another instance has lost it. Each
 # look is a call of every instance.
 CHECK_STORE_S = 3.0
@@ -87,14 +80,14 @@
         self.upstream_watch: watches.KindWatch | None = None
         self.leads = False
         self.lost: dict[heartbeats.Engine, float] = {}
-        self.pulling = False
+        self.catchup = catchup.CatchUp(node, self.transport, self.spawn)
         self.logged_live: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def open(self) -> None:
         """Starts to answer other instances."""
         self.transport.register(heartbeats.Heartbeat, self._on_heartbeat)
-        self.transport.register(heartbeats.RulesPull, self._on_pull)
+        self.catchup.open()
         self.transport.open()
 
     async def close(self) -> None:
@@ -270,6 +263,7 @@
         if heartbeat.leads:
             self._take_lead(heartbeat)
         self._compare_rules(heartbeat, now)
+        self.catchup.on_heartbeat(heartbeat)
         self.node.instances = 1 + len(self.contacts)
 
     def _take_lead(self, heartbeat: heartbeats.Heartbeat) -> None:
@@ -290,36 +284,6 @@
         version = in_force.version if in_force else 0
         if heartbeat.store_up and heartbeat.rules_version <= version:
             self.node.confirmed_at = now
-        if heartbeat.rules_version > version and not self.pulling:
-            self.pulling = True
-            self.spawn(self._pull(heartbeat.sender.peers, version))
-
-    async def _pull(self, address: str, known: int) -> None:
-        try:
-            reply = await self.transport.exchange(
-                address, heartbeats.RulesPull(known), PULL_TIMEOUT_S
-            )
-            if reply.version <= known:
-                return
-            raw = zlib.decompressobj().decompress(reply.spec, RULES_LIMIT_BYTES)
-            spec = msgspec.json.decode(raw)
-            self.node.apply_rules(documents.rules_from(spec), spec, "peer")
-        except (
-            transport.PeerError,
-            documents.FormatError,
-            msgspec.MsgspecError,
-            zlib.error,
-        ) as error:
-            _log.warning("configuration_pull_failed", error=str(error))
-        finally:
-            self.pulling = False
-
-    def _on_pull(self, pull: heartbeats.RulesPull) -> heartbeats.RulesReply:
-        in_force = self.node.rules
-        if in_force is None or in_force.version <= pull.known:
-            return heartbeats.RulesReply(0, b"")
-        raw = msgspec.json.encode(self.node.rules_spec)
-        return heartbeats.RulesReply(in_force.version, zlib.compress(raw))
 
     def learn(self, contact: heartbeats.Contact) -> None:
         """Takes in how an instance is reached."""
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -264,6 +264,7 @@
             rng,
         )
         self.fleet.upstream_watch = upstreams
+        self.fleet.catchup.upstream_watch = upstreams
         self.control.on_store_lost = self._restart_watches
         self.fleet.on_peer_lost_store = lambda: configuration.restart(
             "a peer lost the store"
--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -148,6 +148,15 @@
         self.listed = False
         self.waiting.cancel()
 
+    def supersede(self, revision: int) -> None:
+        """Takes in that a newer list came from elsewhere while this was down.
+
+        Changes from before it are not wanted any more, so the next call is
+        for a complete list.
+        """
+        self.cursor = max(self.cursor, revision)
+        self.listed = False
+
     async def _wait_for_first(self) -> None:
         """Waits while the store is away for the watch that looks for it.
 
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from yuccatally.core.forwarding import pipelines  # noqa: TC001
+from yuccatally.core.forwarding import upstreams  # noqa: TC001
 
 
 class Contact(msgspec.Struct, array_like=True, frozen=True):
@@ -110,3 +111,35 @@
     reply: ClassVar[type] = RulesReply
 
     known: int
+
+
+class UpstreamsPage(msgspec.Struct, array_like=True, frozen=True):
+    """Part of the upstreams that an instance knows.
+
+    Attributes:
+        reached: Revision of the store up to which it knows them; 0 for none.
+        generation: Number of the last change; pages of one list share it.
+        entries: Upstreams by the order of their names.
+        more: Whether more follow.
+        plans: Plans by service; with the first page only.
+    """
+
+    reached: int
+    generation: int
+    entries: tuple[upstreams.Upstream, ...] = ()
+    more: bool = False
+    plans: dict[str, pipelines.Plan] = {}
+
+
+class UpstreamsPull(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for upstreams.
+
+    Attributes:
+        known: Generation that the sender has of the receiver; 0 for none.
+        after: Name after which the page starts.
+    """
+
+    reply: ClassVar[type] = UpstreamsPage
+
+    known: int
+    after: str = ""
--- /dev/null
+++ b/tests/forwarding/test_catchup.py
@@ -0,0 +1,104 @@
+"""What an instance learns from others while the store turns it away."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+import structlog
+
+from yuccatally.forwarding import catchup
+from yuccatally_standins import path_site
+
+if TYPE_CHECKING:
+    from yuccatally.forwarding import node
+
+
+@pytest.fixture
+async def cut_off(served: path_site.Site) -> node.Node:
+    """An instance that the store turns away, beside one that it serves."""
+    other = await served.start_node("n2")
+    await path_site.until(lambda: set(other.state.registry.known) == _ALL)
+    found = served.nodes[0]
+    found.store.http.base = "http://127.0.0.1:1"
+    for watch in found.watches:
+        watch.restart("test")
+    await path_site.until(lambda: not found.fleet.upstream_watch.up)
+    return found
+
+
+_ALL = {"e1", "e2", "d1"}
+
+
+async def test_upstreams_that_leave_and_come_are_seen(
+    served: path_site.Site, cut_off: node.Node
+) -> None:
+    """Guards against requests to upstreams that left while it was cut off."""
+    registry = cut_off.state.registry
+    await served.announce(served.engines["d1"], "draining")
+    await path_site.until(lambda: registry.known["d1"].draining)
+    await served.add_engine("d2", card="")
+    await path_site.until(lambda: "d2" in registry.known)
+    await served.store.remove("servers", "d1")
+    await path_site.until(lambda: "d1" not in registry.known)
+    for number in range(4):
+        status, _, _ = await served.request("/book/x", f"c{number}", at=cut_off)
+        assert status == 200
+    assert len(served.engines["d2"].runs) == 4
+
+
+async def test_store_goes_first_when_it_is_back(
+    served: path_site.Site, cut_off: node.Node
+) -> None:
+    """Guards against changes between two lists that are lost or replayed."""
+    registry = cut_off.state.registry
+    await served.announce(served.engines["d1"], "draining")
+    await path_site.until(lambda: registry.known["d1"].draining)
+    other = served.nodes[1]
+    other.fleet.transport.handlers.clear()
+    await served.announce(served.engines["d1"])
+    cut_off.store.http.base = f"http://{served.store_address}"
+    await path_site.until(lambda: not registry.known["d1"].draining)
+    assert set(registry.known) == _ALL
+
+
+async def test_older_list_is_not_taken_over(
+    served: path_site.Site, cut_off: node.Node
+) -> None:
+    """Guards against an instance that goes back to what it knew before."""
+    cut_off.fleet.catchup.reached = 1 << 40
+    await served.announce(served.engines["d1"], "draining")
+    await path_site.until(
+        lambda: served.nodes[1].state.registry.known["d1"].draining
+    )
+    await asyncio.sleep(2 * catchup.UPSTREAMS_EVERY_S)
+    assert not cut_off.state.registry.known["d1"].draining
+
+
+async def test_nothing_is_sent_twice_while_nothing_changes(
+    served: path_site.Site, cut_off: node.Node
+) -> None:
+    """Guards against traffic between instances that grows with an outage."""
+    await served.announce(served.engines["d1"], "draining")
+    await path_site.until(lambda: cut_off.state.registry.known["d1"].draining)
+    with structlog.testing.capture_logs() as logs:
+        await asyncio.sleep(3 * catchup.UPSTREAMS_EVERY_S)
+    assert not [e for e in logs if e["event"] == "upstreams_from_peer"]
+
+
+async def test_instance_that_starts_in_an_outage_serves(
+    served: path_site.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a restart that needs the store before it can serve."""
+    monkeypatch.setattr(catchup, "PAGE_ENTRIES", 2)
+    served.store.faults.status = 503
+    found = served.nodes[0]
+    await path_site.until(lambda: not found.fleet.upstream_watch.up)
+    late = await served.start_node("n2")
+    await path_site.until(lambda: set(late.state.registry.known) == _ALL)
+    service = late.state.rules.services["model"]
+    await path_site.until(lambda: len(late.state.paths(service)) == 2)
+    for target in ("/ask/x", "/book/x"):
+        status, _, _ = await served.request(target, f"l{target}", at=late)
+        assert status == 200
