Leave engines that do not answer out of repairs

A lost engine is now asked once more before it may be planned with; two questions in a row without an answer to an order make an engine lost; instances that do not lead keep the lost engines that the holder of the lease names, for the time after a takeover. Marks also end on an instance without peers. Ruled out: a late order; the engine answered nothing at all.

--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -75,6 +75,7 @@
         self.inspection = inspection.Inspection(
             node, others, session, self.orders
         )
+        self.orders.on_lost = self.inspection.lose
         self.held_at: float | None = None
         # Called when a call to the store has failed.
         self.on_store_lost: Callable[[], None] = lambda: None
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -196,10 +196,8 @@
         self._take(reply)
 
     def _heartbeat(self) -> heartbeats.Heartbeat:
-        now = time.monotonic()
         own = self.node.dispatcher.own
         in_force = self.node.rules
-        self.lost = {e: t for e, t in self.lost.items() if t > now}
         held: tuple[heartbeats.Held, ...] = ()
         if self.leads:
             held = tuple(
@@ -269,7 +267,10 @@
     def _take_lead(self, heartbeat: heartbeats.Heartbeat) -> None:
         for service, plan in heartbeat.plans.items():
             self.node.apply_plan(service, plan)
+        until = time.monotonic() + LIVE_S
         for engine in heartbeat.lost:
+            # The next holder of the lease must not plan with them either.
+            self.lost[engine] = max(until, self.lost.get(engine, 0.0))
             known = self.node.registry.incarnation(engine.name, engine.born_ms)
             if known is not None:
                 self.node.avoid(known, LIVE_S, "reported by control")
@@ -308,6 +309,7 @@
                 self.store_up.pop(name, None)
                 self.node.dispatcher.forget(name)
                 self.on_forgotten(name)
+        self.lost = {e: t for e, t in self.lost.items() if t > now}
         self.own.expire(now)
         self.heard.expire(now)
         self._log_live()
--- a/src/yuccatally/forwarding/inspection.py
+++ b/src/yuccatally/forwarding/inspection.py
@@ -22,6 +22,9 @@
 LOST_S = 6.0
 # Engines in doubt are asked for a report this often.
 VERIFY_S = 0.8
+# Lost engines whose time is up within this are asked once more; it has room
+# for a question that is not answered.
+RECHECK_S = 1.2
 
 _log = structlog.get_logger()
 
@@ -49,9 +52,11 @@
     def check(self) -> None:
         """Asks engines in doubt, each no more often than is useful."""
         now = time.monotonic()
+        ending = [e for e, t in self.fleet.lost.items() if t - now < RECHECK_S]
         for verify, noted in (
             (self._verify, self.fleet.doubts),
             (self._verify_refuser, self.fleet.refusers),
+            (self._recheck, ending),
         ):
             for engine in noted:
                 key = (verify.__name__, engine)
@@ -87,9 +92,22 @@
             if healthy or report.running + report.waiting >= engine.slots:
                 return
         except engines.ReportError as error:
-            self._lose(engine, str(error))
+            self.lose(engine, str(error))
             return
-        self._lose(engine, "refuses requests and health checks")
+        self.lose(engine, "refuses requests and health checks")
+
+    async def _recheck(self, lost: heartbeats.Engine) -> None:
+        """Leaves a lost engine out of plans for longer if it is still silent.
+
+        Its entry can stay long after its end, while the store is away.
+        """
+        engine = self.node.registry.incarnation(lost.name, lost.born_ms)
+        if engine is None:
+            return
+        try:
+            await engines.report(self.session, engine)
+        except engines.ReportError as error:
+            self.lose(engine, str(error))
 
     async def _verify(self, doubted: heartbeats.Engine) -> None:
         """Asks an engine in doubt for a report; plans without it if silent."""
@@ -100,20 +118,21 @@
         try:
             report = await engines.report(self.session, engine)
         except engines.ReportError as error:
-            self._lose(engine, str(error))
+            self.lose(engine, str(error))
             return
         for address in set(report.stalled.values()):
             # It may answer here and still be cut off from its neighbours.
             waited_for = self.node.registry.at(address)
             if waited_for is not None:
-                self._lose(waited_for, f"{engine.name} waits for it")
+                self.lose(waited_for, f"{engine.name} waits for it")
         self.orders.accepted[key] = report.orders
         held = self.node.held.get(key)
         if held is not None and report.layers != held:
             self.node.set_held(key, None)
         self.fleet.lost.pop(doubted, None)
 
-    def _lose(self, engine: upstreams.Upstream, reason: str) -> None:
+    def lose(self, engine: upstreams.Upstream, reason: str) -> None:
+        """Leaves an engine out of plans and requests for a while."""
         key = heartbeats.Engine(engine.name, engine.born_ms)
         if key not in self.fleet.lost:
             _log.warning("engine_lost", engine=engine.name, reason=reason)
--- a/src/yuccatally/forwarding/orders.py
+++ b/src/yuccatally/forwarding/orders.py
@@ -12,6 +12,8 @@
 from yuccatally.platform import engines
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import aiohttp
 
     from yuccatally.core.control import lease
@@ -26,6 +28,9 @@
 FIRST_POLL_S = 0.2
 # Loads take some seconds; control orders again what is still missing.
 TRIES = 40
+# Questions in a row without an answer after which an engine is taken for lost.
+# One answer alone may be lost on a link, or the order be carried out late.
+SILENT_MOST = 2
 
 _log = structlog.get_logger()
 
@@ -46,6 +51,7 @@
     Attributes:
         running: Orders under way by engine and birth.
         accepted: Orders that an engine has accepted, as far as is known.
+        silent: Questions in a row that an engine has not answered.
     """
 
     def __init__(
@@ -59,6 +65,11 @@
         self.leader = leader
         self.running: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.accepted: dict[tuple[str, int], int] = {}
+        self.silent: dict[tuple[str, int], int] = {}
+        # Called with an engine that does not answer, and the reason.
+        self.on_lost: Callable[[upstreams.Upstream, str], None] = (
+            lambda engine, reason: None
+        )
 
     def start(
         self,
@@ -107,6 +118,10 @@
             if outcome is reports.Outcome.HOLDS_ALREADY:
                 self.node.set_held(key, stage.layers)
                 return
+            # A refusal may be that of its port, after its end.
+            if outcome is not reports.Outcome.REFUSED:
+                answered = outcome is not reports.Outcome.UNKNOWN
+                self._note(engine, answered, "order")
             if outcome is reports.Outcome.BEGUN:
                 self.accepted[key] = wanted.expected_orders + 1
             load_s = model.load_s * share if number else 0.0
@@ -128,7 +143,9 @@
                 _log.info(
                     "report_missing", engine=engine.name, error=str(error)
                 )
+                self._note(engine, False, str(error))
                 return False
+            self._note(engine, True)
             self.accepted[key] = report.orders
             if report.layers and report.layers.covers(stage.first, stage.last):
                 self.node.set_held(key, stage.layers)
@@ -138,6 +155,19 @@
             await asyncio.sleep(POLL_S)
         return False
 
+    def _note(
+        self, engine: upstreams.Upstream, answered: bool, reason: str = ""
+    ) -> None:
+        """Counts questions without an answer; a silent engine is lost."""
+        key = (engine.name, engine.born_ms)
+        if answered:
+            self.silent.pop(key, None)
+            return
+        self.silent[key] = self.silent.get(key, 0) + 1
+        if self.silent[key] >= SILENT_MOST:
+            del self.silent[key]
+            self.on_lost(engine, f"does not answer orders: {reason}")
+
     def _is_planned(self, stage: pipelines.Stage) -> bool:
         known = self.node.registry.incarnation(stage.engine, stage.born_ms)
         if known is None or known.draining:
