Keep lapsed entries on every instance, and save plans of an earlier holder

An instance that found the store a little later than another took the other's heartbeat for a proof that the store had been there all the while, and dropped entries that had lapsed in the outage at once instead of after two seconds. Another instance must now have had the store for that time. Lists from other instances give missing entries the same time.

A plan made in an outage stayed out of the store when another instance took the lease afterwards: only the one that had made it would write it. The holder of the lease now writes any plan that is in force and later than the stored one.

Both new tests fail without the change and pass with it.

--- a/src/yuccatally/forwarding/catchup.py
+++ b/src/yuccatally/forwarding/catchup.py
@@ -54,10 +54,20 @@
         node: state.State,
         peers: transport.PeerTransport,
         spawn: Spawn,
+        rejoin_until: Callable[[], float | None],
     ) -> None:
+        """Creates both sides.
+
+        Args:
+            node: Shared state.
+            peers: Connections to other instances.
+            spawn: Runs work in the background.
+            rejoin_until: Returns until when missing entries may come back.
+        """
         self.node = node
         self.transport = peers
         self.spawn = spawn
+        self.rejoin_until = rejoin_until
         self.upstream_watch: watches.KindWatch | None = None
         self.reached = 0
         self.known: dict[str, tuple[int, int]] = {}
@@ -149,7 +159,7 @@
         self.reached = first.reached
         self.known[sender.name] = (sender.born_ms, first.generation)
         watch.supersede(first.reached)
-        self.node.registry.replace(entries, None)
+        self.node.registry.replace(entries, self.rejoin_until())
         for service, plan in first.plans.items():
             self.node.apply_plan(service, plan)
         _log.info(
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -67,6 +67,8 @@
         # A restarted instance must not take its earlier lease for its own.
         self.lease = lease.Lease(f"{name}-{os.urandom(4).hex()}", LEASE_TERM_S)
         self.versions: dict[str, int] = {}
+        # Rank of the latest plan that the store is known to have, by service.
+        self.saved: dict[str, tuple[int, int]] = {}
         self.plans_listed = False
         self.grew_at = 0.0
         self.engines_seen = 0
@@ -194,6 +196,9 @@
         if previous.pipelines:
             if not self._knows_engines(previous):
                 return
+            if previous.rank > self.saved.get(service.name, (0, 0)):
+                # An earlier holder of the lease could not write it.
+                self.fleet.unsaved_plans.setdefault(service.name, previous)
         elif not self._settled(len(usable)):
             return
         plan = pipelines.plan(model, usable, previous, self.lease.fence)
@@ -267,6 +272,7 @@
 
     def _note_saved(self, service: str, plan: pipelines.Plan) -> None:
         """Forgets a plan that the store has, or has a later one than."""
+        self.saved[service] = max(plan.rank, self.saved.get(service, (0, 0)))
         unsaved = self.fleet.unsaved_plans.get(service)
         if unsaved is not None and plan.rank >= unsaved.rank:
             del self.fleet.unsaved_plans[service]
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -13,6 +13,7 @@
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import upstreams
 from yuccatally.forwarding import catchup
+from yuccatally.forwarding import watches
 from yuccatally.peers import heartbeats
 from yuccatally.peers import transport
 
@@ -22,7 +23,6 @@
 
     from yuccatally.core.forwarding import pipelines
     from yuccatally.forwarding import state
-    from yuccatally.forwarding import watches
 
 # With eight instances each pair meets every 0.3 s, so that load is known before
 # it has grown by a tenth of what a path holds.
@@ -42,8 +42,6 @@
 # The store is looked at this often while another instance has lost it. Each
 # look is a call of every instance.
 CHECK_STORE_S = 3.0
-# An outage of the whole store is noticed by all instances within this time.
-OUTAGE_NOTICED_S = 2.5
 
 _log = structlog.get_logger()
 
@@ -73,14 +71,18 @@
         self.unsaved_plans: dict[str, pipelines.Plan] = {}
         # Called with the name of an instance that is taken for gone.
         self.on_forgotten: Callable[[str], None] = lambda name: None
-        self.peer_up_at = 0.0
+        # Last time that an instance said that it has the store, and the first
+        # one without a break since.
+        self.peer_up_at = self.peer_up_since = float("-inf")
         self.checked_at = 0.0
         # Called when another instance has lost the store and this one has not.
         self.on_peer_lost_store: Callable[[], None] = lambda: None
         self.upstream_watch: watches.KindWatch | None = None
         self.leads = False
         self.lost: dict[heartbeats.Engine, float] = {}
-        self.catchup = catchup.CatchUp(node, self.transport, self.spawn)
+        self.catchup = catchup.CatchUp(
+            node, self.transport, self.spawn, self.rejoin_until
+        )
         self.logged_live: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -134,9 +136,19 @@
                 return [c.callers for c in near]
         return [c.callers for c in serving]
 
-    def others_reached_store(self, outage: watches.Outage) -> bool:
-        """Returns whether other instances had the store during an outage."""
-        return self.peer_up_at > outage.started_at + OUTAGE_NOTICED_S
+    def rejoin_until(self) -> float | None:
+        """Returns until when entries may come back that lapsed in an outage.
+
+        While another instance has had the store for that time, so have
+        upstreams: what is missing then has left.
+        """
+        now = time.monotonic()
+        if (
+            now - self.peer_up_at < LIVE_S
+            and now - self.peer_up_since >= watches.REJOIN_S
+        ):
+            return None
+        return now + watches.REJOIN_S
 
     def doubt(self, engine: upstreams.Upstream) -> None:
         """Notes an engine that a request found at fault."""
@@ -239,6 +251,8 @@
         self.heard_at[name] = now
         self.store_up[name] = heartbeat.store_up
         if heartbeat.store_up:
+            if now - self.peer_up_at > LIVE_S:
+                self.peer_up_since = now
             self.peer_up_at = now
         elif self.node.watch_up and now - self.checked_at > CHECK_STORE_S:
             # An idle watch does not show that the store has fallen silent.
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -315,12 +315,8 @@
             registry.announce(entry)
 
     def _rejoin_until(self, outage: watches.Outage | None) -> float | None:
-        """Returns until when entries may come back that lapsed in an outage.
-
-        While other instances reach the store, so do upstreams: what is missing
-        then has left.
-        """
-        if outage is None or self.fleet.others_reached_store(outage):
+        """Returns until when entries may come back; see the outage."""
+        if outage is None or self.fleet.rejoin_until() is None:
             return None
         return outage.rejoin_until
 
--- a/tests/forwarding/test_catchup.py
+++ b/tests/forwarding/test_catchup.py
@@ -9,6 +9,7 @@
 import structlog
 
 from yuccatally.forwarding import catchup
+from yuccatally.forwarding import watches
 from yuccatally_standins import path_site
 
 if TYPE_CHECKING:
@@ -102,3 +103,34 @@
     for target in ("/ask/x", "/book/x"):
         status, _, _ = await served.request(target, f"l{target}", at=late)
         assert status == 200
+
+
+async def test_entries_that_lapsed_in_an_outage_may_come_back_everywhere(
+    served: path_site.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against upstreams that are dropped when the store is back.
+
+    An instance that found the store a little later than another took that for
+    a proof that the store had been there all the while.
+    """
+    # Longer than the pauses after which both have looked for the store.
+    monkeypatch.setattr(watches, "REJOIN_S", 6.0)
+    nodes = [served.nodes[0], await served.start_node("n2")]
+    await path_site.until(lambda: set(nodes[1].state.registry.known) == _ALL)
+    for found in nodes:
+        found.store.http.base = "http://127.0.0.1:1"
+        for watch in found.watches:
+            watch.restart("test")
+    await path_site.until(
+        lambda: not any(n.fleet.upstream_watch.up for n in nodes)
+    )
+    await asyncio.sleep(3.0)
+    await served.store.remove("servers", "d1")
+    for found in nodes:
+        found.store.http.base = f"http://{served.store_address}"
+        await path_site.until(lambda n=found: n.fleet.upstream_watch.up)
+        await asyncio.sleep(0.6)
+    assert all("d1" in n.state.registry.known for n in nodes)
+    await path_site.until(
+        lambda: not any("d1" in n.state.registry.known for n in nodes), 8.0
+    )
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -304,6 +304,40 @@
     assert "e3" in str(stored)
 
 
+async def test_next_holder_of_the_lease_saves_the_plan(
+    site: path_site.Site,
+) -> None:
+    """Guards against a store whose plan stays older than the one in force.
+
+    A plan was made in an outage, and another instance took the lease after it.
+    An instance that started later took the stored plan.
+    """
+    first = await site.add_engine("e1")
+    started = await site.start_node()
+    other = await site.start_node("n2")
+    service = started.state.rules.services["model"]
+    await path_site.until(lambda: other.state.paths(service))
+    site.store.faults.status = 503
+    await path_site.until(lambda: not any(n.state.watch_up for n in site.nodes))
+    await asyncio.sleep(control.LEASE_TERM_S)
+    await first.stop()
+    await site.add_engine("e2")
+    entry = documents.upstream_from("e2", site.engines["e2"].entry())
+    for found in site.nodes:
+        found.state.registry.announce(entry)
+    for number in range(4):
+        await site.request("/ask/x", f"s{number}")
+    await path_site.until(
+        lambda: [p.hops[0].name for p in other.state.paths(service)] == ["e2"]
+    )
+    started.store.http.base = "http://127.0.0.1:1"
+    site.store.faults.status = 0
+    await path_site.until(
+        lambda: "e2" in str(site.store.objects[("placement", "model")]["spec"])
+    )
+    assert other.control.leads
+
+
 async def test_engine_that_leaves_without_an_entry_is_replaced(
     site: path_site.Site,
 ) -> None:
