--- a/tests/core/forwarding/test_dispatch.py
+++ b/tests/core/forwarding/test_dispatch.py
@@ -6,9 +6,28 @@
 import random
 
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import rules
 from yuccatally.core.forwarding import upstreams
 
 NONE: frozenset[str] = frozenset()
+MODEL = rules.Model(
+    slots=96,
+    layers=80,
+    layer_mb=1750.0,
+    load_s=14.0,
+    loads_at_once=6,
+    token_layer_bytes=10_650.0,
+    step_s=0.00085,
+    step_sequence_s=5.5e-6,
+    step_context_s=0.0,
+    read_tokens_per_s=272_000.0,
+    activation_bytes=42_600.0,
+    link_mbps=480_000.0,
+    pipe_mbps=6_500.0,
+    prompt_tokens=772.0,
+    answer_tokens=150.0,
+    cards={"medium": rules.Card("medium", 21_600.0, 16.0, 8.2)},
+)
 
 
 def _engine(name: str, home: str = "a", slots: int = 6) -> upstreams.Upstream:
@@ -152,3 +171,45 @@
     chooser.on_remote("other", {"near": dispatch.Load(1)}, 0.0)
     chosen = chooser.upstream([near, far], NONE, 0.0)
     assert chosen.hops == (far,)
+
+
+def _hops(*homes: str) -> tuple[dispatch.Hop, ...]:
+    """Returns hops of a path with an engine in each of some places."""
+    share = MODEL.layers // len(homes)
+    return tuple(
+        dispatch.Hop(
+            dataclasses.replace(_engine(f"{home}{n}", home), card="medium"),
+            n * share,
+            (n + 1) * share,
+        )
+        for n, home in enumerate(homes)
+    )
+
+
+def test_paths_that_cross_the_shared_link_take_what_it_carries() -> None:
+    """Guards against prompts that queue on the link until nothing is in time.
+
+    Load pattern: 32 prompts a second, and engines of three pipelines are
+    replaced with those of other data centres. The link carries 24 crossings of
+    a mean prompt a second.
+    """
+    local = _hops(*"aaaaaaaa")
+    crossing = _hops(*"aaabbaaa")
+    slots = MODEL.slots
+
+    def taken(*found: tuple[dispatch.Hop, ...]) -> list[int]:
+        named = [(f"p{n}", hops) for n, hops in enumerate(found)]
+        return [p.slots for p in dispatch.paths_of(MODEL, named)]
+
+    assert taken(local, local) == [slots, slots]
+    alone = taken(crossing, local)
+    assert alone[1] == slots
+    shared = taken(crossing, crossing, crossing)
+    assert len(set(shared)) == 1
+    assert alone[0] - 3 < sum(shared) <= alone[0]
+    # An answer takes about three seconds with thirty requests on a path.
+    step_s = (MODEL.step_s + 30 * MODEL.step_sequence_s) * 16
+    answer_s = MODEL.answer_tokens * step_s
+    prompts_per_s = sum(shared) / answer_s
+    crossing_s = MODEL.activation_bytes * MODEL.prompt_tokens * 8 / 6.5e9
+    assert prompts_per_s * 2 * crossing_s < 1.0
--- a/tests/core/forwarding/test_pipelines.py
+++ b/tests/core/forwarding/test_pipelines.py
@@ -180,45 +180,37 @@
     assert _room(after, left) >= 20e3
 
 
-def _lose_all_but(
-    plan: pipelines.Plan,
-    engines: list[upstreams.Upstream],
-    lost: set[str],
-    spares: set[str],
-) -> list[upstreams.Upstream]:
-    """Returns the engines of a plan without the lost ones, and some spares."""
-    kept = (set(plan.stages) - lost) | spares
-    return [e for e in engines if e.name in kept]
+def _full_pipeline(home: str) -> pipelines.Pipeline:
+    """Returns a pipeline of medium engines that have no room to grow."""
+    names = [*(f"{home}-medium-{n}" for n in range(7)), f"{home}-small-0"]
+    sizes = (11, 11, 11, 8, 11, 11, 11, 6)
+    ends = tuple(itertools.accumulate(sizes))
+    return pipelines.Pipeline(
+        f"{home}-1",
+        tuple(
+            pipelines.Stage(name, 1, end - size, end)
+            for name, size, end in zip(names, sizes, ends, strict=True)
+        ),
+    )
 
 
 def test_one_pipeline_at_a_time_crosses_the_shared_link() -> None:
     """Guards against pipelines that all wait for the link between them.
 
-    Load pattern: two pipelines lose an engine each and have one small spare
-    engine each; roomy spares stand in the third data centre only. Three
-    pipelines that crossed the link had pauses of a second.
+    Load pattern: two pipelines lose an engine each. Their data centres have
+    a small spare engine each, a third one has larger ones. Pipelines that all
+    crossed
+    the link had pauses of a second.
     """
-    engines = _engines({**TODAY, "b": (3, 6, 5)})
-    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
-    by_home = {h: p for p in plan.pipelines for h in _homes(p, engines)}
-    # Neighbours of these stages are small or full, so they cannot grow.
-    lost = {
-        s.engine
-        for home in "ac"
-        for s in by_home[home].stages
-        if s.last - s.first >= 8 and "medium" in s.engine
-    }
-    lost = {min(n for n in lost if n[0] == "a"), min(lost, key=_from_c)}
-    spares = {"a-small-4", "c-small-7", "b-medium-5", "b-medium-4"}
-    left = _lose_all_but(plan, engines, lost, spares - set(plan.stages))
-    repaired = pipelines.plan(MODEL, left, plan)
+    engines = _engines({"a": (0, 7, 2), "b": (0, 2, 0), "c": (0, 7, 2)})
+    previous = pipelines.Plan(1, (_full_pipeline("a"), _full_pipeline("c")))
+    lost = {"a-medium-3", "c-medium-3"}
+    left = [e for e in engines if e.name not in lost]
+    repaired = pipelines.plan(MODEL, left, previous)
     _assert_whole(repaired, left)
     crossing = [p for p in repaired.pipelines if len(_homes(p, left)) > 1]
-    assert len(crossing) <= 1
-
-
-def _from_c(name: str) -> tuple[bool, str]:
-    return (name[0] != "c", name)
+    assert len(repaired.pipelines) == 2
+    assert len(crossing) == 1
 
 
 def test_engines_of_several_data_centres_join_when_none_can_alone() -> None:
