--- /dev/null
+++ b/src/yuccatally_standins/path_demo.py
@@ -0,0 +1,97 @@
+"""Shows instances on the users' platform: stand-ins in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import sys
+from typing import TYPE_CHECKING
+
+import aiohttp
+import click
+import structlog
+
+from yuccatally_standins import path_site
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+# Long enough for an engine to be lost in the middle of a stream.
+EVENTS = 120
+STREAM_BODY = b"".join(
+    b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, EVENTS + 1)
+)
+
+
+def main() -> None:
+    """Starts a site, sends requests and checks what comes back."""
+    # Lines of the instances would hide what is shown.
+    structlog.configure(logger_factory=structlog.PrintLoggerFactory(_Nowhere()))
+    sys.exit(0 if asyncio.run(_run()) else 1)
+
+
+async def _run() -> bool:
+    async with (
+        path_site.running_store() as (store, address),
+        aiohttp.ClientSession() as session,
+    ):
+        site = path_site.Site(store, address, session)
+        try:
+            await _start(site)
+            passed = [_report(*shown) async for shown in _shows(site)]
+        finally:
+            await site.stop()
+    return all(passed)
+
+
+async def _start(site: path_site.Site) -> None:
+    await site.configure(1)
+    for name in ("e1", "e2"):
+        await site.add_engine(name, data_centre=f"dc-{name}", events=EVENTS)
+    await site.add_engine("d1", card="")
+    for name in ("n1", "n2"):
+        started = await site.start_node(name)
+        service = started.state.rules.services["model"]
+        await path_site.until(
+            lambda n=started, s=service: len(n.state.paths(s)) == 2
+        )
+
+
+async def _shows(
+    site: path_site.Site,
+) -> AsyncIterator[tuple[str, bool, str]]:
+    status, _, body = await site.request("/ask/x", "whole")
+    yield "stream over a pipeline", body == STREAM_BODY, f"status={status}"
+    status, _, body = await site.request("/book/x", "booking")
+    yield "booking at a service", body == b"done booking", f"status={status}"
+    task = asyncio.create_task(site.request("/ask/x", "moved"))
+    engines = [site.engines[n] for n in ("e1", "e2")]
+    await path_site.until(lambda: any(e.paths for e in engines))
+    lost = next(e for e in engines if e.paths)
+    await lost.stop()
+    status, _, body = await task
+    runs = sum(r.request == "moved" for e in engines for r in e.runs)
+    right = body == STREAM_BODY and runs == 2
+    yield "stream whose engine is lost", right, f"status={status} runs={runs}"
+    site.store.faults.status = 503
+    status, _, body = await site.request("/ask/x", "away", at=site.nodes[1])
+    yield "stream without the store", body == STREAM_BODY, f"status={status}"
+    status, _, _ = await site.request("/none/x", "none")
+    yield "unknown route", status in (404, 503), f"status={status}"
+
+
+def _report(name: str, right: bool, detail: str) -> bool:
+    click.echo(f"{'ok' if right else 'FAILED':6} platform: {name}: {detail}")
+    return right
+
+
+class _Nowhere(io.TextIOBase):
+    """Drops what is written."""
+
+    def write(self, text: str) -> int:
+        """Returns the length of the text."""
+        return len(text)
+
+
+if __name__ == "__main__":
+    main()
