--- a/tests/core/forwarding/test_dispatch.py
+++ b/tests/core/forwarding/test_dispatch.py
@@ -6,28 +6,11 @@
 import random
 
 from yuccatally.core.forwarding import dispatch
-from yuccatally.core.forwarding import rules
 from yuccatally.core.forwarding import upstreams
+from yuccatally_standins import models
 
 NONE: frozenset[str] = frozenset()
-MODEL = rules.Model(
-    slots=96,
-    layers=80,
-    layer_mb=1750.0,
-    load_s=14.0,
-    loads_at_once=6,
-    token_layer_bytes=10_650.0,
-    step_s=0.00085,
-    step_sequence_s=5.5e-6,
-    step_context_s=0.0,
-    read_tokens_per_s=272_000.0,
-    activation_bytes=42_600.0,
-    link_mbps=480_000.0,
-    pipe_mbps=6_500.0,
-    prompt_tokens=772.0,
-    answer_tokens=150.0,
-    cards={"medium": rules.Card("medium", 21_600.0, 16.0, 8.2)},
-)
+MODEL = models.TODAY
 
 
 def _engine(name: str, home: str = "a", slots: int = 6) -> upstreams.Upstream:
@@ -207,9 +190,11 @@
     shared = taken(crossing, crossing, crossing)
     assert len(set(shared)) == 1
     assert alone[0] - 3 < sum(shared) <= alone[0]
-    # An answer takes about three seconds with thirty requests on a path.
-    step_s = (MODEL.step_s + 30 * MODEL.step_sequence_s) * 16
-    answer_s = MODEL.answer_tokens * step_s
+    # Time of an answer with thirty requests on a path of medium engines.
+    context = (MODEL.prompt_tokens + MODEL.answer_tokens / 2) / 1e3
+    request_s = MODEL.step_sequence_s + context * MODEL.step_context_s
+    factor = MODEL.cards["medium"].step_factor
+    answer_s = MODEL.answer_tokens * factor * (MODEL.step_s + 30 * request_s)
     prompts_per_s = sum(shared) / answer_s
     crossing_s = MODEL.activation_bytes * MODEL.prompt_tokens * 8 / 6.5e9
     assert prompts_per_s * 2 * crossing_s < 1.0
