Keep a span for each hop of a forwarded request

Spans go into the same bounded buffer as those of the product's own interface. Any instance explains a request, because a client that was refused asks another one.

Ruled out: serving spans on the callers' listener (it has the callers' paths) and an exporter to a collector (there is none to send to).

--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -217,6 +217,15 @@
         self.metrics.observe("request", now - started_at)
         if reply.first_at:
             self.metrics.observe("first_byte", reply.first_at - started_at)
+        self.node.spans.add(
+            "request",
+            request.id,
+            now - started_at,
+            route=route,
+            status=reply.status,
+            outcome=outcome,
+            reason=reply.reason,
+        )
         _log.info(
             "request",
             request=request.id,
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -16,6 +16,7 @@
 from yuccatally.forwarding import control
 from yuccatally.forwarding import detection
 from yuccatally.forwarding import fleet
+from yuccatally.forwarding import operators
 from yuccatally.forwarding import registration
 from yuccatally.forwarding import rerouting
 from yuccatally.forwarding import state
@@ -215,8 +216,13 @@
             self._listener(readiness, listen.readiness),
         ]
         if self.settings.metrics:
-            served = endpoints.metrics(self.metrics_text)
-            found.append(self._listener(served, self.settings.metrics))
+            asked = operators.Operators(
+                self.state, self.fleet, self.metrics_text
+            )
+            asked.open()
+            found.append(
+                self._listener(asked.application(), self.settings.metrics)
+            )
         return found
 
     def _listener(
--- /dev/null
+++ b/src/yuccatally/forwarding/operators.py
@@ -0,0 +1,133 @@
+"""The operators' interface of a forwarding instance: metrics and spans."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from starlette import applications
+from starlette import responses
+from starlette import routing
+import structlog
+
+from yuccatally.peers import heartbeats
+from yuccatally.peers import transport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from starlette import requests
+
+    from yuccatally.forwarding import fleet
+    from yuccatally.forwarding import state
+    from yuccatally.telemetry import traces
+
+# Another instance looks its spans up in memory.
+PULL_TIMEOUT_S = 1.0
+# Requests that ``/operator/spans`` shows unless it is asked for more.
+REQUESTS_SHOWN = 1000
+
+_log = structlog.get_logger()
+
+
+class Operators:
+    """Answers questions of operators, also on behalf of other instances."""
+
+    def __init__(
+        self,
+        node: state.State,
+        others: fleet.Fleet,
+        metrics_text: Callable[[], str],
+    ) -> None:
+        """Creates the interface.
+
+        Args:
+            node: Shared state.
+            others: The other instances.
+            metrics_text: Returns the metrics in the Prometheus text format.
+        """
+        self.node = node
+        self.fleet = others
+        self.metrics_text = metrics_text
+
+    def open(self) -> None:
+        """Starts to answer other instances."""
+        self.fleet.transport.register(heartbeats.SpansPull, self._on_pull)
+
+    def application(self) -> applications.Starlette:
+        """Returns the application of the listener."""
+        return applications.Starlette(
+            routes=[
+                routing.Route("/metrics", self._metrics),
+                routing.Route("/operator/spans", self._spans),
+                routing.Route(
+                    "/operator/site/requests/{request}", self._explain
+                ),
+            ]
+        )
+
+    async def _metrics(self, request: requests.Request) -> responses.Response:
+        """Serves ``GET /metrics``."""
+        return responses.PlainTextResponse(self.metrics_text())
+
+    async def _spans(self, request: requests.Request) -> responses.Response:
+        """Serves ``GET /operator/spans?limit=N`` with the latest requests."""
+        text = request.query_params.get("limit", str(REQUESTS_SHOWN))
+        if not text.isascii() or not text.isdigit():
+            return _json({"error": f"limit: {text!r} is not a number"}, 400)
+        kept = list(self.node.spans.buffer.requests.items())[-int(text) :]
+        found = [{"request": r, "spans": s} for r, s in kept]
+        return _json({"instance": self.node.settings.name, "requests": found})
+
+    async def _explain(self, request: requests.Request) -> responses.Response:
+        """Serves ``GET /operator/site/requests/ID`` with all spans of an id.
+
+        A client that was refused asks another instance under a new id, and a
+        client that asks again with the same id may reach another instance, so
+        every instance is asked.
+        """
+        identity = request.path_params["request"]
+        contacts = self.fleet.live()
+        answers = await asyncio.gather(
+            *(self._pull(c.peers, identity) for c in contacts)
+        )
+        spans = [
+            _shown(self.node.settings.name, s)
+            for s in self.node.spans.of(identity)
+        ]
+        unreachable = []
+        for contact, found in zip(contacts, answers, strict=True):
+            if found is None:
+                unreachable.append(contact.name)
+            else:
+                spans.extend(_shown(contact.name, s) for s in found)
+        spans.sort(key=lambda s: s["start_unix_s"])
+        return _json({"spans": spans, "unreachable": unreachable})
+
+    async def _pull(
+        self, address: str, identity: str
+    ) -> tuple[traces.SpanRecord, ...] | None:
+        """Returns the spans of another instance; None if it does not answer."""
+        try:
+            reply = await self.fleet.transport.exchange(
+                address, heartbeats.SpansPull(identity), PULL_TIMEOUT_S
+            )
+        except transport.PeerError as error:
+            _log.info("spans_pull_failed", peer=address, error=str(error))
+            return None
+        return reply.spans
+
+    def _on_pull(self, pull: heartbeats.SpansPull) -> heartbeats.SpansReply:
+        return heartbeats.SpansReply(self.node.spans.of(pull.request))
+
+
+def _shown(instance: str, span: traces.SpanRecord) -> dict[str, Any]:
+    return {"instance": instance, **msgspec.to_builtins(span)}
+
+
+def _json(content: object, status: int = 200) -> responses.Response:
+    return responses.Response(
+        msgspec.json.encode(content), status, media_type="application/json"
+    )
--- a/src/yuccatally/forwarding/rerouting.py
+++ b/src/yuccatally/forwarding/rerouting.py
@@ -104,9 +104,13 @@
             if not withdrawn:
                 self._log(attempt, lost, "retry budget is used up")
                 return
-            outcome = await engines.reroute(
-                self.session, attempt.request, found
-            )
+            with self.node.spans.hop(
+                "reroute", attempt.request, lost=lost
+            ) as hop:
+                outcome = await engines.reroute(
+                    self.session, attempt.request, found
+                )
+                hop.set_attribute("ended", type(outcome).__name__.lower())
             match outcome:
                 case reports.Rerouted():
                     attempt.path = found
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -47,7 +47,9 @@
     budget.on_request(time.monotonic())
     tried: frozenset[str] = frozenset()
     while True:
-        path = await choose(tried)
+        with node.spans.hop("choose", ticket.request.id) as hop:
+            path = await choose(tried)
+            hop.set_attribute("ended", type(path).__name__.lower())
         if not isinstance(path, dispatch.Path):
             await _end_without_path(node, ticket, reply, progress, path)
             return
@@ -55,7 +57,16 @@
         reply.attempts += 1
         reply.upstream = path.name
         progress.start()
-        result = await attempt(path)
+        with node.spans.hop(
+            "attempt",
+            ticket.request.id,
+            number=reply.attempts,
+            path=path.name,
+            upstreams=",".join(h.name for h in path.hops),
+        ) as hop:
+            result = await attempt(path)
+            hop.set_attribute("events", reply.events)
+            hop.set_attribute("ended", _ended(result))
         if result is None:
             return
         progress.settle(result.failure)
@@ -80,6 +91,10 @@
         return
 
 
+def _ended(result: answers.Unusable | None) -> str:
+    return "whole" if result is None else answers.reason(result.failure)
+
+
 def choose(
     node: state.State, ticket: tickets.Ticket, tried: frozenset[str]
 ) -> Choice:
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -13,6 +13,7 @@
 from yuccatally.core.forwarding import reroute
 from yuccatally.core.forwarding import retries
 from yuccatally.core.forwarding import upstreams
+from yuccatally.forwarding import spans
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,6 +37,7 @@
         rules_spec: The same as the platform holds it, for other instances.
         watch_up: Whether the watch of the configuration is up.
         confirmed_at: Time at which a peer last confirmed the rules.
+        spans: Hops of the latest requests.
         registry: Upstreams.
         plans: Pipelines by service.
         held: Layers that a report has shown, by engine and birth.
@@ -50,6 +52,7 @@
         self.rules_spec: object = None
         self.watch_up = False
         self.confirmed_at = 0.0
+        self.spans = spans.Spans(settings.name)
         self.registry = upstreams.Registry()
         self.plans: dict[str, pipelines.Plan] = {}
         self.held: dict[tuple[str, int], upstreams.Layers] = {}
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -8,6 +8,7 @@
 
 from yuccatally.core.forwarding import pipelines  # noqa: TC001
 from yuccatally.core.forwarding import upstreams  # noqa: TC001
+from yuccatally.telemetry import traces  # noqa: TC001
 
 
 class Contact(msgspec.Struct, array_like=True, frozen=True):
@@ -143,3 +144,21 @@
 
     known: int
     after: str = ""
+
+
+class SpansReply(msgspec.Struct, array_like=True, frozen=True):
+    """Spans that an instance has of a request."""
+
+    spans: tuple[traces.SpanRecord, ...] = ()
+
+
+class SpansPull(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for the spans of a request.
+
+    Attributes:
+        request: Id that the client gave to its attempt.
+    """
+
+    reply: ClassVar[type] = SpansReply
+
+    request: str
--- a/src/yuccatally/platform/endpoints.py
+++ b/src/yuccatally/platform/endpoints.py
@@ -39,12 +39,3 @@
         return responses.Response(status_code=200 if is_ready() else 503)
 
     return applications.Starlette(routes=[routing.Route("/readyz", ready)])
-
-
-def metrics(text: Callable[[], str]) -> applications.Starlette:
-    """Returns the application that serves counters and latencies."""
-
-    async def serve(request: requests.Request) -> responses.Response:
-        return responses.PlainTextResponse(text())
-
-    return applications.Starlette(routes=[routing.Route("/metrics", serve)])
--- a/src/yuccatally/telemetry/traces.py
+++ b/src/yuccatally/telemetry/traces.py
@@ -140,13 +140,14 @@
 
 
 def tracer(
-    buffer: TraceBuffer, kept: trail.Trail, instance: str
+    buffer: TraceBuffer, kept: trail.Trail | None, instance: str
 ) -> trace.Tracer:
-    """Returns a tracer whose spans end in the buffer and in the trail."""
+    """Returns a tracer whose spans end in the buffer and in a trail, if any."""
     resource = resources.Resource.create({"service.instance.id": instance})
     provider = sdk_trace.TracerProvider(
         resource=resource, shutdown_on_exit=False
     )
     provider.add_span_processor(export.SimpleSpanProcessor(buffer))
-    provider.add_span_processor(TrailProcessor(kept))
+    if kept is not None:
+        provider.add_span_processor(TrailProcessor(kept))
     return provider.get_tracer("yuccatally")
--- a/src/yuccatally_standins/path_site.py
+++ b/src/yuccatally_standins/path_site.py
@@ -83,6 +83,7 @@
                 listen=node_settings.Listen(*(_address() for _ in range(4))),
                 seeds=seeds,
                 store=self.store_address,
+                metrics=_address(),
                 bounds=node_settings.Bounds(grace_s=3.0, fences_enforced=True),
             )
         )
