Let emulated requests wait for room, and emulated dead pipelines be silent

Cause: the emulator refused requests at a pipeline with a dead engine at once, so that each of them used up the retry budget, and refused streams that broke off where the product waits for room.

--- a/src/yuccatally_bench/emulation/experiment.py
+++ b/src/yuccatally_bench/emulation/experiment.py
@@ -106,6 +106,8 @@
         faults: Faults, by time.
         length_s: Time in which requests arrive.
         stall_s: Time after which streams break off that wait for a dead engine.
+        retry_reserve: Repeated sends of all instances in ten seconds, beside
+            a fifth of the requests.
     """
 
     name: str
@@ -117,6 +119,7 @@
     faults: tuple[Fault, ...] = ()
     length_s: float = 30.0
     stall_s: float = 2.0
+    retry_reserve: float = 200.0
 
     @classmethod
     def from_config(cls, table: dict[str, Any]) -> Experiment:
@@ -149,6 +152,7 @@
                 ),
                 length_s=float(table.get("length_s", 30.0)),
                 stall_s=float(table.get("stall_s", 2.0)),
+                retry_reserve=float(table.get("retry_reserve", 200.0)),
             )
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise ExperimentError(f"{type(error).__name__}: {error}") from error
--- a/src/yuccatally_bench/emulation/pipeline.py
+++ b/src/yuccatally_bench/emulation/pipeline.py
@@ -93,6 +93,7 @@
         self.streams: list[Stream] = []
         self.factor = 1.0
         self.dead = False
+        self.stall_s = 0.0
         self.preempted = 0
         self.tokens = 0
         # Time at which the slowest stage has read all prompts that it has.
@@ -125,7 +126,10 @@
     def start(self, stream: Stream) -> None:
         """Starts a stream."""
         self.streams.append(stream)
-        self._read(stream)
+        if self.dead:
+            self._break_off_later([stream])
+        else:
+            self._read(stream)
 
     def cancel(self, stream: Stream) -> None:
         """Takes a stream off, without a call of ``on_end``."""
@@ -135,15 +139,17 @@
     def fail(self, stall_s: float) -> None:
         """Lets an engine of it fall silent; streams break off later."""
         self.dead = True
-        waiting = list(self.streams)
+        self.stall_s = stall_s
+        self._break_off_later(list(self.streams))
 
+    def _break_off_later(self, waiting: list[Stream]) -> None:
         def break_off() -> None:
             for stream in waiting:
                 if stream in self.streams:
                     self._remove(stream)
                     stream.on_end(False)
 
-        self.clock.after(stall_s, break_off)
+        self.clock.after(self.stall_s, break_off)
 
     def _read(self, stream: Stream) -> None:
         """Reads a prompt; stages work on the pieces of several at once."""
