--- a/tests/core/forwarding/test_views.py
+++ b/tests/core/forwarding/test_views.py
@@ -172,3 +172,16 @@
     assert set(found.live(2.8)) == {"n1", "n3"}
     found.on_list("n1", known + 1, None, 2.8)
     assert found.live(2.95) == {}
+
+
+def test_follower_is_not_told_what_only_it_reported() -> None:
+    """Guards against two instances that follow each other and keep a third."""
+    found = views.Views("n1", "a")
+    found.on_heard(_member("n2"), True, 0.0)
+    members = (_member("n2"), _member("n3"))
+    found.on_list("n2", views.digest(members), members, 0.0)
+    assert set(found.live(0.1)) == {"n2", "n3"}
+    told = found.everyone(_member("n1"), 0.1, receiver="n2")
+    assert [m.contact.name for m in told] == ["n1", "n2"]
+    told = found.everyone(_member("n1"), 0.1, receiver="n4")
+    assert [m.contact.name for m in told] == ["n1", "n2", "n3"]
