--- a/src/yuccatally_bench/emulation/policies.py
+++ b/src/yuccatally_bench/emulation/policies.py
@@ -23,12 +23,8 @@
     Choose = Callable[[str, random.Random], dispatch.Dispatcher]
 
 
-class RoundRobin(dispatch.Dispatcher):
-    """Takes the paths with room in turn."""
-
-    def __init__(self, data_centre: str, rng: random.Random) -> None:
-        super().__init__(data_centre, rng)
-        self.turn = rng.randrange(1000)
+class Baseline(dispatch.Dispatcher):
+    """Takes any path that was not tried, without a look at its room."""
 
     def path(
         self,
@@ -37,28 +33,33 @@
         excluded: frozenset[str],
         now: float,
     ) -> dispatch.Path | dispatch.Full | dispatch.Nothing:
-        """Returns the next path."""
+        """Returns the path that the policy picks."""
         usable = [p for p in paths if p.name not in excluded]
-        if not usable:
-            return dispatch.Nothing()
+        return self.pick(usable, now) if usable else dispatch.Nothing()
+
+    def pick(self, usable: list[dispatch.Path], now: float) -> dispatch.Path:
+        """Returns one of the paths."""
+        raise NotImplementedError
+
+
+class RoundRobin(Baseline):
+    """Takes the paths in turn."""
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        super().__init__(data_centre, rng)
+        self.turn = rng.randrange(1000)
+
+    def pick(self, usable: list[dispatch.Path], now: float) -> dispatch.Path:
+        """Returns the next path."""
         self.turn += 1
         return usable[self.turn % len(usable)]
 
 
-class LeastOutstanding(dispatch.Dispatcher):
+class LeastOutstanding(Baseline):
     """Takes the path with the fewest requests that it knows of."""
 
-    def path(
-        self,
-        paths: Iterable[dispatch.Path],
-        tokens: float,
-        excluded: frozenset[str],
-        now: float,
-    ) -> dispatch.Path | dispatch.Full | dispatch.Nothing:
+    def pick(self, usable: list[dispatch.Path], now: float) -> dispatch.Path:
         """Returns the path with the fewest requests."""
-        usable = [p for p in paths if p.name not in excluded]
-        if not usable:
-            return dispatch.Nothing()
         return min(
             usable,
             key=lambda p: (self.load(p.name, now).requests, self.rng.random()),
