--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -23,8 +23,8 @@
 # Share of a stage's memory that is given out; the rest absorbs answers that
 # get longer than expected, before engines have to preempt.
 MEMORY_SHARE = 0.92
-# Paths that are drawn at random for a request, of which it takes the best. Two
-# suffice against crowding: with more, requests crowd on the best path again.
+# Paths that are drawn at random for a request, of which it takes the best: the
+# fewest that compare load. Instances with the same old picture draw others.
 CHOICES = 2
 # Another data centre is chosen only if it is faster by this factor.
 DISTANCE_FACTOR = 1.05
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -234,6 +234,7 @@
         except transport.PeerError as error:
             if name and name == self.relay:
                 _log.info("relay_silent", relay=name, error=str(error))
+            # Of any other instance, lasting silence is logged as its loss.
             self.views.shun(name, time.monotonic())
             return
         self._take(reply)
--- a/src/yuccatally_bench/emulation/instances.py
+++ b/src/yuccatally_bench/emulation/instances.py
@@ -9,6 +9,7 @@
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import retries
 from yuccatally.core.forwarding import rules
+from yuccatally.forwarding import detection
 from yuccatally.forwarding import streams
 from yuccatally_bench.emulation import pipeline as pipeline_module
 
@@ -26,10 +27,6 @@
 RETRY_SHARE, RETRY_WINDOW_S = 0.2, 10.0
 # Upstreams that one request may be sent to.
 ATTEMPTS = 2
-# A path that failed a request is passed over for this long; see ``detection``.
-AVOID_S = 1.0
-# Stalled paths are looked for this often.
-LOOK_S = 0.03
 
 
 @dataclasses.dataclass
@@ -113,7 +110,7 @@
         self.on_refused = on_refused
         self.on_done = on_done
         self.running: dict[str, dict[int, _Running]] = {}
-        clock.every(LOOK_S, self._look)
+        clock.every(detection.TICK_S, self._look)
 
     def take(self, request: Request) -> None:
         """Takes a request of a client."""
@@ -134,7 +131,7 @@
         request.progress.start()
         pipeline = self.placed.pipelines[found.name]
         if not pipeline.accepts(request.prompt):
-            self.dispatcher.avoid(found.name, now + AVOID_S)
+            self.dispatcher.avoid(found.name, now + detection.AVOID_S)
             self.clock.after(
                 ROUND_TRIP_S,
                 lambda: self._on_failure(request, attempts.Refused(503)),
@@ -204,7 +201,7 @@
         for name in [
             n for n in self.running if self.dispatcher.is_stalled(n, now)
         ]:
-            self.dispatcher.avoid(name, now + AVOID_S)
+            self.dispatcher.avoid(name, now + detection.AVOID_S)
             self.placed.doubt(name)
             left = self.budget.left(now, self.instances)
             moving = [
--- a/src/yuccatally_bench/emulation/run.py
+++ b/src/yuccatally_bench/emulation/run.py
@@ -9,6 +9,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from yuccatally.forwarding import fleet
 from yuccatally_bench.emulation import clock as clock_module
 from yuccatally_bench.emulation import instances
 from yuccatally_bench.emulation import placement
@@ -18,8 +19,8 @@
     from yuccatally_bench.emulation import policies
 
 # Instances exchange their load as ``forwarding.fleet`` does.
-EXCHANGE_S = 0.15
-# Worth of an answer that is whole and late, as the users' sheets state it.
+EXCHANGE_S = fleet.PERIOD_S
+# Worth of an answer that is whole and late: a quarter, as the users price it.
 LATE_WORTH = 0.25
 
 
