Log when upstreams leave, return and are used all the same

Cause: the logs could not tell whether an answer of an engine said that it leaves, whether an instance forgot that an engine leaves, or whether requests were sent to it later. Change: a client middleware sees every answer of an engine (requests, health checks, reports, orders) and decodes its statement. New events: leaving_announced, upstream_leaving, upstream_returned, leaving_upstream_used. Entries carry no new state that decides anything; routing is unchanged. Ruled out: reading the header where requests are answered only, since reports and health checks tell of it first when no request is under way. Tests: core/forwarding, forwarding and platform pass.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
 # Lifetime of a suspicion that is not renewed. The entry of an engine that has
@@ -70,6 +71,11 @@
         last_changes: Number of the last change of each entry, including
             removed ones, in the order of the changes.
         oldest_change: Number after which ``last_changes`` is complete.
+        leaving: Incarnations that are known to leave or to have left, by name
+            and start time, in the order in which this became known.
+        on_leaving: Called with an upstream that is newly known to leave.
+        on_return: Called with an upstream that accepts requests again, although
+            its incarnation was known to leave.
     """
 
     def __init__(self) -> None:
@@ -80,12 +86,19 @@
         self.entries_generation = 0
         self.last_changes: dict[str, int] = {}
         self.oldest_change = 0
+        self.leaving: dict[tuple[str, int], None] = {}
+        self.on_leaving: Callable[[Upstream], None] = lambda upstream: None
+        self.on_return: Callable[[Upstream], None] = lambda upstream: None
 
     def apply_entry(self, entry: Upstream) -> bool:
         """Adds or updates an entry; returns whether it changed."""
         self.rejoin_deadlines.pop(entry.name, None)
         if self.entries.get(entry.name) == entry:
             return False
+        if entry.draining:
+            self.record_leaving(entry)
+        elif (entry.name, entry.born_ms) in self.leaving:
+            self.on_return(entry)
         self.entries[entry.name] = entry
         self._record_change(entry.name)
         return True
@@ -118,6 +131,17 @@
             if name not in listed:
                 self.remove(name, rejoin_until)
 
+    def record_leaving(self, upstream: Upstream) -> bool:
+        """Records that an incarnation leaves; returns whether this is new."""
+        key = (upstream.name, upstream.born_ms)
+        if key in self.leaving:
+            return False
+        self.leaving[key] = None
+        if len(self.leaving) > MAX_REMOVED_COUNT:
+            del self.leaving[next(iter(self.leaving))]
+        self.on_leaving(upstream)
+        return True
+
     def changed_since(self, generation: int) -> list[str] | None:
         """Returns the names of entries changed or removed after a generation.
 
@@ -188,7 +212,7 @@
         return None
 
     def _remove_entry(self, name: str) -> None:
-        del self.entries[name]
+        self.record_leaving(self.entries.pop(name))
         self.rejoin_deadlines.pop(name, None)
         self._record_change(name)
 
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -26,6 +26,7 @@
 from yuccatally.instance import servers
 from yuccatally.platform import documents
 from yuccatally.platform import endpoints
+from yuccatally.platform import statements
 from yuccatally.platform import store as platform_store
 from yuccatally.settings import settings as settings_module
 from yuccatally.store import middlewares
@@ -133,9 +134,12 @@
         # are already logged with the request.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         _log.info("starting", name=self.settings.name)
-        client = exchange.UpstreamClient()
+        read_statements = statements.create_middleware(
+            self.state.registry.entries.get, self.state.apply_statement
+        )
+        client = exchange.UpstreamClient((read_statements,))
         session = aiohttp.ClientSession(
-            middlewares=(middlewares.send_at_most_once,)
+            middlewares=(read_statements, middlewares.send_at_most_once)
         )
         try:
             listeners = self._open(client, session)
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -59,6 +59,7 @@
                 instance_state, context, writer, progress, path
             )
             return
+        instance_state.log_leaving_hops(context.request.id, path)
         tried |= {path.name}
         writer.attempt_count += 1
         writer.last_upstream = path.name
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -12,6 +12,7 @@
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import retries
+from yuccatally.core.forwarding import statements
 from yuccatally.core.forwarding import upstreams
 from yuccatally.forwarding import spans
 
@@ -62,6 +63,8 @@
         self.confirmed_at = 0.0
         self.spans = spans.SpanRecorder(settings.name)
         self.registry = upstreams.Registry()
+        self.registry.on_leaving = _log_leaving
+        self.registry.on_return = _log_return
         self.plans: dict[str, pipelines.Plan] = {}
         self.plans_generation = 0
         self.confirmed_layers: dict[tuple[str, int], upstreams.LayerRange] = {}
@@ -222,6 +225,26 @@
                 reason=reason,
             )
 
+    def apply_statement(
+        self, upstream: upstreams.Upstream, statement: statements.Statement
+    ) -> None:
+        """Applies what an upstream stated about itself in a response."""
+        match statement:
+            case statements.Leaving():
+                if self.registry.record_leaving(upstream):
+                    _log.info("leaving_announced", upstream=upstream.name)
+
+    def log_leaving_hops(self, request: str, path: dispatch.Path) -> None:
+        """Logs the upstreams of a path that are known to leave."""
+        for hop in path.hops:
+            if (hop.name, hop.born_ms) in self.registry.leaving:
+                _log.warning(
+                    "leaving_upstream_used",
+                    request=request,
+                    path=path.name,
+                    upstream=hop.name,
+                )
+
     def _planned_holdings(
         self, plan: pipelines.Plan
     ) -> dict[str, composition.Holding]:
@@ -268,3 +291,18 @@
         ):
             return stage.last - stage.first
         return held.last - held.first
+
+
+def _log_leaving(upstream: upstreams.Upstream) -> None:
+    _log.info(
+        "upstream_leaving",
+        upstream=upstream.name,
+        address=upstream.address,
+        listed_draining=upstream.draining,
+    )
+
+
+def _log_return(upstream: upstreams.Upstream) -> None:
+    _log.warning(
+        "upstream_returned", upstream=upstream.name, address=upstream.address
+    )
--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -16,6 +16,7 @@
     from collections.abc import AsyncIterator
     from typing import Self
 
+    from aiohttp import client_middlewares
     from aiohttp import client_proto
     from aiohttp import connector
 
@@ -179,11 +180,19 @@
 class UpstreamClient:
     """Sends each request at most once."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        extra_middlewares: tuple[
+            client_middlewares.ClientMiddlewareType, ...
+        ] = (),
+    ) -> None:
+        """Creates sessions; see ``services.create_session``."""
         self.pooled_session = services.create_session(
-            KEEP_ALIVE_TIMEOUT_S, WatchedResponse
+            KEEP_ALIVE_TIMEOUT_S, WatchedResponse, extra_middlewares
+        )
+        self.single_use_session = services.create_session(
+            0.0, WatchedResponse, extra_middlewares
         )
-        self.single_use_session = services.create_session(0.0, WatchedResponse)
 
     async def open(self, request: UpstreamRequest) -> UpstreamResponse:
         """Sends a request and waits for the headers of the response.
--- a/src/yuccatally/upstreams/services.py
+++ b/src/yuccatally/upstreams/services.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from aiohttp import client_middlewares
+
 CONNECT_TIMEOUT_S = 1.0
 HOP_BY_HOP = frozenset(
     {
@@ -116,6 +118,7 @@
 def create_session(
     keep_alive_s: float = 0.0,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
+    extra_middlewares: tuple[client_middlewares.ClientMiddlewareType, ...] = (),
 ) -> aiohttp.ClientSession:
     """Creates a session for calls of services.
 
@@ -126,6 +129,7 @@
             0, each call has its own connection, so that a late answer cannot
             be read as the answer to another call.
         response_class: Class of the responses.
+        extra_middlewares: Client middlewares that see each call.
     """
     trace_config = aiohttp.TraceConfig()
     trace_config.on_connection_create_start.append(_on_connecting)
@@ -138,7 +142,7 @@
         )
     return aiohttp.ClientSession(
         connector=connector,
-        middlewares=(middlewares.send_at_most_once,),
+        middlewares=(*extra_middlewares, middlewares.send_at_most_once),
         response_class=response_class,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
