Show requests to upstreams that have announced that they leave

An engine adds Server-Leaving to its answers while the store cannot be reached: 8 of the next 12 requests still go to it, from the instance that got the answer and from others. The engine of the stand-ins can announce this now. No logic is changed.

--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -34,6 +34,8 @@
             empty for responses with a length.
         drops_answer: Whether an executed request gets no response.
         leaving: Whether requests and health checks are refused.
+        announces_leaving: Whether all responses state that the engine leaves,
+            while it serves as before.
         report_lag_s: Time for which an accepted order loads layers and reports
             do not show it, in seconds.
         trickle_after: Number of events after which bytes of an event arrive now
@@ -49,6 +51,7 @@
     unframed: str = ""
     drops_answer: bool = False
     leaving: bool = False
+    announces_leaving: bool = False
     report_lag_s: float = 0.0
     trickle_after: int | None = None
 
@@ -136,6 +139,7 @@
     async def start(self) -> None:
         """Starts to listen on a free port."""
         app = web.Application()
+        app.on_response_prepare.append(self._announce)
         app.router.add_get("/report", self._report)
         app.router.add_post("/order", self._order)
         app.router.add_get("/healthz", self._health)
@@ -175,6 +179,12 @@
             entry["layers"] = _encode_layers(self.held_layers)
         return entry
 
+    async def _announce(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.behaviour.announces_leaving:
+            response.headers["Server-Leaving"] = "1"
+
     async def _report(self, request: web.Request) -> web.Response:
         count, layers = self.accepted_order_count, self.held_layers
         if self._is_report_outdated():
