Exclude upstreams for good once a response says that they leave

Callers saw: requests sent to an engine after it had announced that it leaves; on its exit their streams break off. Cause: the store's entry was the only statement that counted. An instance that the store had not told yet, or could not tell, went on using the engine, and a failed health check excluded it for six seconds only. Change: the statement in any response (request, health check, report, order) marks the incarnation, which then counts as draining whatever its entry says. Heartbeats pass it on for three seconds, so that instances which send nothing to the engine and the leader know it too. A new process under the same name is another incarnation. Why this works: all ways to an engine (first attempts, retries, resumed and rerouted streams, later hops, plain upstreams, plans) ask the registry for upstreams that are not draining. Ruled out: a longer suspicion, which ends while the engine still leaves.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 from typing import TYPE_CHECKING
+from typing import Any
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,6 +74,9 @@
         oldest_change: Number after which ``last_changes`` is complete.
         leaving: Incarnations that are known to leave or to have left, by name
             and start time, in the order in which this became known.
+        announced_at: Time at which this instance learned that an incarnation
+            has itself stated that it leaves, in the order of these times. No
+            entry returns it to service.
         on_leaving: Called with an upstream that is newly known to leave.
         on_return: Called with an upstream that accepts requests again, although
             its incarnation was known to leave.
@@ -87,16 +91,19 @@
         self.last_changes: dict[str, int] = {}
         self.oldest_change = 0
         self.leaving: dict[tuple[str, int], None] = {}
+        self.announced_at: dict[tuple[str, int], float] = {}
         self.on_leaving: Callable[[Upstream], None] = lambda upstream: None
         self.on_return: Callable[[Upstream], None] = lambda upstream: None
 
     def apply_entry(self, entry: Upstream) -> bool:
         """Adds or updates an entry; returns whether it changed."""
         self.rejoin_deadlines.pop(entry.name, None)
+        if (entry.name, entry.born_ms) in self.announced_at:
+            entry = dataclasses.replace(entry, draining=True)
         if self.entries.get(entry.name) == entry:
             return False
         if entry.draining:
-            self.record_leaving(entry)
+            self._record_leaving(entry)
         elif (entry.name, entry.born_ms) in self.leaving:
             self.on_return(entry)
         self.entries[entry.name] = entry
@@ -131,17 +138,44 @@
             if name not in listed:
                 self.remove(name, rejoin_until)
 
-    def record_leaving(self, upstream: Upstream) -> bool:
-        """Records that an incarnation leaves; returns whether this is new."""
-        key = (upstream.name, upstream.born_ms)
-        if key in self.leaving:
+    def announce_leaving(self, name: str, born_ms: int, now: float) -> bool:
+        """Records that an incarnation has stated that it leaves.
+
+        Load pattern: engines are released while the store is down or rejects
+        an instance. Their entries stay ready, and the engines serve for
+        seconds, so that neither the store nor refusals show that they leave.
+
+        Args:
+            name: Name of the upstream.
+            born_ms: Start time of the process, milliseconds since 1970.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether this was not known.
+        """
+        key = (name, born_ms)
+        if key in self.announced_at:
             return False
-        self.leaving[key] = None
-        if len(self.leaving) > MAX_REMOVED_COUNT:
-            del self.leaving[next(iter(self.leaving))]
-        self.on_leaving(upstream)
+        self.announced_at[key] = now
+        _limit_length(self.announced_at)
+        entry = self.incarnation(name, born_ms)
+        if entry is not None:
+            self.apply_entry(entry)
         return True
 
+    def announced_since(self, since: float) -> list[tuple[str, int]]:
+        """Returns the incarnations whose statement became known after a time.
+
+        Args:
+            since: Monotonic time in seconds.
+        """
+        recent = []
+        for key, at in reversed(self.announced_at.items()):
+            if at < since:
+                break
+            recent.append(key)
+        return recent
+
     def changed_since(self, generation: int) -> list[str] | None:
         """Returns the names of entries changed or removed after a generation.
 
@@ -211,8 +245,15 @@
                 return upstream
         return None
 
+    def _record_leaving(self, upstream: Upstream) -> None:
+        key = (upstream.name, upstream.born_ms)
+        if key not in self.leaving:
+            self.leaving[key] = None
+            _limit_length(self.leaving)
+            self.on_leaving(upstream)
+
     def _remove_entry(self, name: str) -> None:
-        self.record_leaving(self.entries.pop(name))
+        self._record_leaving(self.entries.pop(name))
         self.rejoin_deadlines.pop(name, None)
         self._record_change(name)
 
@@ -227,3 +268,9 @@
                 n for n in self.last_changes if n not in self.entries
             )
             self.oldest_change = self.last_changes.pop(removed)
+
+
+def _limit_length(records: dict[tuple[str, int], Any]) -> None:
+    """Removes the oldest record if there are too many."""
+    if len(records) > MAX_REMOVED_COUNT:
+        del records[next(iter(records))]
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -41,6 +41,9 @@
 # Entries of instances that did not respond for this long are deleted; a restart
 # takes a few seconds.
 REMOVE_AFTER_S = 20.0
+# Statements of leaving engines are passed on for this long after they were
+# received, twice the time after which a silent relay is replaced.
+LEAVING_TTL_S = 3.0
 # Minimum interval between checks of the store while another instance does not
 # reach it. Every instance makes a call for each check.
 STORE_CHECK_INTERVAL_S = 3.0
@@ -317,6 +320,12 @@
             engine_suspicions=self.suspicions.current(now),
             leader_state=self.leader_state.current(now),
             receiver_born_ms=self.member_table.born_ms(receiver),
+            leaving=tuple(
+                suspicions.Incarnation(*key)
+                for key in self.state.registry.announced_since(
+                    now - LEAVING_TTL_S
+                )
+            ),
         )
 
     def _answer_heartbeat(
@@ -347,6 +356,8 @@
         self._apply_store_state(heartbeat, now)
         self._apply_outstanding_work(heartbeat, now)
         self.suspicions.merge(heartbeat.engine_suspicions, now)
+        for engine in heartbeat.leaving:
+            self.state.announce_leaving(engine.name, engine.born_ms, name)
         self.leader_state.apply(heartbeat.leader_state)
         self._compare_rules(heartbeat, now)
         # Lists of other followers are as old as their last exchange with the
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -231,8 +231,20 @@
         """Applies what an upstream stated about itself in a response."""
         match statement:
             case statements.Leaving():
-                if self.registry.record_leaving(upstream):
-                    _log.info("leaving_announced", upstream=upstream.name)
+                self.announce_leaving(
+                    upstream.name, upstream.born_ms, "response"
+                )
+
+    def announce_leaving(self, name: str, born_ms: int, source: str) -> None:
+        """Excludes an incarnation that has stated that it leaves, for good.
+
+        Args:
+            name: Name of the upstream.
+            born_ms: Start time of the process, milliseconds since 1970.
+            source: Where the statement was received, for the log.
+        """
+        if self.registry.announce_leaving(name, born_ms, time.monotonic()):
+            _log.info("leaving_announced", upstream=name, source=source)
 
     def log_leaving_hops(self, request: str, path: dispatch.Path) -> None:
         """Logs the upstreams of a path that are known to leave."""
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -82,6 +82,8 @@
         leader_state: Latest state that the leader published.
         receiver_born_ms: Latest start time of the receiver that the sender
             knows, milliseconds since 1970; 0 for none.
+        leaving: Upstreams that have stated in a response that they leave, as
+            far as the sender learned of it in the last seconds.
     """
 
     reply: ClassVar[type]
@@ -101,6 +103,7 @@
     engine_suspicions: tuple[suspicions.Suspicion, ...] = ()
     leader_state: LeaderState | None = None
     receiver_born_ms: int = 0
+    leaving: tuple[suspicions.Incarnation, ...] = ()
 
 
 Heartbeat.reply = Heartbeat
