Ignore copies of upstream entries that are older than what is known

Callers could see: requests to an engine that leaves or has left, after another instance passed on an older copy of its entry. Cause: Registry.apply_entry accepted any entry. A peer that keeps a missing entry after an outage of the store lists it at a later revision of the store, so that the comparison of whole lists does not detect the old entry in it. Change: entries carry the revision of their last change, removals the revision at which the entry was missing. An entry that is not newer is ignored; it also no longer ends the grace period of a missing entry. An engine that registers again has a newer revision and returns. Ruled out: removals that last for good, which would exclude an engine that could not reach the store for some heartbeats.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -45,6 +45,8 @@
         card: Type of its accelerator; empty for a plain upstream.
         model: Name of its model; empty if none is declared.
         layers: Layers that it has loaded; None for none.
+        revision: Revision of the store in which the entry last changed; 0 if
+            unknown.
     """
 
     name: str
@@ -57,6 +59,7 @@
     card: str = ""
     model: str = ""
     layers: LayerRange | None = None
+    revision: int = dataclasses.field(default=0, compare=False)
 
 
 class Registry:
@@ -77,6 +80,8 @@
         announced_at: Time at which this instance learned that an incarnation
             has itself stated that it leaves, in the order of these times. No
             entry returns it to service.
+        removed_revisions: Revision of the store at which each entry was
+            missing, in the order of the removals.
         on_leaving: Called with an upstream that is newly known to leave.
         on_return: Called with an upstream that accepts requests again, although
             its incarnation was known to leave.
@@ -92,11 +97,18 @@
         self.oldest_change = 0
         self.leaving: dict[tuple[str, int], None] = {}
         self.announced_at: dict[tuple[str, int], float] = {}
+        self.removed_revisions: dict[str, int] = {}
         self.on_leaving: Callable[[Upstream], None] = lambda upstream: None
         self.on_return: Callable[[Upstream], None] = lambda upstream: None
 
     def apply_entry(self, entry: Upstream) -> bool:
-        """Adds or updates an entry; returns whether it changed."""
+        """Adds or updates an entry; returns whether it changed.
+
+        Copies of other instances may be older than the entry or its removal;
+        they are ignored.
+        """
+        if self._is_outdated(entry):
+            return False
         self.rejoin_deadlines.pop(entry.name, None)
         if (entry.name, entry.born_ms) in self.announced_at:
             entry = dataclasses.replace(entry, draining=True)
@@ -110,7 +122,9 @@
         self._record_change(entry.name)
         return True
 
-    def remove(self, name: str, rejoin_until: float | None) -> None:
+    def remove(
+        self, name: str, rejoin_until: float | None, revision: int = 0
+    ) -> None:
         """Removes an entry, after a grace period if the store had an outage.
 
         Args:
@@ -118,25 +132,33 @@
             rejoin_until: Monotonic time until which the entry is kept, because
                 it may have expired only due to an outage of the store; None
                 if there was no outage.
+            revision: Revision of the store at which the entry is missing; 0 if
+                unknown.
         """
         if name not in self.entries:
             return
+        removed_at = max(revision, self.removed_revisions.pop(name, 0))
+        self.removed_revisions[name] = removed_at
+        _limit_length(self.removed_revisions)
         if rejoin_until is not None and not self.entries[name].draining:
             self.rejoin_deadlines.setdefault(name, rejoin_until)
             return
         self._remove_entry(name)
 
     def replace(
-        self, entries: Iterable[Upstream], rejoin_until: float | None
+        self,
+        entries: Iterable[Upstream],
+        rejoin_until: float | None,
+        revision: int = 0,
     ) -> None:
-        """Replaces all entries; see ``remove`` for ``rejoin_until``."""
+        """Replaces all entries; see ``remove`` for the arguments."""
         listed = set()
         for entry in entries:
             listed.add(entry.name)
             self.apply_entry(entry)
         for name in list(self.entries):
             if name not in listed:
-                self.remove(name, rejoin_until)
+                self.remove(name, rejoin_until, revision)
 
     def announce_leaving(self, name: str, born_ms: int, now: float) -> bool:
         """Records that an incarnation has stated that it leaves.
@@ -245,6 +267,14 @@
                 return upstream
         return None
 
+    def _is_outdated(self, entry: Upstream) -> bool:
+        if not entry.revision:
+            return False
+        if entry.revision <= self.removed_revisions.get(entry.name, 0):
+            return True
+        current = self.entries.get(entry.name)
+        return current is not None and entry.revision < current.revision
+
     def _record_leaving(self, upstream: Upstream) -> None:
         key = (upstream.name, upstream.born_ms)
         if key not in self.leaving:
@@ -270,7 +300,7 @@
             self.oldest_change = self.last_changes.pop(removed)
 
 
-def _limit_length(records: dict[tuple[str, int], Any]) -> None:
+def _limit_length(records: dict[Any, Any]) -> None:
     """Removes the oldest record if there are too many."""
     if len(records) > MAX_REMOVED_COUNT:
         del records[next(iter(records))]
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -330,7 +330,11 @@
         outage: watches.Outage | None,
     ) -> None:
         entries = [e for e in map(_decode_upstream, items) if e is not None]
-        self.state.registry.replace(entries, self._rejoin_until(outage))
+        self.state.registry.replace(
+            entries,
+            self._rejoin_until(outage),
+            self.fleet.upstream_watch.cursor,
+        )
 
     def _apply_upstream(
         self, item: client.StoredObject, outage: watches.Outage | None
@@ -338,7 +342,9 @@
         registry = self.state.registry
         entry = None if item.deleted else _decode_upstream(item)
         if entry is None:
-            registry.remove(item.name, self._rejoin_until(outage))
+            registry.remove(
+                item.name, self._rejoin_until(outage), item.revision
+            )
         else:
             registry.apply_entry(entry)
 
@@ -381,10 +387,11 @@
 
 def _decode_upstream(item: client.StoredObject) -> Any:
     try:
-        return documents.decode_upstream(item.name, item.spec)
+        decoded = documents.decode_upstream(item.name, item.spec)
     except documents.FormatError as error:
         _log.warning("entry_ignored", name=item.name, reason=str(error))
         return None
+    return dataclasses.replace(decoded, revision=item.revision)
 
 
 def _connection_limits(limits: rules.Limits) -> protocol.ConnectionLimits:
--- a/src/yuccatally/forwarding/peer_sync.py
+++ b/src/yuccatally/forwarding/peer_sync.py
@@ -250,9 +250,9 @@
             for entry in entries:
                 registry.apply_entry(entry)
             for name in first.removed:
-                registry.remove(name, rejoin_until)
+                registry.remove(name, rejoin_until, first.store_revision)
         else:
-            registry.replace(entries, rejoin_until)
+            registry.replace(entries, rejoin_until, first.store_revision)
         for service, plan in first.plans.items():
             self.state.apply_plan(service, plan)
         _log.info(
--- a/tests/core/forwarding/test_upstreams.py
+++ b/tests/core/forwarding/test_upstreams.py
@@ -87,3 +87,59 @@
     assert registry.changed_since(1) is None
     recent_generation = registry.entries_generation - 4
     assert len(registry.changed_since(recent_generation)) == 2
+
+
+def _at(revision: int, **changes: object) -> upstreams.Upstream:
+    return dataclasses.replace(ENTRY, revision=revision, **changes)
+
+
+def test_older_copy_does_not_end_a_drain() -> None:
+    """Guards against a copy of another instance that hides the drain."""
+    registry = upstreams.Registry()
+    registry.apply_entry(_at(7, draining=True))
+    registry.apply_entry(_at(5))
+    assert registry.usable_of("s") == []
+
+
+def test_older_copy_does_not_return_a_removed_entry() -> None:
+    """Guards against a removed upstream that another instance still lists."""
+    registry = upstreams.Registry()
+    registry.apply_entry(_at(5))
+    registry.remove("e", None, revision=7)
+    registry.apply_entry(_at(5))
+    assert registry.entries == {}
+
+
+def test_copy_does_not_end_the_grace_period_of_a_missing_entry() -> None:
+    """Guards against instances that confirm a missing entry to each other."""
+    registry = upstreams.Registry()
+    registry.apply_entry(_at(5))
+    registry.replace([], rejoin_until=2.0, revision=7)
+    registry.apply_entry(_at(5))
+    registry.expire(2.0)
+    assert registry.entries == {}
+
+
+def test_later_entry_returns_after_a_removal() -> None:
+    """Guards against an upstream that reaches the store again and stays out."""
+    registry = upstreams.Registry()
+    registry.apply_entry(_at(5))
+    registry.remove("e", None, revision=7)
+    registry.apply_entry(_at(8))
+    assert registry.usable_of("s") == [ENTRY]
+    registry.replace([], rejoin_until=2.0, revision=9)
+    registry.apply_entry(_at(10))
+    registry.expire(2.0)
+    assert registry.usable_of("s") == [ENTRY]
+
+
+def test_memory_of_removals_is_limited() -> None:
+    """Guards against memory that grows with each upstream that ever left."""
+    registry = upstreams.Registry()
+    for number in range(3 * upstreams.MAX_REMOVED_COUNT):
+        registry.apply_entry(_at(number + 1, name=f"n{number}"))
+        registry.announce_leaving(f"n{number}", 1, float(number))
+        registry.remove(f"n{number}", None, revision=number + 1)
+    assert len(registry.announced_at) <= upstreams.MAX_REMOVED_COUNT
+    assert len(registry.leaving) <= upstreams.MAX_REMOVED_COUNT
+    assert len(registry.removed_revisions) <= upstreams.MAX_REMOVED_COUNT
--- a/tests/forwarding/test_peer_sync.py
+++ b/tests/forwarding/test_peer_sync.py
@@ -137,3 +137,22 @@
     await path_site.until(
         lambda: not any("d1" in n.state.registry.entries for n in nodes), 8.0
     )
+
+
+async def test_list_of_a_peer_does_not_return_a_removed_upstream(
+    served: path_site.Site, cut_off: node.Node
+) -> None:
+    """Guards against requests to an upstream that the store has removed.
+
+    The peer keeps the entry after an outage, because it might return, and lists
+    it at a later revision.
+    """
+    relay = served.instances[1]
+    kept = relay.state.registry.entries["d1"]
+    await served.store.remove("servers", "d1")
+    await path_site.until(lambda: "d1" not in cut_off.state.registry.entries)
+    relay.state.registry.entries["d1"] = kept
+    cut_off.fleet.peer_sync.synced_versions.clear()
+    await served.add_engine("d2", card="")
+    await path_site.until(lambda: "d2" in cut_off.state.registry.entries)
+    assert "d1" not in cut_off.state.registry.entries
