--- a/tests/forwarding/test_leaving.py
+++ b/tests/forwarding/test_leaving.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from typing import TYPE_CHECKING
 
 import pytest
@@ -101,6 +103,27 @@
     await _assert_avoided(served, "/ask/x", "e1")
 
 
+async def test_request_that_waits_for_capacity_avoids_it(
+    served: path_site.Site,
+) -> None:
+    """Guards against a choice that was made before the statement."""
+    changed = path_site.configuration(2)
+    changed["routes"][0]["sloMs"] = 20_000
+    await served.publish_configuration(**changed)
+    state = served.instances[0].state
+    await path_site.until(lambda: state.rules.version == 2)
+    for name in ("dc-e1-1", "dc-e2-1"):
+        state.dispatcher.record_start(name, 1e9, time.monotonic())
+    task = asyncio.create_task(served.send_request("/ask/x"))
+    await path_site.until(lambda: state.in_flight)
+    state.announce_leaving("e1", served.engines["e1"].born_ms, "test")
+    for name in ("dc-e1-1", "dc-e2-1"):
+        state.dispatcher.record_end(name, 1e9)
+    status, _, _ = await task
+    assert status == 200
+    assert (_received(served, "e1"), _received(served, "e2")) == (0, 1)
+
+
 async def test_later_engine_of_a_path_that_leaves_is_avoided(
     site: path_site.Site,
 ) -> None:
