Log the parts of prompts, and engine and events of failed attempts

Cause: the logs could not tell what the requests that end engines have in common, nor whether an attempt had an event before its engine ended. Change: the shared parts of a prompt are decoded (ids only, all but the last, limited in length and number); request lines show them, attempt_failed also the first engine of the path and the events of that attempt. Nothing decides by them. Ruled out: logging on failures only, since parts of served requests are the evidence for what is not at fault. Tests: core/forwarding, forwarding and platform pass.

--- a/src/yuccatally/core/forwarding/requests.py
+++ b/src/yuccatally/core/forwarding/requests.py
@@ -19,6 +19,8 @@
             0 if not stated.
         last_event_id: Id of the last event that the client received; empty for
             none.
+        shared_parts: Ids of the parts of the prompt that other requests may
+            share, without repetitions. The last part is the request's own.
     """
 
     id: str
@@ -28,6 +30,7 @@
     max_answer_tokens: int
     estimated_answer_tokens: int
     last_event_id: str
+    shared_parts: tuple[str, ...] = ()
 
     def memory_tokens(self, mean_answer_tokens: float) -> float:
         """Returns the number of tokens that the request is expected to hold.
--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -250,6 +250,7 @@
             attempts=writer.attempt_count,
             upstream=writer.last_upstream,
             events=writer.event_count,
+            parts=",".join(request.shared_parts),
             first_ms=_ms(writer.first_byte_at - started_at)
             if writer.first_byte_at
             else "",
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -64,6 +64,7 @@
         writer.attempt_count += 1
         writer.last_upstream = path.name
         progress.record_start()
+        events_before = writer.event_count
         with instance_state.spans.record(
             "attempt",
             context.request.id,
@@ -87,7 +88,13 @@
                 time.monotonic(), instance_state.instance_count
             ),
         )
-        upstream_responses.log_failure(context, path.name, result.failure, step)
+        upstream_responses.log_failure(
+            context,
+            path,
+            result.failure,
+            step,
+            writer.event_count - events_before,
+        )
         if isinstance(step, attempts.SendAgain):
             continue
         passed_on = (
--- a/src/yuccatally/forwarding/upstream_responses.py
+++ b/src/yuccatally/forwarding/upstream_responses.py
@@ -11,6 +11,7 @@
 from yuccatally.platform import headers as platform_headers
 
 if TYPE_CHECKING:
+    from yuccatally.core.forwarding import dispatch
     from yuccatally.forwarding import request_context
     from yuccatally.upstreams import exchange
     from yuccatally.upstreams import services
@@ -130,17 +131,29 @@
 
 def log_failure(
     context: request_context.RequestContext,
-    upstream: str,
+    path: dispatch.Path,
     failure: attempts.Failure,
     action: attempts.NextAction,
+    event_count: int,
 ) -> None:
-    """Logs a failed attempt and the next action."""
+    """Logs a failed attempt and the next action.
+
+    Args:
+        context: The request.
+        path: Path of the attempt.
+        failure: How the attempt failed.
+        action: What follows.
+        event_count: Number of events that the attempt received.
+    """
     _log.info(
         "attempt_failed",
         request=context.request.id,
-        upstream=upstream,
+        upstream=path.name,
+        engine=path.hops[0].name,
         failure=failure_reason(failure),
         detail=getattr(failure, "reason", ""),
+        events=event_count,
+        parts=",".join(context.request.shared_parts),
         left_ms=round(context.remaining_s() * 1e3),
         next=type(action).__name__,
     )
--- a/src/yuccatally/platform/headers.py
+++ b/src/yuccatally/platform/headers.py
@@ -21,10 +21,17 @@
 PATH = "yuccatally-hop-count"
 # Number of prompt tokens and maximum of output tokens, separated by a comma.
 TOKEN_COUNTS = "yuccatally-token-count"
+# Despite its name no hash of a prefix: the parts of the prompt in order, each
+# as ``ID:TOKENS``, separated by commas.
+PROMPT_PARTS = "yuccatally-prefix-hash"
 LENGTH_HINT = "yuccatally-length-hint"
 EXPECTED_UPSTREAM = "yuccatally-expect-instance"
 EXPECTED_VERSION = "yuccatally-expect-version"
 PRIORITY = "yuccatally-request-priority"
+# Longer ids and further parts are ignored, so that a client cannot fill memory
+# with them.
+MAX_PART_ID_CHARS = 64
+MAX_PART_COUNT = 64
 # Engines accept priorities from 0, the most urgent, to this one.
 LEAST_URGENT = 9
 NOT_EXECUTED = "yuccatally-not-executed"
@@ -68,6 +75,7 @@
         estimated_answer_tokens=_parse_number(headers.get(LENGTH_HINT, ""))
         or 0,
         last_event_id=headers.get(LAST_EVENT_ID, ""),
+        shared_parts=_decode_shared_parts(headers.get(PROMPT_PARTS, "")),
     )
 
 
@@ -115,6 +123,17 @@
     )
 
 
+def _decode_shared_parts(text: str) -> tuple[str, ...]:
+    """Returns the ids of all parts but the last; each id once.
+
+    >>> _decode_shared_parts("5c1e:800,91bd:410,5c1e:7,e440:250")
+    ('5c1e', '91bd')
+    """
+    ids = [p.partition(":")[0].strip().lower() for p in text.split(",")]
+    shared = [i for i in ids[:-1] if 0 < len(i) <= MAX_PART_ID_CHARS]
+    return tuple(dict.fromkeys(shared[:MAX_PART_COUNT]))
+
+
 def _parse_number(text: str) -> int | None:
     text = text.strip()
     if not text.isascii() or not text.isdigit() or len(text) > 12:
