--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -34,6 +34,8 @@
             empty for responses with a length.
         drops_answer: Whether an executed request gets no response.
         leaving: Whether requests and health checks are refused.
+        fatal_part: Part of a prompt under which the process ends when it begins
+            to answer; empty for none.
         announces_leaving: Whether all responses state that the engine leaves,
             while it serves as before.
         report_lag_s: Time for which an accepted order loads layers and reports
@@ -51,6 +53,7 @@
     unframed: str = ""
     drops_answer: bool = False
     leaving: bool = False
+    fatal_part: str = ""
     announces_leaving: bool = False
     report_lag_s: float = 0.0
     trickle_after: int | None = None
@@ -100,6 +103,7 @@
         loaded_ranges: Ranges of layers that accepted orders named.
         paths: Path of each open stream by attempt, on its first engine.
         rerouted_paths: Paths to which open streams were moved.
+        has_crashed: Whether a prompt has ended the process.
     """
 
     def __init__(
@@ -135,6 +139,8 @@
         self.paths: dict[str, str] = {}
         self.rerouted_paths: list[str] = []
         self.runner: web.AppRunner | None = None
+        self.has_crashed = False
+        self.crashed_runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Starts to listen on a free port."""
@@ -156,9 +162,10 @@
 
     async def stop(self) -> None:
         """Stops listening and closes all connections."""
-        if self.runner is not None:
-            await self.runner.cleanup()
-            self.runner = None
+        for runner in (self.runner, self.crashed_runner):
+            if runner is not None:
+                await runner.cleanup()
+        self.runner = self.crashed_runner = None
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns the entry that the engine publishes in the store."""
@@ -268,6 +275,9 @@
         self.executed_requests.append(executed)
         try:
             await asyncio.sleep(self.delay_s)
+            if self._has_fatal_part(request):
+                await self._crash()
+                await asyncio.sleep(3600)
             if self.behaviour.drops_answer:
                 await asyncio.sleep(3600)
             if self.behaviour.failure_status:
@@ -283,6 +293,24 @@
             self.cancelled.append(attempt)
             raise
 
+    def _has_fatal_part(self, request: web.Request) -> bool:
+        parts = request.headers.get("Yuccatally-Prefix-Hash", "").split(",")
+        fatal = self.behaviour.fatal_part
+        return bool(fatal) and fatal in (p.partition(":")[0] for p in parts)
+
+    async def _crash(self) -> None:
+        """Ends all connections and stops listening, as a crash does."""
+        self.has_crashed = True
+        runner, self.runner = self.runner, None
+        if runner is None:
+            return
+        for listener in list(runner.sites):
+            await listener.stop()
+        for connection in list(runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self.crashed_runner = runner
+
     async def _stream(
         self, request: web.Request, path: str
     ) -> web.StreamResponse:
