Quarantine the parts of prompts that crash engines

Callers saw: requests of one kind crashed engine after engine; most sound requests were refused or broken off meanwhile. Cause: a request whose engine had ended was sent again like any other, and no instance compared what such requests have in common or told others of them. Class: a request that harms a shared resource is an ordinary retry. Thirteen tests of the core with three instances, one of them over random series of crashes. Change: instances exchange requests that were lost before their first event, and when requests with the same parts were last served. A part under which two engines have ended and with which nobody was served since, on any instance, is refused with 503 for a minute, twice as long each time, at most an hour. A request that may have ended its engine waits until the engine or its prompt proves to be sound, and otherwise is not sent again. Why this works: a served request shows that its parts are sound; the leader confirms within 0.3 s which engines have ended; other losses are no evidence. Ruled out: blaming after one crash, the store (calls), limits on retries alone (clients repeat the request too).

--- a/src/yuccatally/core/forwarding/attempts.py
+++ b/src/yuccatally/core/forwarding/attempts.py
@@ -141,6 +141,16 @@
             )
     if allowed and remaining_s > MIN_ATTEMPT_S and spend_retry():
         return SendAgain()
+    return final_action(failure, counter)
+
+
+def final_action(failure: Failure, counter: AttemptCounter) -> NextAction:
+    """Returns the action that ends a request after a failed attempt.
+
+    Args:
+        failure: Failure of the latest attempt.
+        counter: Attempts of the request, this failure included.
+    """
     match failure:
         case ErrorResponse():
             return PassOn()
--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -243,6 +243,13 @@
         found = self.entries.get(name)
         return found if found and found.born_ms == born_ms else None
 
+    def has_left(self, name: str, born_ms: int) -> bool:
+        """Returns whether an incarnation was removed or restarted."""
+        found = self.entries.get(name)
+        if found is not None:
+            return found.born_ms != born_ms
+        return (name, born_ms) in self.leaving
+
     def usable(self, name: str, born_ms: int) -> Upstream | None:
         """Returns an upstream if this incarnation accepts new requests."""
         found = self.incarnation(name, born_ms)
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -197,6 +197,9 @@
         while True:
             now = time.monotonic()
             self._remove_silent(now)
+            _log_quarantined(
+                self.state.quarantine.update(self._has_ended, now), "evidence"
+            )
             self._choose_relay(now)
             for name in self._exchange_partners(now):
                 address = self.member_table.contacts[name].peers
@@ -326,6 +329,7 @@
                     now - LEAVING_TTL_S
                 )
             ),
+            prompts=self.state.quarantine.evidence(now),
         )
 
     def _answer_heartbeat(
@@ -359,6 +363,10 @@
         for engine in heartbeat.leaving:
             self.state.announce_leaving(engine.name, engine.born_ms, name)
         self.leader_state.apply(heartbeat.leader_state)
+        if heartbeat.prompts is not None:
+            _log_quarantined(
+                self.state.quarantine.merge(heartbeat.prompts, now), name
+            )
         self._compare_rules(heartbeat, now)
         # Lists of other followers are as old as their last exchange with the
         # relay.
@@ -449,6 +457,13 @@
             _log.info("instance_reached", name=name)
         self.logged_live_names = live
 
+    def _has_ended(self, engine: suspicions.Incarnation) -> bool:
+        """Returns whether an engine has failed, left or been restarted."""
+        return (
+            engine in self.leader_state.failed_until
+            or self.state.registry.has_left(engine.name, engine.born_ms)
+        )
+
     def _record_suspicion(
         self, kind: suspicions.Kind, engine: upstreams.Upstream
     ) -> None:
@@ -474,3 +489,8 @@
         n: heartbeats.OutstandingWork(v.requests, round(v.tokens))
         for n, v in work.items()
     }
+
+
+def _log_quarantined(parts: list[str], source: str) -> None:
+    for part in parts:
+        _log.warning("prompt_quarantined", part=part, source=source)
--- a/src/yuccatally/forwarding/request_context.py
+++ b/src/yuccatally/forwarding/request_context.py
@@ -59,6 +59,13 @@
         """Returns the time until the deadline, in seconds."""
         return self.deadline - time.monotonic()
 
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """Shared parts of the prompt, which crash engines of one service."""
+        return tuple(
+            f"{self.service.name}/{p}" for p in self.request.shared_parts
+        )
+
     def upstream_headers(
         self, last_event_id: str, path: dispatch.Path
     ) -> Headers:
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
 from yuccatally.core.forwarding import attempts
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import quarantine
+from yuccatally.core.forwarding import suspicions
 from yuccatally.forwarding import upstream_responses
 
 if TYPE_CHECKING:
@@ -27,6 +30,10 @@
     ]
 
 
+# Short compared with the time in which the fate of an engine becomes known.
+FATE_POLL_S = 0.02
+
+
 async def forward(
     instance_state: state.InstanceState,
     context: request_context.RequestContext,
@@ -59,6 +66,12 @@
                 instance_state, context, writer, progress, path
             )
             return
+        blocked = instance_state.quarantine.find_quarantined(
+            context.prompt_parts, time.monotonic()
+        )
+        if blocked is not None:
+            await _end_quarantined(instance_state, writer, progress, blocked)
+            return
         instance_state.log_leaving_hops(context.request.id, path)
         tried |= {path.name}
         writer.attempt_count += 1
@@ -79,15 +92,24 @@
             return
         progress.record_failure(result.failure)
         on_failure(path, result)
-        step = attempts.next_action(
+        if await _may_repeat(
+            instance_state,
+            context,
+            path,
             result.failure,
-            progress,
-            context.route,
-            context.remaining_s(),
-            lambda: budget.try_spend(
-                time.monotonic(), instance_state.instance_count
-            ),
-        )
+            writer.event_count > events_before,
+        ):
+            step = attempts.next_action(
+                result.failure,
+                progress,
+                context.route,
+                context.remaining_s(),
+                lambda: budget.try_spend(
+                    time.monotonic(), instance_state.instance_count
+                ),
+            )
+        else:
+            step = attempts.final_action(result.failure, progress)
         upstream_responses.log_failure(
             context,
             path,
@@ -119,6 +141,43 @@
     )
 
 
+async def _may_repeat(
+    instance_state: state.InstanceState,
+    context: request_context.RequestContext,
+    path: dispatch.Path,
+    failure: attempts.Failure,
+    had_event: bool,
+) -> bool:
+    """Returns whether a failed attempt may be followed by another one.
+
+    A request that was lost before its first event may have crashed its engine.
+    It waits until the engine or its prompt proves to be sound.
+    """
+    parts = context.prompt_parts
+    if had_event or not parts or not isinstance(failure, attempts.NoResponse):
+        return True
+    engine = suspicions.Incarnation(path.hops[0].name, path.hops[0].born_ms)
+    prompts = instance_state.quarantine
+    prompts.record_loss(engine, parts, time.monotonic())
+    while True:
+        verdict = prompts.judge_repeat(engine, parts, time.monotonic())
+        if verdict is not quarantine.Verdict.WAIT:
+            return verdict is quarantine.Verdict.REPEAT
+        await asyncio.sleep(FATE_POLL_S)
+
+
+async def _end_quarantined(
+    instance_state: state.InstanceState,
+    writer: request_context.ResponseWriter,
+    progress: attempts.AttemptCounter,
+    part: str,
+) -> None:
+    """Ends a request at once, as it cannot be served for some time."""
+    left_s = instance_state.quarantine.remaining_s(part, time.monotonic())
+    step = attempts.refuse_or_give_up(progress, round(left_s, 1))
+    await upstream_responses.end_request(writer, step, "prompt-quarantined")
+
+
 def choose(
     instance_state: state.InstanceState,
     context: request_context.RequestContext,
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -11,6 +11,7 @@
 from yuccatally.core.forwarding import composition
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import retries
 from yuccatally.core.forwarding import statements
 from yuccatally.core.forwarding import upstreams
@@ -46,6 +47,7 @@
             start time.
         confirmed_generation: Generation of these layers.
         dispatcher: Chooses paths by outstanding work.
+        quarantine: Parts of prompts that crash engines.
         retry_budgets: Retry budgets by service.
         instance_count: Number of instances that share the retry budget,
             including this one.
@@ -70,6 +72,7 @@
         self.confirmed_layers: dict[tuple[str, int], upstreams.LayerRange] = {}
         self.confirmed_generation = 0
         self.dispatcher = dispatch.Dispatcher(settings.data_centre, self.rng)
+        self.quarantine = quarantine.PromptQuarantine()
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
         self.instance_count = 1
         self.leaving = False
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -49,6 +49,7 @@
         path: The path.
         service: Service of the path.
         may_move: Whether the request may be sent again on another path.
+        prompt_parts: Shared parts of its prompt.
         timeout: Ends the attempt when it is rescheduled.
         response: The response, once its headers have arrived.
         has_event: Whether an event has arrived.
@@ -59,6 +60,7 @@
     path: dispatch.Path
     service: str
     may_move: bool
+    prompt_parts: tuple[str, ...] = ()
     timeout: asyncio.Timeout | None = None
     response: exchange.UpstreamResponse | None = None
     has_event: bool = False
@@ -218,6 +220,7 @@
             context.service.name,
             route.repeat.may_run_again
             and progress.run_count < route.max_attempts,
+            context.prompt_parts,
         )
         try:
             async with asyncio.timeout(None) as attempt.timeout:
@@ -311,6 +314,9 @@
             if not attempt.has_event:
                 attempt.has_event = True
                 self.state.dispatcher.record_first_event(name)
+                self.state.quarantine.record_served(
+                    attempt.prompt_parts, time.monotonic()
+                )
             if not writer.started:
                 # The headers are sent with the first event: until then, another
                 # engine can take over with its own headers.
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -8,6 +8,7 @@
 
 from yuccatally.core.forwarding import members
 from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
 from yuccatally.telemetry import traces  # noqa: TC001
@@ -84,6 +85,7 @@
             knows, milliseconds since 1970; 0 for none.
         leaving: Upstreams that have stated in a response that they leave, as
             far as the sender learned of it in the last seconds.
+        prompts: Evidence on prompts that crash engines; None without any.
     """
 
     reply: ClassVar[type]
@@ -104,6 +106,7 @@
     leader_state: LeaderState | None = None
     receiver_born_ms: int = 0
     leaving: tuple[suspicions.Incarnation, ...] = ()
+    prompts: quarantine.Evidence | None = None
 
 
 Heartbeat.reply = Heartbeat
--- /dev/null
+++ b/tests/core/forwarding/test_quarantine.py
@@ -0,0 +1,257 @@
+"""Tests the quarantine of prompts that crash engines."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from yuccatally.core.forwarding import quarantine
+from yuccatally.core.forwarding import suspicions
+
+FATAL = "fatal"
+CALLER = "caller"
+
+
+@dataclasses.dataclass
+class Fleet:
+    """Instances that exchange their evidence, and the engines that ended.
+
+    Attributes:
+        instances: State of each instance.
+        ended: Engines that have ended.
+        now: Time in seconds.
+    """
+
+    instances: list[quarantine.PromptQuarantine]
+    ended: set[suspicions.Incarnation]
+    now: float = 100.0
+
+    def pass_time(self, seconds: float) -> list[str]:
+        """Lets time pass with an exchange each 0.2 s; returns new parts."""
+        found = []
+        for _ in range(round(seconds / 0.2)):
+            self.now += 0.2
+            sent = [i.evidence(self.now) for i in self.instances]
+            for receiver in self.instances:
+                for evidence in sent:
+                    if evidence is not None:
+                        found += receiver.merge(evidence, self.now)
+                found += receiver.update(self.ended.__contains__, self.now)
+        return found
+
+    def lose(
+        self, at: int, name: str, *parts: str, has_ended: bool = True
+    ) -> suspicions.Incarnation:
+        """Loses a request on an instance, with its engine or without."""
+        engine = suspicions.Incarnation(name, 1)
+        if has_ended:
+            self.ended.add(engine)
+        self.instances[at].record_loss(engine, parts, self.now)
+        return engine
+
+    def serve(self, at: int, *parts: str) -> None:
+        """Serves a request on an instance."""
+        self.instances[at].record_served(parts, self.now)
+
+    def blocked(self, *parts: str) -> list[bool]:
+        """Returns whether each instance blocks a request."""
+        return [
+            i.find_quarantined(parts, self.now) is not None
+            for i in self.instances
+        ]
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return Fleet([quarantine.PromptQuarantine() for _ in range(3)], set())
+
+
+def test_one_crash_each_is_evidence_together(fleet: Fleet) -> None:
+    """Guards against instances that each wait for a second crash."""
+    fleet.serve(2, CALLER)
+    fleet.lose(0, "e1", CALLER, FATAL)
+    fleet.pass_time(0.4)
+    fleet.lose(1, "e2", CALLER, FATAL)
+    fleet.pass_time(1.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+    assert fleet.blocked(CALLER) == [False] * 3
+
+
+def test_part_that_others_are_served_with_is_not_blamed(fleet: Fleet) -> None:
+    """Guards against refusing all requests of a caller.
+
+    It is in each lost request, as the fatal part is.
+    """
+    for number in range(4):
+        fleet.serve(number % 3, CALLER)
+        fleet.lose(0, f"e{number}", CALLER, FATAL)
+        fleet.pass_time(0.6)
+    assert fleet.blocked(CALLER) == [False] * 3
+    assert fleet.blocked(FATAL) == [True] * 3
+
+
+def test_sound_part_may_become_fatal(fleet: Fleet) -> None:
+    """Guards against a part that is never blamed, as it was served before."""
+    fleet.serve(0, CALLER, FATAL)
+    fleet.pass_time(1.0)
+    for number in range(3):
+        fleet.lose(number, f"e{number}", CALLER, FATAL)
+        fleet.pass_time(0.4)
+        fleet.serve(number, CALLER)
+    fleet.pass_time(1.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+    assert fleet.blocked(CALLER) == [False] * 3
+
+
+def test_engines_that_end_for_another_reason_blame_nothing(
+    fleet: Fleet,
+) -> None:
+    """Guards against refusing sound requests after a series of crashes."""
+    for number in range(6):
+        fleet.lose(number % 3, f"e{number}", CALLER, f"own{number}")
+        fleet.pass_time(0.4)
+        fleet.serve(number % 3, CALLER)
+    fleet.pass_time(2.0)
+    assert not any(i.quarantines for i in fleet.instances)
+
+
+def test_broken_connections_of_live_engines_are_no_evidence(
+    fleet: Fleet,
+) -> None:
+    """Guards against blaming prompts for engines that reset connections."""
+    for number in range(6):
+        fleet.lose(0, f"e{number}", "rare", has_ended=False)
+        fleet.pass_time(0.4)
+    fleet.pass_time(2.0)
+    assert fleet.blocked("rare") == [False] * 3
+
+
+def test_request_lost_beside_a_fatal_one_is_not_blamed(fleet: Fleet) -> None:
+    """Guards against blaming a sound request that met two crashes.
+
+    Nobody else was served with its part.
+    """
+    for number in range(3):
+        fleet.lose(0, f"e{number}", CALLER, FATAL)
+        if number < 2:
+            fleet.lose(1, f"e{number}", CALLER, "rare")
+        fleet.pass_time(0.6)
+        fleet.serve(2, CALLER)
+    fleet.pass_time(1.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+    assert fleet.blocked("rare") == [False] * 3
+
+
+def test_quarantine_ends_and_returns_after_one_crash(fleet: Fleet) -> None:
+    """Guards against a part that stays refused, and one that is let through."""
+    for number in range(2):
+        fleet.lose(0, f"e{number}", FATAL)
+        fleet.pass_time(0.6)
+    fleet.pass_time(1.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+    fleet.now += quarantine.FIRST_QUARANTINE_S
+    fleet.pass_time(0.2)
+    assert fleet.blocked(FATAL) == [False] * 3
+    fleet.lose(1, "e9", FATAL)
+    fleet.pass_time(0.6)
+    assert fleet.blocked(FATAL) == [True] * 3
+    left_s = fleet.instances[2].remaining_s(FATAL, fleet.now)
+    assert left_s > quarantine.FIRST_QUARANTINE_S
+
+
+def test_part_that_is_served_again_is_sound(fleet: Fleet) -> None:
+    """Guards against a wrong quarantine that no served request ends."""
+    for number in range(2):
+        fleet.lose(0, f"e{number}", "rare")
+        fleet.pass_time(0.6)
+    fleet.pass_time(1.0)
+    assert fleet.blocked("rare") == [True] * 3
+    # It was under way on another engine all the while.
+    fleet.serve(1, "rare")
+    fleet.pass_time(1.0)
+    assert fleet.blocked("rare") == [False] * 3
+
+
+def test_instance_that_restarts_learns_the_quarantine(fleet: Fleet) -> None:
+    """Guards against new crashes after the restart of an instance."""
+    for number in range(2):
+        fleet.lose(0, f"e{number}", FATAL)
+        fleet.pass_time(0.6)
+    fleet.pass_time(30.0)
+    fleet.instances[0] = quarantine.PromptQuarantine()
+    fleet.pass_time(0.2)
+    assert fleet.blocked(FATAL) == [True] * 3
+
+
+def test_lost_request_waits_for_the_fate_of_its_engine(fleet: Fleet) -> None:
+    """Guards against repeating a fatal request, and losing a sound one."""
+    asked = fleet.instances[0]
+    fatal = fleet.lose(0, "e1", FATAL)
+    alive = fleet.lose(0, "e2", "rare", has_ended=False)
+    assert asked.judge_repeat(fatal, (FATAL,), fleet.now) is (
+        quarantine.Verdict.WAIT
+    )
+    fleet.pass_time(quarantine.FATE_TIMEOUT_S)
+    assert asked.judge_repeat(fatal, (FATAL,), fleet.now) is (
+        quarantine.Verdict.END
+    )
+    assert asked.judge_repeat(alive, ("rare",), fleet.now) is (
+        quarantine.Verdict.REPEAT
+    )
+
+
+def test_request_with_known_parts_is_repeated_at_once(fleet: Fleet) -> None:
+    """Guards against sound requests that wait or fail with their engine."""
+    fleet.serve(0, CALLER)
+    engine = fleet.lose(0, "e1", CALLER)
+    assert fleet.instances[0].judge_repeat(engine, (CALLER,), fleet.now) is (
+        quarantine.Verdict.REPEAT
+    )
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 2),
+            strategies.sampled_from(["p", "q", "r", "s"]),
+            strategies.booleans(),
+        ),
+        max_size=40,
+    )
+)
+def test_served_parts_are_never_quarantined(
+    events: list[tuple[int, str, bool]],
+) -> None:
+    """Guards against refusing parts that engines go on to answer.
+
+    Engines end under the fatal part only; other requests are lost with them.
+    """
+    fleet = Fleet([quarantine.PromptQuarantine() for _ in range(3)], set())
+    for number, (at, part, is_crash) in enumerate(events):
+        if is_crash:
+            fleet.lose(at, f"e{number}", CALLER, FATAL)
+            fleet.lose(at, f"e{number}", CALLER, part)
+        fleet.pass_time(0.2)
+        fleet.serve(at, CALLER, part)
+        fleet.pass_time(0.4)
+        assert not any(fleet.blocked(CALLER, part))
+    fleet.pass_time(1.2)
+    if sum(is_crash for _, _, is_crash in events) >= 2:
+        assert fleet.blocked(FATAL) == [True] * 3
+
+
+def test_memory_is_limited(fleet: Fleet) -> None:
+    """Guards against clients that fill memory and heartbeats with parts."""
+    one = fleet.instances[0]
+    for number in range(quarantine.MAX_SERVED_COUNT + 100):
+        one.record_served((f"p{number}",), fleet.now)
+    for number in range(quarantine.MAX_LOSS_COUNT + 100):
+        fleet.lose(0, f"e{number}", f"p{number}", has_ended=False)
+    assert len(one.served_at) <= quarantine.MAX_SERVED_COUNT
+    assert len(one.losses) <= quarantine.MAX_LOSS_COUNT
+    assert len(one.evidence(fleet.now).losses) <= quarantine.MAX_SENT_COUNT
+    fleet.pass_time(2 * quarantine.CONFIRM_S)
+    assert not one.losses
