Send nothing to an upstream for as long as its refusal asks

Callers saw: refusals by upstreams that had just said when to come back, at the cost of the shared retry budget. Cause: Retry-After of an upstream was not read. Change: a 503 with Retry-After pauses that incarnation for this instance, for requests as any hop. It is no suspicion: the leader neither checks nor replaces the engine, and other instances use it. Callers that find all upstreams of a service paused are told to return when the first one accepts again. Ruled out: sharing the pause, which the engine asked of one instance only; the suspicions, which make the leader check the engine.

--- a/src/yuccatally/core/forwarding/attempts.py
+++ b/src/yuccatally/core/forwarding/attempts.py
@@ -171,7 +171,9 @@
     return Refuse(503, retry_after_s)
 
 
-def retry_delay_s(full: bool, remaining_s: float, uniform: float) -> float:
+def retry_delay_s(
+    full: bool, remaining_s: float, uniform: float, pause_s: float = 0.0
+) -> float:
     """Returns the time after which a refused caller should retry, in seconds.
 
     Load pattern: a pipeline fails at peak load and hundreds of callers are
@@ -182,6 +184,8 @@
         full: Whether paths exist but have no capacity.
         remaining_s: Time until the caller stops waiting.
         uniform: Random number from 0 to 1.
+        pause_s: Time until the first upstream that asked for a pause accepts
+            requests again; 0 if none did.
 
     >>> retry_delay_s(full=False, remaining_s=20.0, uniform=0.5)
     3.0
@@ -189,6 +193,8 @@
     0.5
     """
     base_s = CAPACITY_RETRY_AFTER_S if full else REPAIR_RETRY_AFTER_S
+    if pause_s > 0 and not full:
+        base_s = pause_s / (1 - RETRY_JITTER_RATIO)
     jittered_s = base_s * (1 + RETRY_JITTER_RATIO * (2 * uniform - 1))
     return round(
         max(0.0, min(jittered_s, MAX_REMAINING_RATIO * remaining_s)), 3
--- a/src/yuccatally/core/forwarding/statements.py
+++ b/src/yuccatally/core/forwarding/statements.py
@@ -10,4 +10,15 @@
     """The upstream is shutting down and accepts no new requests."""
 
 
-Statement = Leaving
+@dataclasses.dataclass(frozen=True)
+class Pause:
+    """The upstream refused a request and wants none of this instance.
+
+    Attributes:
+        duration_s: For how long, in seconds.
+    """
+
+    duration_s: float
+
+
+Statement = Leaving | Pause
--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -70,6 +70,8 @@
         rejoin_deadlines: Time until which an entry that expired in an outage
             of the store may return, by name.
         suspected_until: End of each suspicion, by name and start time.
+        paused_until: Time until which an upstream wants no requests of this
+            instance, by name and start time.
         generation: Number of the last change of entries or suspicions.
         entries_generation: Number of the last change of entries.
         last_changes: Number of the last change of each entry, including
@@ -91,6 +93,7 @@
         self.entries: dict[str, Upstream] = {}
         self.rejoin_deadlines: dict[str, float] = {}
         self.suspected_until: dict[tuple[str, int], float] = {}
+        self.paused_until: dict[tuple[str, int], float] = {}
         self.generation = 0
         self.entries_generation = 0
         self.last_changes: dict[str, int] = {}
@@ -217,21 +220,41 @@
         for name, until in list(self.rejoin_deadlines.items()):
             if now >= until:
                 self._remove_entry(name)
-        for key, until in list(self.suspected_until.items()):
-            if now >= until:
-                del self.suspected_until[key]
-                self.generation += 1
+        for ends in (self.suspected_until, self.paused_until):
+            for key, until in list(ends.items()):
+                if now >= until:
+                    del ends[key]
+                    self.generation += 1
 
     def suspect(self, name: str, born_ms: int, until: float) -> bool:
         """Suspects an incarnation; returns whether the suspicion is new."""
-        key = (name, born_ms)
-        is_new = key not in self.suspected_until
-        self.suspected_until[key] = max(
-            until, self.suspected_until.get(key, 0.0)
+        return self._exclude(self.suspected_until, (name, born_ms), until)
+
+    def pause(self, name: str, born_ms: int, until: float) -> bool:
+        """Excludes an incarnation that asked for it; returns whether it is new.
+
+        Load pattern: an engine is over its capacity and refuses the requests of
+        all instances. Each further request would only be refused again.
+        """
+        return self._exclude(self.paused_until, (name, born_ms), until)
+
+    def is_paused(self, upstream: Upstream) -> bool:
+        """Returns whether an upstream wants no requests of this instance."""
+        return (upstream.name, upstream.born_ms) in self.paused_until
+
+    def pause_end(self, service: str) -> float | None:
+        """Returns when the first paused upstream of a service accepts again.
+
+        None if no upstream that does not leave is paused.
+        """
+        return min(
+            (
+                self.paused_until[u.name, u.born_ms]
+                for u in self.entries.values()
+                if u.service == service and not u.draining and self.is_paused(u)
+            ),
+            default=None,
         )
-        if is_new:
-            self.generation += 1
-        return is_new
 
     def clear_suspicion(self, name: str, born_ms: int) -> None:
         """Removes a suspicion."""
@@ -253,18 +276,14 @@
     def usable(self, name: str, born_ms: int) -> Upstream | None:
         """Returns an upstream if this incarnation accepts new requests."""
         found = self.incarnation(name, born_ms)
-        if found is None or found.draining:
-            return None
-        return None if (name, born_ms) in self.suspected_until else found
+        return found if found and self._accepts(found) else None
 
     def usable_of(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service that accept new requests."""
         return [
             u
             for u in self.entries.values()
-            if u.service == service
-            and not u.draining
-            and (u.name, u.born_ms) not in self.suspected_until
+            if u.service == service and self._accepts(u)
         ]
 
     def by_address(self, address: str) -> Upstream | None:
@@ -274,6 +293,26 @@
                 return upstream
         return None
 
+    def _accepts(self, upstream: Upstream) -> bool:
+        key = (upstream.name, upstream.born_ms)
+        return not (
+            upstream.draining
+            or key in self.suspected_until
+            or key in self.paused_until
+        )
+
+    def _exclude(
+        self,
+        ends: dict[tuple[str, int], float],
+        key: tuple[str, int],
+        until: float,
+    ) -> bool:
+        is_new = key not in ends
+        ends[key] = max(until, ends.get(key, 0.0))
+        if is_new:
+            self.generation += 1
+        return is_new
+
     def _is_outdated(self, entry: Upstream) -> bool:
         if not entry.revision:
             return False
--- a/src/yuccatally/forwarding/detection.py
+++ b/src/yuccatally/forwarding/detection.py
@@ -144,6 +144,9 @@
         return False
 
     def _handle_refusal(self, path: dispatch.Path, faulty_address: str) -> None:
+        if self.state.registry.is_paused(path.hops[0]):
+            # It has said that it is busy, so it needs no check.
+            return
         named_hops = [h for h in path.hops if h.address == faulty_address]
         self.fleet.suspect_refusing(
             named_hops[0] if named_hops else path.hops[0]
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -216,8 +216,12 @@
     choice: dispatch.Full | dispatch.Nothing,
 ) -> None:
     is_full = isinstance(choice, dispatch.Full)
+    pause_end = instance_state.registry.pause_end(context.service.name)
     after_s = attempts.retry_delay_s(
-        is_full, context.remaining_s(), instance_state.rng.random()
+        is_full,
+        context.remaining_s(),
+        instance_state.rng.random(),
+        0.0 if pause_end is None else pause_end - time.monotonic(),
     )
     step = attempts.refuse_or_give_up(progress, after_s)
     await upstream_responses.end_request(
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -238,6 +238,15 @@
                     upstream.name, upstream.born_ms, "response"
                 )
 
+            case statements.Pause(duration_s=duration_s):
+                until = time.monotonic() + duration_s
+                if self.registry.pause(upstream.name, upstream.born_ms, until):
+                    _log.info(
+                        "upstream_paused",
+                        upstream=upstream.name,
+                        seconds=duration_s,
+                    )
+
     def announce_leaving(self, name: str, born_ms: int, source: str) -> None:
         """Excludes an incarnation that has stated that it leaves, for good.
 
--- a/src/yuccatally/platform/statements.py
+++ b/src/yuccatally/platform/statements.py
@@ -10,14 +10,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     import aiohttp
     from aiohttp import client_middlewares
-    import multidict
 
     from yuccatally.core.forwarding import upstreams
 
 LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
+# With this status a retry time is meant for the instance, not for its client.
+BUSY_STATUS = 503
 
 
 def create_middleware(
@@ -45,7 +48,7 @@
         )
         response = await handler(request)
         if upstream is not None:
-            for statement in decode(response.headers):
+            for statement in decode(response.status, response.headers):
                 on_statement(upstream, statement)
         return response
 
@@ -53,8 +56,29 @@
 
 
 def decode(
-    received: multidict.CIMultiDictProxy[str],
+    status: int, received: Mapping[str, str]
 ) -> Iterator[statements.Statement]:
-    """Yields the statements in the headers of a response."""
+    """Yields the statements in a response.
+
+    Args:
+        status: HTTP status.
+        received: Headers, found by their names in any case.
+    """
     if received.get(LEAVING, "").strip() == "1":
         yield statements.Leaving()
+    duration_s = _parse_seconds(received.get(RETRY_AFTER, ""))
+    if status == BUSY_STATUS and duration_s > 0:
+        yield statements.Pause(duration_s)
+
+
+def _parse_seconds(text: str) -> float:
+    """Returns a finite number of seconds; 0 for anything else.
+
+    >>> [_parse_seconds(t) for t in ("1.5", "-1", "inf", "soon")]
+    [1.5, 0.0, 0.0, 0.0]
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return seconds if 0 < seconds < float("inf") else 0.0
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -24,6 +24,7 @@
         stalled: Whether requests on paths through it make no progress.
         refusal_status: Status of responses that state that the request was not
             executed; 0 for none.
+        retry_after: Value of Retry-After in refusals; empty for none.
         failure_status: Status of responses to executed requests that fail; 0
             for none.
         break_after: Number of events after which the connection breaks within
@@ -46,6 +47,7 @@
 
     stalled: bool = False
     refusal_status: int = 0
+    retry_after: str = ""
     failure_status: int = 0
     break_after: int | None = None
     wrong_id: bool = False
@@ -94,6 +96,7 @@
         behaviour: Behaviour that the test sets.
         held_layers: First layer and layer after the last one held, or None.
         accepted_order_count: Number of orders accepted.
+        refused_count: Number of requests refused.
         refused_order_count: Number of orders refused because of their count.
         state_before: Count and layers before the last accepted order.
         ordered_at: Time of the last accepted order.
@@ -130,6 +133,7 @@
         self.held_layers = held_layers
         self.accepted_order_count = 0
         self.refused_order_count = 0
+        self.refused_count = 0
         self.state_before: tuple[int, tuple[int, int] | None] = (0, None)
         self.ordered_at = float("-inf")
         self.fence = 0
@@ -266,6 +270,7 @@
             )
         if self.behaviour.refusal_status or self.behaviour.leaving:
             status = self.behaviour.refusal_status or 503
+            self.refused_count += 1
             return self._create_response(
                 request, status, b"", signed=False, executed=False
             )
@@ -392,6 +397,8 @@
             headers.pop("Yuccatally-Server-Signature", None)
         if not executed:
             headers["Yuccatally-Not-Executed"] = "1"
+            if self.behaviour.retry_after:
+                headers["Retry-After"] = self.behaviour.retry_after
         if faulty_address:
             headers["At-Server"] = faulty_address
         return web.Response(status=status, body=body, headers=headers)
