Treat a stream that ends within an event as broken off

Callers saw: a stream whose last event is partial and which looks complete. Cause: at the end of a response the bytes after the last whole event were sent on and the response was ended in order. A response that has neither a length nor chunks ends with its connection, so that an engine that ends in the middle of an event looks like one that has finished. Change: such a stream goes on at another engine or breaks off for the client. Ruled out: other media types on these routes, which are passed on as they are.

--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -322,6 +322,9 @@
                 # engine can take over with its own headers.
                 await writer.send_headers(response.status, response.headers)
             await writer.write(complete_events)
+        is_partial_event = bool(splitter.pending.strip())
+        if is_partial_event and _is_event_stream(response):
+            raise exchange.NoResponseError("stream ended within an event")
         if not writer.started:
             await writer.send_headers(response.status, response.headers)
         await writer.end(splitter.pending)
@@ -358,6 +361,11 @@
     return SILENCE_TIMEOUT_S + attempt.path.patience_s
 
 
+def _is_event_stream(response: exchange.UpstreamResponse) -> bool:
+    media_type = response.header("Content-Type").partition(";")[0]
+    return media_type.strip().lower() == "text/event-stream"
+
+
 async def _next_events(
     chunks: AsyncIterator[bytes], splitter: events.EventSplitter
 ) -> bytes:
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -14,6 +14,7 @@
 EVENT_INTERVAL_S = 0.005
 TRICKLE_INTERVAL_S = 0.05
 SIGNATURE = "signed"
+HALF_EVENT = b"id: %d\ndata: half"
 
 
 @dataclasses.dataclass
@@ -29,6 +30,7 @@
             for none.
         break_after: Number of events after which the connection breaks within
             an event.
+        ends_within_event: Whether the response ends there in order instead.
         wrong_id: Whether responses carry the ID of another request.
         unsigned: Whether responses carry no signature.
         unframed: End of a response without a length: ``close`` or ``reset``;
@@ -50,6 +52,7 @@
     retry_after: str = ""
     failure_status: int = 0
     break_after: int | None = None
+    ends_within_event: bool = False
     wrong_id: bool = False
     unsigned: bool = False
     unframed: str = ""
@@ -293,6 +296,10 @@
                 return await self._send_plain(
                     request, b"done " + attempt.encode()
                 )
+            if self.behaviour.unframed:
+                return await self._send_unframed(
+                    request, self._event_parts(request)
+                )
             return await self._stream(request, path)
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
@@ -343,8 +350,11 @@
             while self._is_stalled(attempt):  # noqa: ASYNC110
                 await asyncio.sleep(EVENT_INTERVAL_S)
             if self.behaviour.break_after == number - first:
-                await response.write(b"id: %d\ndata: half" % number)
-                request.transport.abort()
+                await response.write(HALF_EVENT % number)
+                if self.behaviour.ends_within_event:
+                    await response.write_eof()
+                else:
+                    request.transport.abort()
                 return
             while self.behaviour.trickle_after == number - first:
                 await response.write(b":")
@@ -369,11 +379,30 @@
     ) -> web.StreamResponse:
         if not self.behaviour.unframed:
             return self._create_response(request, 200, body)
+        return await self._send_unframed(request, [body])
+
+    def _event_parts(self, request: web.Request) -> list[bytes]:
+        """Returns the events of a stream, and a part of one if it breaks."""
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        numbers = range(first, self.events + 1)
+        parts = [b"id: %d\ndata: e%d\n\n" % (n, n) for n in numbers]
+        broken = self.behaviour.break_after
+        if broken is not None and broken < len(parts):
+            parts[broken:] = [HALF_EVENT % (first + broken)]
+        return parts
+
+    async def _send_unframed(
+        self, request: web.Request, parts: list[bytes]
+    ) -> web.Response:
+        """Sends a response whose end is only marked by its connection's end."""
         lines = [f"{n}: {v}" for n, v in self._headers(request).items()]
+        if self.streams:
+            lines.append("Content-Type: text/event-stream")
         head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
         transport = request.transport
-        transport.write(head + body)
-        await asyncio.sleep(EVENT_INTERVAL_S)
+        for part in (head, *parts):
+            transport.write(part)
+            await asyncio.sleep(EVENT_INTERVAL_S)
         if self.behaviour.unframed == "reset":
             connection = transport.get_extra_info("socket")
             linger = struct.pack("ii", 1, 0)
--- a/tests/forwarding/test_ends.py
+++ b/tests/forwarding/test_ends.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -156,6 +157,51 @@
     assert (status, body) == (200, b"done a1")
 
 
+async def test_unframed_stream_that_is_closed_in_order_is_whole(
+    served: path_site.Site,
+) -> None:
+    """Guards against streams that need a length or chunks."""
+    _set_behaviour(served, unframed="close")
+    status, _, body = await served.send_request("/ask/x")
+    assert (status, body) == (200, WHOLE)
+    assert _count_runs(served) == 1
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        {"unframed": "close", "break_after": 2},
+        {"unframed": "reset", "break_after": 2},
+        {"unframed": "reset"},
+        {"ends_within_event": True, "break_after": 2},
+    ],
+)
+async def test_stream_that_ends_too_early_goes_on_elsewhere(
+    served: path_site.Site, behaviour: dict[str, object]
+) -> None:
+    """Guards against the end of a connection that makes a stream look whole."""
+    first = served.engines["e1"]
+    first.behaviour = path_engine.Behaviour(**behaviour)
+    dispatcher = served.instances[0].state.dispatcher
+    dispatcher.avoid("dc-e2-1", time.monotonic() + 0.5)
+    status, _, body = await served.send_request("/ask/x")
+    assert (status, body) == (200, WHOLE)
+    assert first.executed_requests
+
+
+@pytest.mark.parametrize("unframed", ["", "close"])
+async def test_stream_that_ends_within_an_event_does_not_look_complete(
+    served: path_site.Site, unframed: str
+) -> None:
+    """Guards against a partial event that clients take for the last one."""
+    _set_behaviour(
+        served, unframed=unframed, ends_within_event=True, break_after=2
+    )
+    status, _, body = await served.send_request("/ask/x")
+    assert (status, body[-1:]) == (200, b"!")
+    assert b"half" not in body
+
+
 async def test_failure_of_an_upstream_is_passed_on(
     served: path_site.Site,
 ) -> None:
