Refuse quarantined prompts before a path is sought

Cause: a request with a quarantined part was refused after the search for a path only, which may wait for capacity, and with no-path if there was none. Change: it is refused before the search, and again after it. Quarantines are counted in the metrics, and their log lines show the duration. The messages of the exchange have a module of their own. Ruled out: another order of the attempts; the tests of the quarantine are unchanged and pass.

--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -7,14 +7,14 @@
 import enum
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from yuccatally.core.forwarding import suspicions  # noqa: TC001
+from yuccatally.core.forwarding import prompt_evidence
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from yuccatally.core.forwarding import suspicions
+
 # A part that a request was served with in this time is sound unless engines
 # end under it afterwards. Losses count as evidence for as long.
 HISTORY_S = 600.0
@@ -45,51 +45,6 @@
 MAX_LOSS_COUNT = 512
 
 
-class PromptLoss(msgspec.Struct, array_like=True, frozen=True):
-    """A request whose connection broke before its first event.
-
-    Attributes:
-        engine: First engine of its path.
-        parts: Shared parts of its prompt, in order.
-        age_s: Time since the loss, in seconds.
-        ended: Whether the engine is known to have ended.
-    """
-
-    engine: suspicions.Incarnation
-    parts: tuple[str, ...]
-    age_s: float
-    ended: bool
-
-
-class QuarantinedPart(msgspec.Struct, array_like=True, frozen=True):
-    """A part in quarantine.
-
-    Attributes:
-        part: Id of the part.
-        left_s: Time until the quarantine ends, in seconds.
-        count: Number of quarantines of this part so far.
-    """
-
-    part: str
-    left_s: float
-    count: int
-
-
-class Evidence(msgspec.Struct, array_like=True, frozen=True):
-    """What an instance tells others.
-
-    Attributes:
-        losses: Recent losses.
-        served_ages_s: Time since a request was last served, in seconds, by part
-            of these losses.
-        quarantined: Parts in quarantine.
-    """
-
-    losses: tuple[PromptLoss, ...] = ()
-    served_ages_s: dict[str, float] = {}
-    quarantined: tuple[QuarantinedPart, ...] = ()
-
-
 class Verdict(enum.Enum):
     """Whether a lost request may be sent to another engine."""
 
@@ -124,6 +79,8 @@
             instance that was asked, in the order of the times.
         losses: Losses by first engine and parts.
         quarantines: Present and past quarantines by part.
+        total_count: Number of quarantines that this instance has begun or
+            received.
     """
 
     def __init__(self) -> None:
@@ -132,6 +89,7 @@
             tuple[suspicions.Incarnation, tuple[str, ...]], _Loss
         ] = {}
         self.quarantines: dict[str, _Quarantine] = {}
+        self.total_count = 0
 
     def record_served(self, parts: Iterable[str], now: float) -> None:
         """Records that an engine has begun to answer a request."""
@@ -210,7 +168,7 @@
             found.append(part)
         return found
 
-    def evidence(self, now: float) -> Evidence | None:
+    def evidence(self, now: float) -> prompt_evidence.Evidence | None:
         """Returns the evidence for other instances; None without any."""
         recent = [
             (key, loss)
@@ -222,9 +180,11 @@
         ]
         if not recent and not active:
             return None
-        return Evidence(
+        return prompt_evidence.Evidence(
             tuple(
-                PromptLoss(engine, parts, round(now - loss.at, 3), loss.ended)
+                prompt_evidence.PromptLoss(
+                    engine, parts, round(now - loss.at, 3), loss.ended
+                )
                 for (engine, parts), loss in recent
             ),
             {
@@ -234,12 +194,16 @@
                 if part in self.served_at
             },
             tuple(
-                QuarantinedPart(p, round(q.until - now, 3), q.count)
+                prompt_evidence.QuarantinedPart(
+                    p, round(q.until - now, 3), q.count
+                )
                 for p, q in active
             ),
         )
 
-    def merge(self, evidence: Evidence, now: float) -> list[str]:
+    def merge(
+        self, evidence: prompt_evidence.Evidence, now: float
+    ) -> list[str]:
         """Merges the evidence of another instance.
 
         Returns:
@@ -260,6 +224,7 @@
             )
             known.until = max(known.until, now + received.left_s)
             known.count = max(known.count, received.count)
+        self.total_count += len(added)
         return added
 
     def _is_sound(self, part: str, engine: suspicions.Incarnation) -> bool:
@@ -358,6 +323,7 @@
             FIRST_QUARANTINE_S * 2**known.count, MAX_QUARANTINE_S
         )
         known.count += 1
+        self.total_count += 1
 
     def _set_served(self, part: str, at: float) -> None:
         # Reinserted, so that the dict is in the order of the times.
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -197,9 +197,8 @@
         while True:
             now = time.monotonic()
             self._remove_silent(now)
-            _log_quarantined(
-                self.state.quarantine.update(self._has_ended, now), "evidence"
-            )
+            found = self.state.quarantine.update(self._has_ended, now)
+            self._log_quarantined(found, "evidence")
             self._choose_relay(now)
             for name in self._exchange_partners(now):
                 address = self.member_table.contacts[name].peers
@@ -364,9 +363,8 @@
             self.state.announce_leaving(engine.name, engine.born_ms, name)
         self.leader_state.apply(heartbeat.leader_state)
         if heartbeat.prompts is not None:
-            _log_quarantined(
-                self.state.quarantine.merge(heartbeat.prompts, now), name
-            )
+            received = self.state.quarantine.merge(heartbeat.prompts, now)
+            self._log_quarantined(received, name)
         self._compare_rules(heartbeat, now)
         # Lists of other followers are as old as their last exchange with the
         # relay.
@@ -464,6 +462,16 @@
             or self.state.registry.has_left(engine.name, engine.born_ms)
         )
 
+    def _log_quarantined(self, parts: list[str], source: str) -> None:
+        now = time.monotonic()
+        for part in parts:
+            _log.warning(
+                "prompt_quarantined",
+                part=part,
+                seconds=round(self.state.quarantine.remaining_s(part, now)),
+                source=source,
+            )
+
     def _record_suspicion(
         self, kind: suspicions.Kind, engine: upstreams.Upstream
     ) -> None:
@@ -489,8 +497,3 @@
         n: heartbeats.OutstandingWork(v.requests, round(v.tokens))
         for n, v in work.items()
     }
-
-
-def _log_quarantined(parts: list[str], source: str) -> None:
-    for part in parts:
-        _log.warning("prompt_quarantined", part=part, source=source)
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -364,6 +364,9 @@
             key = ("retries_refused", service)
             self.metrics.counters[key] = budget.refused_count
         self.metrics.counters[("store_calls", "")] = self.store.call_count
+        self.metrics.counters[("prompts_quarantined", "")] = (
+            self.state.quarantine.total_count
+        )
         return self.metrics.prometheus_text()
 
     def _count_refused_connection(self, reason: str) -> None:
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -58,6 +58,10 @@
     budget.record_request(time.monotonic())
     tried: frozenset[str] = frozenset()
     while True:
+        if await _ended_by_quarantine(
+            instance_state, context, writer, progress
+        ):
+            return
         with instance_state.spans.record("choose", context.request.id) as span:
             path = await choose(tried)
             span.set_attribute("ended", type(path).__name__.lower())
@@ -66,11 +70,10 @@
                 instance_state, context, writer, progress, path
             )
             return
-        blocked = instance_state.quarantine.find_quarantined(
-            context.prompt_parts, time.monotonic()
-        )
-        if blocked is not None:
-            await _end_quarantined(instance_state, writer, progress, blocked)
+        # The choice may have waited for capacity.
+        if await _ended_by_quarantine(
+            instance_state, context, writer, progress
+        ):
             return
         instance_state.log_leaving_hops(context.request.id, path)
         tried |= {path.name}
@@ -166,16 +169,22 @@
         await asyncio.sleep(FATE_POLL_S)
 
 
-async def _end_quarantined(
+async def _ended_by_quarantine(
     instance_state: state.InstanceState,
+    context: request_context.RequestContext,
     writer: request_context.ResponseWriter,
     progress: attempts.AttemptCounter,
-    part: str,
-) -> None:
-    """Ends a request at once, as it cannot be served for some time."""
-    left_s = instance_state.quarantine.remaining_s(part, time.monotonic())
-    step = attempts.refuse_or_give_up(progress, round(left_s, 1))
+) -> bool:
+    """Returns whether a request was ended, as a part is in quarantine."""
+    now = time.monotonic()
+    prompts = instance_state.quarantine
+    part = prompts.find_quarantined(context.prompt_parts, now)
+    if part is None:
+        return False
+    left_s = round(prompts.remaining_s(part, now), 1)
+    step = attempts.refuse_or_give_up(progress, left_s)
     await upstream_responses.end_request(writer, step, "prompt-quarantined")
+    return True
 
 
 def choose(
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -8,7 +8,7 @@
 
 from yuccatally.core.forwarding import members
 from yuccatally.core.forwarding import pipelines
-from yuccatally.core.forwarding import quarantine
+from yuccatally.core.forwarding import prompt_evidence
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
 from yuccatally.telemetry import traces  # noqa: TC001
@@ -106,7 +106,7 @@
     leader_state: LeaderState | None = None
     receiver_born_ms: int = 0
     leaving: tuple[suspicions.Incarnation, ...] = ()
-    prompts: quarantine.Evidence | None = None
+    prompts: prompt_evidence.Evidence | None = None
 
 
 Heartbeat.reply = Heartbeat
