Move requests off a stalled path without waiting

Cause: a request whose path had stalled waited for the fate of its first engine, up to 0.6 s, if this instance had not served its prompt before. A stall is mostly caused by a later engine, and a prompt that crashes its engine breaks the connection. Change: only broken connections wait; a stall counts as evidence as before. Ruled out: a longer history of served prompts, which does not help an instance that has just started.

--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -95,12 +95,9 @@
             return
         progress.record_failure(result.failure)
         on_failure(path, result)
-        if await _may_repeat(
-            instance_state,
-            context,
-            path,
-            result.failure,
-            writer.event_count > events_before,
+        has_event = writer.event_count > events_before
+        if has_event or await _may_repeat(
+            instance_state, context, path, result.failure
         ):
             step = attempts.next_action(
                 result.failure,
@@ -149,19 +146,21 @@
     context: request_context.RequestContext,
     path: dispatch.Path,
     failure: attempts.Failure,
-    had_event: bool,
 ) -> bool:
-    """Returns whether a failed attempt may be followed by another one.
+    """Returns whether an attempt without an event may be followed by another.
 
-    A request that was lost before its first event may have crashed its engine.
-    It waits until the engine or its prompt proves to be sound.
+    A request whose connection broke may have crashed its engine. It waits until
+    the engine or its prompt proves to be sound.
     """
     parts = context.prompt_parts
-    if had_event or not parts or not isinstance(failure, attempts.NoResponse):
+    if not parts or not isinstance(failure, attempts.NoResponse):
         return True
     engine = suspicions.Incarnation(path.hops[0].name, path.hops[0].born_ms)
     prompts = instance_state.quarantine
     prompts.record_loss(engine, parts, time.monotonic())
+    if failure.timed_out:
+        # A path stalls when any of its engines fails, mostly a later one.
+        return True
     while True:
         verdict = prompts.judge_repeat(engine, parts, time.monotonic())
         if verdict is not quarantine.Verdict.WAIT:
