Accept responses that never have a body as whole

Callers saw: 502 for a response 204 or 304 of an upstream. Cause: a response with neither a length nor chunks was taken to end with its connection, which the upstream keeps open after a response without a body. Evidence: two of three new cases fail before and pass now (HEAD passed, as its response has a length). Ruled out: a longer wait for the end of the connection.

--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -30,6 +30,9 @@
 # body without a declared length.
 CLOSE_TIMEOUT_S = 0.5
 
+# Responses with these statuses end with their headers.
+BODILESS_STATUSES = frozenset({204, 304})
+
 RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
 
 
@@ -109,7 +112,10 @@
         length = response.headers.get("Content-Length")
         encoding = response.headers.get("Transfer-Encoding", "")
         self.ends_with_close = (
-            length is None and "chunked" not in encoding.lower()
+            length is None
+            and "chunked" not in encoding.lower()
+            and response.status not in BODILESS_STATUSES
+            and response.method != "HEAD"
         )
 
     def header(self, name: str) -> str:
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -28,6 +28,7 @@
         retry_after: Value of Retry-After in refusals; empty for none.
         failure_status: Status of responses to executed requests that fail; 0
             for none.
+        empty_status: Status of responses without a body; 0 for none.
         break_after: Number of events after which the connection breaks within
             an event.
         ends_within_event: Whether the response ends there in order instead.
@@ -51,6 +52,7 @@
     refusal_status: int = 0
     retry_after: str = ""
     failure_status: int = 0
+    empty_status: int = 0
     break_after: int | None = None
     ends_within_event: bool = False
     wrong_id: bool = False
@@ -292,6 +294,10 @@
                 return self._create_response(
                     request, self.behaviour.failure_status, b"failed"
                 )
+            if self.behaviour.empty_status:
+                return self._create_response(
+                    request, self.behaviour.empty_status, b""
+                )
             if not self.streams:
                 return await self._send_plain(
                     request, b"done " + attempt.encode()
--- a/tests/forwarding/test_ends.py
+++ b/tests/forwarding/test_ends.py
@@ -157,6 +157,19 @@
     assert (status, body) == (200, b"done a1")
 
 
+@pytest.mark.parametrize(
+    ("method", "status"), [("POST", 204), ("GET", 304), ("HEAD", 200)]
+)
+async def test_response_that_has_no_body_is_whole(
+    served: path_site.Site, method: str, status: int
+) -> None:
+    """Guards against waiting for the end of a connection that is kept."""
+    _set_behaviour(served, empty_status=status)
+    received, _, body = await served.send_request("/stock/x", method=method)
+    assert (received, body) == (status, b"")
+    assert _count_runs(served) == 1
+
+
 async def test_unframed_stream_that_is_closed_in_order_is_whole(
     served: path_site.Site,
 ) -> None:
