Let quarantines and served prompts not be renewed by their exchange

Callers could see: a prompt that stays refused for longer than the quarantine, or one that crashes engines and is not refused. Cause: ages and remaining times arrive a little later than they were computed. Instances that exchange them in turn, and keep the latest, move them forward by the delay of each message. Evidence: two new tests with slow exchanges fail before and pass now. Change: a quarantine is taken over once for each time that it is begun; a served part is newer only if it is so by more than half a second.

--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -39,6 +39,9 @@
 # Losses are sent to other instances for this long, several times the time that
 # they take to arrive.
 SEND_LOSS_S = 10.0
+# Ages are too low by the time that their message takes, at most this long.
+# Served parts are newer only beyond it, or messages would renew them.
+MAX_DELAY_S = 0.5
 # Limits of a message and of the memory for losses: a crash loses a few requests
 # that have no event yet.
 MAX_SENT_COUNT = 24
@@ -150,7 +153,6 @@
         self._expire(now)
         for (engine, _), loss in self.losses.items():
             loss.ended = loss.ended or is_ended(engine)
-        found = []
         for part, quarantine in self.quarantines.items():
             if self._is_exonerated(part):
                 quarantine.until = min(quarantine.until, now)
@@ -210,20 +212,22 @@
             Parts that are in quarantine from now on.
         """
         for part, age_s in evidence.served_ages_s.items():
-            if now - age_s > self.served_at.get(part, float("-inf")):
+            known_at = self.served_at.get(part, float("-inf"))
+            if now - age_s > known_at + MAX_DELAY_S:
                 self._set_served(part, now - age_s)
         for loss in evidence.losses:
             key = (loss.engine, loss.parts)
             self._set_loss(key, now - loss.age_s, loss.ended)
         added = []
         for received in evidence.quarantined:
-            if not self.remaining_s(received.part, now):
+            known = self.quarantines.get(received.part)
+            # The remaining time is a little too long when it arrives, so that
+            # instances which exchange it again would prolong it.
+            if known is None or known.count < received.count:
+                self.quarantines[received.part] = _Quarantine(
+                    now + received.left_s, received.count
+                )
                 added.append(received.part)
-            known = self.quarantines.setdefault(
-                received.part, _Quarantine(now, 0)
-            )
-            known.until = max(known.until, now + received.left_s)
-            known.count = max(known.count, received.count)
         self.total_count += len(added)
         return added
 
--- a/tests/core/forwarding/test_quarantine.py
+++ b/tests/core/forwarding/test_quarantine.py
@@ -23,18 +23,22 @@
         instances: State of each instance.
         ended: Engines that have ended.
         now: Time in seconds.
+        is_slow: Whether evidence arrives one exchange late.
     """
 
     instances: list[quarantine.PromptQuarantine]
     ended: set[suspicions.Incarnation]
     now: float = 100.0
+    is_slow: bool = False
 
     def pass_time(self, seconds: float) -> list[str]:
         """Lets time pass with an exchange each 0.2 s; returns new parts."""
         found = []
         for _ in range(round(seconds / 0.2)):
-            self.now += 0.2
             sent = [i.evidence(self.now) for i in self.instances]
+            self.now += 0.2
+            if not self.is_slow:
+                sent = [i.evidence(self.now) for i in self.instances]
             for receiver in self.instances:
                 for evidence in sent:
                     if evidence is not None:
@@ -162,6 +166,28 @@
     assert left_s > quarantine.FIRST_QUARANTINE_S
 
 
+def test_slow_exchanges_do_not_prolong_a_quarantine(fleet: Fleet) -> None:
+    """Guards against instances that renew a quarantine for each other."""
+    fleet.is_slow = True
+    for number in range(2):
+        fleet.lose(0, f"e{number}", FATAL)
+        fleet.pass_time(0.6)
+    fleet.pass_time(quarantine.FIRST_QUARANTINE_S + 2.0)
+    assert fleet.blocked(FATAL) == [False] * 3
+
+
+def test_slow_exchanges_do_not_renew_a_served_part(fleet: Fleet) -> None:
+    """Guards against a part that seems served after it has become fatal."""
+    fleet.is_slow = True
+    fleet.serve(0, FATAL)
+    fleet.pass_time(0.2)
+    for number in range(2):
+        fleet.lose(number, f"e{number}", FATAL)
+        fleet.pass_time(1.0)
+    fleet.pass_time(2.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+
+
 def test_part_that_is_served_again_is_sound(fleet: Fleet) -> None:
     """Guards against a wrong quarantine that no served request ends."""
     for number in range(2):
