Exclude an upstream that announces its leaving in its grace period

Cause: a statement was applied as an update of the entry. Evidence: test_statement_ends_the_grace_period_of_a_missing_entry fails before and passes now; found in the reading of the change.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -117,12 +117,7 @@
             entry = dataclasses.replace(entry, draining=True)
         if self.entries.get(entry.name) == entry:
             return False
-        if entry.draining:
-            self._record_leaving(entry)
-        elif (entry.name, entry.born_ms) in self.leaving:
-            self.on_return(entry)
-        self.entries[entry.name] = entry
-        self._record_change(entry.name)
+        self._set_entry(entry)
         return True
 
     def remove(
@@ -184,8 +179,10 @@
         self.announced_at[key] = now
         _limit_length(self.announced_at)
         entry = self.incarnation(name, born_ms)
-        if entry is not None:
-            self.apply_entry(entry)
+        if entry is not None and name in self.rejoin_deadlines:
+            self._remove_entry(name)
+        elif entry is not None and not entry.draining:
+            self._set_entry(dataclasses.replace(entry, draining=True))
         return True
 
     def announced_since(self, since: float) -> list[tuple[str, int]]:
@@ -321,6 +318,15 @@
         current = self.entries.get(entry.name)
         return current is not None and entry.revision < current.revision
 
+    def _set_entry(self, entry: Upstream) -> None:
+        key = (entry.name, entry.born_ms)
+        if entry.draining:
+            self._record_leaving(entry)
+        elif key in self.leaving:
+            self.on_return(entry)
+        self.entries[entry.name] = entry
+        self._record_change(entry.name)
+
     def _record_leaving(self, upstream: Upstream) -> None:
         key = (upstream.name, upstream.born_ms)
         if key not in self.leaving:
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -237,7 +237,6 @@
                 self.announce_leaving(
                     upstream.name, upstream.born_ms, "response"
                 )
-
             case statements.Pause(duration_s=duration_s):
                 until = time.monotonic() + duration_s
                 if self.registry.pause(upstream.name, upstream.born_ms, until):
--- a/tests/core/forwarding/test_upstreams.py
+++ b/tests/core/forwarding/test_upstreams.py
@@ -133,6 +133,16 @@
     assert registry.usable_of("s") == [ENTRY]
 
 
+def test_statement_ends_the_grace_period_of_a_missing_entry() -> None:
+    """Guards against a leaving upstream that is kept, as it might return."""
+    registry = upstreams.Registry()
+    registry.apply_entry(_at(5))
+    registry.replace([], rejoin_until=2.0, revision=7)
+    assert registry.usable_of("s") == [ENTRY]
+    registry.announce_leaving("e", 1, now=0.5)
+    assert registry.usable_of("s") == []
+
+
 def test_memory_of_removals_is_limited() -> None:
     """Guards against memory that grows with each upstream that ever left."""
     registry = upstreams.Registry()
