Forget that an upstream left once it has returned

Cause: after a return by a newer entry the incarnation stayed among those that are known to leave, and each request to it logged leaving_upstream_used. Evidence: test_upstream_that_returns_is_no_longer_known_to_leave fails before and passes now; found in the reading of the change. Ruled out: an effect on routing, which does not read this record.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -323,6 +323,7 @@
         if entry.draining:
             self._record_leaving(entry)
         elif key in self.leaving:
+            del self.leaving[key]
             self.on_return(entry)
         self.entries[entry.name] = entry
         self._record_change(entry.name)
--- a/tests/core/forwarding/test_upstreams.py
+++ b/tests/core/forwarding/test_upstreams.py
@@ -133,6 +133,15 @@
     assert registry.usable_of("s") == [ENTRY]
 
 
+def test_upstream_that_returns_is_no_longer_known_to_leave() -> None:
+    """Guards against log lines on requests to an upstream that has returned."""
+    registry = upstreams.Registry()
+    registry.apply_entry(_at(5))
+    registry.remove("e", None, revision=7)
+    registry.apply_entry(_at(8))
+    assert not registry.leaving
+
+
 def test_statement_ends_the_grace_period_of_a_missing_entry() -> None:
     """Guards against a leaving upstream that is kept, as it might return."""
     registry = upstreams.Registry()
