--- a/src/yuccatally/core/forwarding/prompt_evidence.py
+++ b/src/yuccatally/core/forwarding/prompt_evidence.py
@@ -8,7 +8,7 @@
 
 
 class PromptLoss(msgspec.Struct, array_like=True, frozen=True):
-    """A request whose connection broke before its first event.
+    """A request that was lost before its first event.
 
     Attributes:
         engine: First engine of its path.
