Log the request rates that upstreams name in their responses

Whether an engine named a limit could not be told from any log line, so that an ignored limit and one that is kept by each instance alone looked the same. The statement is decoded beside those of leaving and of pauses and recorded for each incarnation; routing does not read it yet.

A response without a limit ends one only if its request was sent after the limit was last named, since responses overtake each other, and only if it answers a request: reports and health checks need not name it. Invalid values of both headers are now logged (Retry-After was ignored without a line). New events upstream_limited and upstream_limit_ended.

--- a/src/yuccatally/core/forwarding/statements.py
+++ b/src/yuccatally/core/forwarding/statements.py
@@ -21,4 +21,26 @@
     duration_s: float
 
 
-Statement = Leaving | Pause
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """The upstream accepts a limited rate from all instances together.
+
+    Attributes:
+        requests_per_s: Requests a second; 0 or more.
+    """
+
+    requests_per_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class NoLimit:
+    """The response to a request states no limit.
+
+    Attributes:
+        sent_at: Monotonic time at which the request was sent, in seconds.
+    """
+
+    sent_at: float
+
+
+Statement = Leaving | Pause | Limit | NoLimit
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -38,6 +38,8 @@
     from collections.abc import Coroutine
     from typing import Any
 
+    from aiohttp import client_middlewares
+
     from yuccatally.core.forwarding import instance_settings
     from yuccatally.core.forwarding import rules
     from yuccatally.store import client
@@ -134,12 +136,12 @@
         # are already logged with the request.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         _log.info("starting", name=self.settings.name)
-        read_statements = statements.create_middleware(
-            self.state.registry.entries.get, self.state.apply_statement
-        )
-        client = exchange.UpstreamClient((read_statements,))
+        client = exchange.UpstreamClient((self._read_statements(True),))
         session = aiohttp.ClientSession(
-            middlewares=(read_statements, middlewares.send_at_most_once)
+            middlewares=(
+                self._read_statements(False),
+                middlewares.send_at_most_once,
+            )
         )
         try:
             listeners = self._open(client, session)
@@ -155,6 +157,15 @@
             await self.store.close()
         _log.info("stopped", in_flight=self.state.in_flight)
 
+    def _read_statements(
+        self, requests_only: bool
+    ) -> client_middlewares.ClientMiddlewareType:
+        return statements.create_middleware(
+            self.state.registry.entries.get,
+            self.state.apply_statement,
+            requests_only,
+        )
+
     def _open(
         self, client: exchange.UpstreamClient, session: aiohttp.ClientSession
     ) -> list[servers.Listener]:
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -12,8 +12,10 @@
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import quarantine
+from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import retries
 from yuccatally.core.forwarding import statements
+from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
 from yuccatally.forwarding import spans
 
@@ -48,6 +50,7 @@
         confirmed_generation: Generation of these layers.
         dispatcher: Chooses paths by outstanding work.
         quarantine: Parts of prompts that crash engines.
+        limits: Request rates that upstreams accept.
         retry_budgets: Retry budgets by service.
         instance_count: Number of instances that share the retry budget,
             including this one.
@@ -73,6 +76,7 @@
         self.confirmed_generation = 0
         self.dispatcher = dispatch.Dispatcher(settings.data_centre, self.rng)
         self.quarantine = quarantine.PromptQuarantine()
+        self.limits = rate_limits.LimitTable()
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
         self.instance_count = 1
         self.leaving = False
@@ -245,6 +249,45 @@
                         upstream=upstream.name,
                         seconds=duration_s,
                     )
+            case statements.Limit(requests_per_s=rate):
+                self.apply_limit(
+                    suspicions.Incarnation(upstream.name, upstream.born_ms),
+                    rate_limits.Limit(rate, time.monotonic()),
+                    "response",
+                )
+            case statements.NoLimit(sent_at=sent_at):
+                self.apply_limit(
+                    suspicions.Incarnation(upstream.name, upstream.born_ms),
+                    rate_limits.Limit(None, sent_at),
+                    "response",
+                )
+
+    def apply_limit(
+        self,
+        engine: suspicions.Incarnation,
+        limit: rate_limits.Limit,
+        source: str,
+    ) -> None:
+        """Applies the latest statement of an upstream on its rate.
+
+        Args:
+            engine: The upstream.
+            limit: Its statement.
+            source: Where the statement was received, for the log.
+        """
+        if not self.limits.record(engine, limit):
+            return
+        if limit.requests_per_s is None:
+            _log.info(
+                "upstream_limit_ended", upstream=engine.name, source=source
+            )
+        else:
+            _log.info(
+                "upstream_limited",
+                upstream=engine.name,
+                requests_per_s=limit.requests_per_s,
+                source=source,
+            )
 
     def announce_leaving(self, name: str, born_ms: int, source: str) -> None:
         """Excludes an incarnation that has stated that it leaves, for good.
--- a/src/yuccatally/platform/statements.py
+++ b/src/yuccatally/platform/statements.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
+import structlog
+
 from yuccatally.core.forwarding import statements
 from yuccatally.platform import headers
 
@@ -19,13 +22,20 @@
 
 LEAVING = "server-leaving"
 RETRY_AFTER = "retry-after"
+# Requests a second that the upstream accepts from all instances together.
+LIMIT = "server-limit"
 # With this status a retry time is meant for the instance, not for its client.
 BUSY_STATUS = 503
+# Headers of faulty upstreams may be long.
+MAX_LOGGED_CHARS = 40
+
+_log = structlog.get_logger()
 
 
 def create_middleware(
     find_upstream: Callable[[str], upstreams.Upstream | None],
     on_statement: Callable[[upstreams.Upstream, statements.Statement], None],
+    requests_only: bool,
 ) -> client_middlewares.ClientMiddlewareType:
     """Returns a client middleware that reads the statements of upstreams.
 
@@ -36,6 +46,8 @@
         find_upstream: Returns the upstream with a name.
         on_statement: Called with each statement and the upstream that was
             addressed.
+        requests_only: Whether all calls are requests of clients. Only the
+            responses to these show that an upstream has no limit.
     """
 
     async def read_statements(
@@ -46,10 +58,13 @@
         upstream = find_upstream(
             request.headers.get(headers.EXPECTED_UPSTREAM, "")
         )
+        sent_at = time.monotonic()
         response = await handler(request)
         if upstream is not None:
             for statement in decode(response.status, response.headers):
                 on_statement(upstream, statement)
+            if requests_only and LIMIT not in response.headers:
+                on_statement(upstream, statements.NoLimit(sent_at))
         return response
 
     return read_statements
@@ -66,19 +81,28 @@
     """
     if received.get(LEAVING, "").strip() == "1":
         yield statements.Leaving()
-    duration_s = _parse_seconds(received.get(RETRY_AFTER, ""))
-    if status == BUSY_STATUS and duration_s > 0:
+    duration_s = _parse_number(received, RETRY_AFTER)
+    if status == BUSY_STATUS and duration_s:
         yield statements.Pause(duration_s)
+    limit = _parse_number(received, LIMIT)
+    if limit is not None:
+        yield statements.Limit(limit)
 
 
-def _parse_seconds(text: str) -> float:
-    """Returns a finite number of seconds; 0 for anything else.
+def _parse_number(received: Mapping[str, str], name: str) -> float | None:
+    """Returns a finite number of at least 0; None for anything else.
 
-    >>> [_parse_seconds(t) for t in ("1.5", "-1", "inf", "soon")]
-    [1.5, 0.0, 0.0, 0.0]
+    >>> _parse_number({LIMIT: "1.5"}, LIMIT), _parse_number({}, LIMIT)
+    (1.5, None)
     """
+    text = received.get(name)
+    if text is None:
+        return None
     try:
-        seconds = float(text)
+        number = float(text)
     except ValueError:
-        return 0.0
-    return seconds if 0 < seconds < float("inf") else 0.0
+        number = -1.0
+    if 0 <= number < float("inf"):
+        return number
+    _log.info("statement_ignored", header=name, value=text[:MAX_LOGGED_CHARS])
+    return None
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -42,6 +42,8 @@
             to answer; empty for none.
         announces_leaving: Whether all responses state that the engine leaves,
             while it serves as before.
+        rate_limit: Rate in requests a second that all responses name; empty for
+            none.
         report_lag_s: Time for which an accepted order loads layers and reports
             do not show it, in seconds.
         trickle_after: Number of events after which bytes of an event arrive now
@@ -62,6 +64,7 @@
     leaving: bool = False
     fatal_part: str = ""
     announces_leaving: bool = False
+    rate_limit: str = ""
     report_lag_s: float = 0.0
     trickle_after: int | None = None
 
@@ -200,6 +203,8 @@
     ) -> None:
         if self.behaviour.announces_leaving:
             response.headers["Server-Leaving"] = "1"
+        if self.behaviour.rate_limit:
+            response.headers["Server-Limit"] = self.behaviour.rate_limit
 
     async def _report(self, request: web.Request) -> web.Response:
         count, layers = self.accepted_order_count, self.held_layers
--- a/tests/platform/test_statements.py
+++ b/tests/platform/test_statements.py
@@ -26,6 +26,12 @@
             {"Server-Leaving": "1", "Retry-After": "2"},
             [core_statements.Leaving(), core_statements.Pause(2.0)],
         ),
+        (200, {"Server-Limit": "1.5"}, [core_statements.Limit(1.5)]),
+        (503, {"server-limit": "0"}, [core_statements.Limit(0.0)]),
+        (200, {"Server-Limit": "-1"}, []),
+        (200, {"Server-Limit": "nan"}, []),
+        (200, {"Server-Limit": "1e400"}, []),
+        (200, {"Server-Limit": "few"}, []),
     ],
 )
 def test_statements_are_decoded(
