Keep the rates that upstreams name, over all instances together

Fix: limits are known by incarnation, exchanged in heartbeats, and end with a response without one. A request to a limited engine needs a turn. One live instance, chosen alike by all (rendezvous hashing), gives out the turns of an engine, in the order of asking and up to a second ahead, so that a caller whose turn comes too late is refused at once with the true time. An instance that does not reach the scheduler sends nothing there; instances that are cut off together give out the part of the rate that they are of all known instances. Every attempt takes a turn: first ones, retries, resumed streams, bookings. Streams are not moved to limited engines. A fixed share for each instance was ruled out, since one request a second over 8 or 340 instances lets most turns expire.

--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -145,6 +145,17 @@
     """No path exists that has not been tried."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Limited:
+    """Engines limit their rate, and no turn comes in time.
+
+    Attributes:
+        wait_s: Time until the next turn, in seconds.
+    """
+
+    wait_s: float
+
+
 class Dispatcher:
     """Chooses paths by the outstanding work of all instances.
 
--- a/src/yuccatally/forwarding/calls.py
+++ b/src/yuccatally/forwarding/calls.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from yuccatally.core.forwarding import dispatch
+    from yuccatally.forwarding import rate_limiting
     from yuccatally.forwarding import request_context
     from yuccatally.forwarding import state
 
@@ -32,11 +33,13 @@
         instance_state: state.InstanceState,
         client: exchange.UpstreamClient,
         on_failure: retrying.OnFailure,
+        rate_limiter: rate_limiting.RateLimiter,
     ) -> None:
         """Creates a forwarder; see ``streams.StreamForwarder``."""
         self.state = instance_state
         self.client = client
         self.on_failure = on_failure
+        self.rate_limiter = rate_limiter
 
     async def run(
         self,
@@ -71,6 +74,7 @@
             choose,
             attempt,
             self.on_failure,
+            self.rate_limiter,
         )
 
     async def _attempt(
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -14,6 +14,7 @@
 from yuccatally.core.forwarding import suspicions
 from yuccatally.forwarding import leader_state
 from yuccatally.forwarding import peer_sync
+from yuccatally.forwarding import rate_limiting
 from yuccatally.forwarding import watches
 from yuccatally.peers import heartbeats
 from yuccatally.peers import transport
@@ -70,6 +71,7 @@
             store and this one does.
         on_relay_status: Called in each interval with whether a relay provides
             this instance with all upstreams.
+        rate_limiter: Reserves turns at upstreams that limit their rate.
         logged_live_names: Names of the instances last logged as live.
     """
 
@@ -97,6 +99,9 @@
         self.peer_sync = peer_sync.PeerSync(
             instance_state, self.transport, self.spawn, self.peers_kept_store
         )
+        self.rate_limiter = rate_limiting.RateLimiter(
+            instance_state, self.transport
+        )
         self.logged_live_names: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -104,6 +109,7 @@
         """Starts to serve requests of other instances."""
         self.transport.register(heartbeats.Heartbeat, self._answer_heartbeat)
         self.peer_sync.open()
+        self.rate_limiter.open()
         self.transport.open()
 
     async def close(self) -> None:
@@ -329,6 +335,7 @@
                 )
             ),
             prompts=self.state.quarantine.evidence(now),
+            limits=self.state.limits.share(now),
         )
 
     def _answer_heartbeat(
@@ -361,6 +368,8 @@
         self.suspicions.merge(heartbeat.engine_suspicions, now)
         for engine in heartbeat.leaving:
             self.state.announce_leaving(engine.name, engine.born_ms, name)
+        for limit in heartbeat.limits:
+            self.state.merge_limit(limit, name)
         self.leader_state.apply(heartbeat.leader_state)
         if heartbeat.prompts is not None:
             received = self.state.quarantine.merge(heartbeat.prompts, now)
@@ -446,6 +455,16 @@
         self.leader_state.expire(now)
         self.suspicions.expire(now)
         self._log_liveness_changes(set(live))
+        self._update_rate_limiter(live)
+
+    def _update_rate_limiter(self, live: dict[str, members.Member]) -> None:
+        staying = [
+            c for c in self.member_table.contacts.values() if not c.leaving
+        ]
+        self.rate_limiter.update_instances(
+            (self.own_contact, *(m.contact for m in live.values())),
+            1 + len(staying),
+        )
 
     def _log_liveness_changes(self, live: set[str]) -> None:
         """Logs instances that became live or are no longer live."""
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -175,7 +175,10 @@
         )
         detector = detection.FaultDetector(self.state, self.fleet)
         forwarder = streams.StreamForwarder(
-            self.state, client, detector.record_failure
+            self.state,
+            client,
+            detector.record_failure,
+            self.fleet.rate_limiter,
         )
         detector.abandon = forwarder.abandon
         rerouter = rerouting.Rerouter(self.state, forwarder, session)
@@ -183,7 +186,12 @@
         self.application = application.Application(
             self.state,
             forwarder,
-            calls.CallForwarder(self.state, client, detector.record_failure),
+            calls.CallForwarder(
+                self.state,
+                client,
+                detector.record_failure,
+                self.fleet.rate_limiter,
+            ),
             self.metrics,
         )
         listeners = self._listeners()
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import time
 from typing import TYPE_CHECKING
 
 from yuccatally.core.forwarding import attempts
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import quarantine
+from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import suspicions
 from yuccatally.forwarding import upstream_responses
 
@@ -16,6 +18,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from yuccatally.forwarding import rate_limiting
     from yuccatally.forwarding import request_context
     from yuccatally.forwarding import state
 
@@ -42,6 +45,7 @@
     choose: Choose,
     attempt: Attempt,
     on_failure: OnFailure,
+    rate_limiter: rate_limiting.RateLimiter,
 ) -> None:
     """Sends a request until it is answered or must not be sent again.
 
@@ -53,6 +57,7 @@
         choose: Chooses a path, given the names of the paths that were tried.
         attempt: Sends the request over a path.
         on_failure: Called when an attempt has failed.
+        rate_limiter: Reserves turns at upstreams that limit their rate.
     """
     budget = instance_state.retry_budget(context.service.name)
     budget.record_request(time.monotonic())
@@ -63,7 +68,9 @@
         ):
             return
         with instance_state.spans.record("choose", context.request.id) as span:
-            path = await choose(tried)
+            path = await _choose_with_turn(
+                instance_state, context, choose, rate_limiter, tried
+            )
             span.set_attribute("ended", type(path).__name__.lower())
         if not isinstance(path, dispatch.Path):
             await _end_without_path(
@@ -133,6 +140,51 @@
         return
 
 
+async def _choose_with_turn(
+    instance_state: state.InstanceState,
+    context: request_context.RequestContext,
+    choose: Choose,
+    rate_limiter: rate_limiting.RateLimiter,
+    tried: frozenset[str],
+) -> Choice | dispatch.Limited:
+    """Chooses a path and waits for the turn at engines that limit their rate.
+
+    The time of the turn is known in advance. A request that it comes too late
+    for is refused at once.
+    """
+    while True:
+        path = await choose(tried)
+        if not isinstance(path, dispatch.Path):
+            return path
+        if not instance_state.limits.limited(path.hops):
+            return path
+        known_wait_s = instance_state.limits.wait_s(path.hops, time.monotonic())
+        max_wait_s = rate_limits.max_turn_wait_s(context.remaining_s())
+        if known_wait_s > max_wait_s:
+            return dispatch.Limited(known_wait_s)
+        # Other paths are tried before a request waits.
+        turn = await rate_limiter.reserve(
+            path.hops, max_wait_s if known_wait_s > 0 else 0.0
+        )
+        match turn:
+            case rate_limits.Granted(wait_s=wait_s):
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                if _is_usable(instance_state, path):
+                    return path
+            case rate_limits.Denied():
+                pass  # the choice now takes its wait into account
+
+
+def _is_usable(
+    instance_state: state.InstanceState, path: dispatch.Path
+) -> bool:
+    """Returns whether all engines of a path still accept requests."""
+    return all(
+        instance_state.registry.usable(h.name, h.born_ms) for h in path.hops
+    )
+
+
 def _ended(result: upstream_responses.FailedAttempt | None) -> str:
     return (
         "whole"
@@ -196,15 +248,20 @@
     An upstream of a plain service is a path with a single hop.
     """
     now = time.monotonic()
+    limits = instance_state.limits
+    dispatcher = instance_state.dispatcher
     if context.service.model is not None:
-        return instance_state.dispatcher.choose_path(
-            instance_state.paths(context.service),
-            memory_tokens(context),
-            tried,
-            now,
+        paths = instance_state.paths(context.service)
+        waits_s = {p.name: limits.wait_s(p.hops, now) for p in paths}
+        find = functools.partial(
+            dispatcher.choose_path, paths, memory_tokens(context)
         )
-    return instance_state.dispatcher.choose_upstream(
-        instance_state.registry.usable_of(context.service.name), tried, now
+    else:
+        usable = instance_state.registry.usable_of(context.service.name)
+        waits_s = {u.name: limits.wait_s((u,), now) for u in usable}
+        find = functools.partial(dispatcher.choose_upstream, usable)
+    return rate_limits.choose_by_turn(
+        waits_s, tried, lambda excluded: find(excluded, now)
     )
 
 
@@ -221,17 +278,22 @@
     context: request_context.RequestContext,
     writer: request_context.ResponseWriter,
     progress: attempts.AttemptCounter,
-    choice: dispatch.Full | dispatch.Nothing,
+    choice: dispatch.Full | dispatch.Nothing | dispatch.Limited,
 ) -> None:
-    is_full = isinstance(choice, dispatch.Full)
-    pause_end = instance_state.registry.pause_end(context.service.name)
+    match choice:
+        case dispatch.Full():
+            reason, pause_s = "full", 0.0
+        case dispatch.Limited(wait_s=wait_s):
+            reason, pause_s = "rate-limited", wait_s
+        case dispatch.Nothing():
+            reason = "no-path"
+            pause_end = instance_state.registry.pause_end(context.service.name)
+            pause_s = 0.0 if pause_end is None else pause_end - time.monotonic()
     after_s = attempts.retry_delay_s(
-        is_full,
+        isinstance(choice, dispatch.Full),
         context.remaining_s(),
         instance_state.rng.random(),
-        0.0 if pause_end is None else pause_end - time.monotonic(),
+        pause_s,
     )
     step = attempts.refuse_or_give_up(progress, after_s)
-    await upstream_responses.end_request(
-        writer, step, "full" if is_full else "no-path"
-    )
+    await upstream_responses.end_request(writer, step, reason)
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -192,14 +192,19 @@
     ) -> list[composition.Holding]:
         """Returns the layers that the usable engines of a service hold.
 
+        Engines that limit their rate are left out: streams that are moved to
+        them would take no turns.
+
         Args:
             service: Name of the service.
             excluded: Addresses of engines to leave out.
         """
         holdings: list[composition.Holding] = []
         for engine in self.registry.usable_of(service):
+            if engine.address in excluded or self.limits.limited((engine,)):
+                continue
             layers = self._held(engine)
-            if layers is not None and engine.address not in excluded:
+            if layers is not None:
                 holdings.append(
                     composition.Holding(
                         engine, layers, layers.last - layers.first
@@ -275,9 +280,17 @@
             limit: Its statement.
             source: Where the statement was received, for the log.
         """
-        if not self.limits.record(engine, limit):
-            return
-        if limit.requests_per_s is None:
+        if self.limits.record(engine, limit, time.monotonic()):
+            self._log_limit(engine, source)
+
+    def merge_limit(self, shared: rate_limits.SharedLimit, source: str) -> None:
+        """Applies a limit that another instance knows."""
+        if self.limits.merge(shared, time.monotonic()):
+            self._log_limit(shared.engine, source)
+
+    def _log_limit(self, engine: suspicions.Incarnation, source: str) -> None:
+        requests_per_s = self.limits.in_force.get(engine)
+        if requests_per_s is None:
             _log.info(
                 "upstream_limit_ended", upstream=engine.name, source=source
             )
@@ -285,7 +298,7 @@
             _log.info(
                 "upstream_limited",
                 upstream=engine.name,
-                requests_per_s=limit.requests_per_s,
+                requests_per_s=requests_per_s,
                 source=source,
             )
 
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from yuccatally.forwarding import rate_limiting
     from yuccatally.forwarding import request_context
     from yuccatally.forwarding import state
 
@@ -75,6 +76,7 @@
         instance_state: state.InstanceState,
         client: exchange.UpstreamClient,
         on_failure: retrying.OnFailure,
+        rate_limiter: rate_limiting.RateLimiter,
     ) -> None:
         """Creates a forwarder.
 
@@ -82,10 +84,12 @@
             instance_state: Shared state.
             client: HTTP client for the upstreams.
             on_failure: Called when an attempt has failed.
+            rate_limiter: Reserves turns at upstreams that limit their rate.
         """
         self.state = instance_state
         self.client = client
         self.on_failure = on_failure
+        self.rate_limiter = rate_limiter
         self.running: set[RunningAttempt] = set()
 
     async def run(
@@ -167,6 +171,7 @@
             lambda tried: self._wait_for_path(context, writer, progress, tried),
             attempt,
             self.on_failure,
+            self.rate_limiter,
         )
 
     async def _wait_for_path(
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -9,6 +9,7 @@
 from yuccatally.core.forwarding import members
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import prompt_evidence
+from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
 from yuccatally.telemetry import traces  # noqa: TC001
@@ -86,6 +87,7 @@
         leaving: Upstreams that have stated in a response that they leave, as
             far as the sender learned of it in the last seconds.
         prompts: Evidence on prompts that crash engines; None without any.
+        limits: Request rates that upstreams accept, or some of them.
     """
 
     reply: ClassVar[type]
@@ -107,11 +109,39 @@
     receiver_born_ms: int = 0
     leaving: tuple[suspicions.Incarnation, ...] = ()
     prompts: prompt_evidence.Evidence | None = None
+    limits: tuple[rate_limits.SharedLimit, ...] = ()
 
 
 Heartbeat.reply = Heartbeat
 
 
+class TurnReply(msgspec.Struct, array_like=True, frozen=True):
+    """A turn at a rate-limited upstream, or when the next one comes.
+
+    Attributes:
+        granted: Whether the turn was reserved.
+        wait_s: Time until the turn, or until the next one that is not given
+            yet, in seconds.
+    """
+
+    granted: bool
+    wait_s: float
+
+
+class TurnRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Requests a turn at a rate-limited upstream.
+
+    Attributes:
+        limit: The limit as the sender knows it.
+        max_wait_s: Longest time until the turn, in seconds.
+    """
+
+    reply: ClassVar[type] = TurnReply
+
+    limit: rate_limits.SharedLimit
+    max_wait_s: float
+
+
 class RulesReply(msgspec.Struct, array_like=True, frozen=True):
     """The configuration in force, in the platform's format.
 
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -110,6 +110,8 @@
         ordered_at: Time of the last accepted order.
         fence: Highest fencing token received.
         executed_requests: Requests executed.
+        arrivals: Monotonic time of the arrival of each request, executed or
+            refused.
         cancelled: Attempts whose connection closed before their end.
         loaded_ranges: Ranges of layers that accepted orders named.
         paths: Path of each open stream by attempt, on its first engine.
@@ -146,6 +148,7 @@
         self.ordered_at = float("-inf")
         self.fence = 0
         self.executed_requests: list[ExecutedRequest] = []
+        self.arrivals: list[float] = []
         self.cancelled: list[str] = []
         self.loaded_ranges: list[tuple[int, int]] = []
         self.paths: dict[str, str] = {}
@@ -268,6 +271,7 @@
         return web.Response(status=200)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        self.arrivals.append(time.monotonic())
         attempt = request.headers.get("Yuccatally-Attempt-Id", "")
         expected = request.headers.get("Yuccatally-Expect-Instance", self.name)
         if expected != self.name:
