Pass on an upstream's error if a retry finds no answer

Cause: only the response of the last attempt was kept. The latest complete error response now ends the request as long as nothing was sent. Ruled out for streams: a stream that has begun still ends incomplete.

--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -62,6 +62,7 @@
     budget = instance_state.retry_budget(context.service.name)
     budget.record_request(time.monotonic())
     tried: frozenset[str] = frozenset()
+    error_response: upstream_responses.CompleteResponse | None = None
     while True:
         if await _ended_by_quarantine(
             instance_state, context, writer, progress
@@ -73,9 +74,10 @@
             )
             span.set_attribute("ended", type(path).__name__.lower())
         if not isinstance(path, dispatch.Path):
-            await _end_without_path(
-                instance_state, context, writer, progress, path
+            step, reason = _step_without_path(
+                instance_state, context, progress, path
             )
+            await _end(writer, step, reason, error_response)
             return
         # The choice may have waited for capacity.
         if await _ended_by_quarantine(
@@ -124,19 +126,11 @@
             step,
             writer.event_count - events_before,
         )
+        error_response = result.response or error_response
         if isinstance(step, attempts.SendAgain):
             continue
-        passed_on = (
-            result.response if isinstance(step, attempts.PassOn) else None
-        )
-        if passed_on is not None and not writer.started:
-            await writer.send_response(
-                passed_on.status, passed_on.headers, passed_on.body
-            )
-        else:
-            await upstream_responses.end_request(
-                writer, step, upstream_responses.failure_reason(result.failure)
-            )
+        reason = upstream_responses.failure_reason(result.failure)
+        await _end(writer, step, reason, error_response)
         return
 
 
@@ -185,6 +179,21 @@
     )
 
 
+async def _end(
+    writer: request_context.ResponseWriter,
+    step: attempts.NextAction,
+    reason: str,
+    error_response: upstream_responses.CompleteResponse | None,
+) -> None:
+    """Ends a request, with the error response of an upstream if it has one."""
+    if error_response is None or writer.started:
+        await upstream_responses.end_request(writer, step, reason)
+        return
+    await writer.send_response(
+        error_response.status, error_response.headers, error_response.body
+    )
+
+
 def _ended(result: upstream_responses.FailedAttempt | None) -> str:
     return (
         "whole"
@@ -273,13 +282,13 @@
     return context.request.memory_tokens(model.answer_tokens)
 
 
-async def _end_without_path(
+def _step_without_path(
     instance_state: state.InstanceState,
     context: request_context.RequestContext,
-    writer: request_context.ResponseWriter,
     progress: attempts.AttemptCounter,
     choice: dispatch.Full | dispatch.Nothing | dispatch.Limited,
-) -> None:
+) -> tuple[attempts.NextAction, str]:
+    """Returns the action that ends a request without a path, and its reason."""
     match choice:
         case dispatch.Full():
             reason, pause_s = "full", 0.0
@@ -295,5 +304,4 @@
         instance_state.rng.random(),
         pause_s,
     )
-    step = attempts.refuse_or_give_up(progress, after_s)
-    await upstream_responses.end_request(writer, step, reason)
+    return attempts.refuse_or_give_up(progress, after_s), reason
--- a/tests/forwarding/test_ends.py
+++ b/tests/forwarding/test_ends.py
@@ -226,6 +226,31 @@
     assert _count_runs(served) == 1
 
 
+@pytest.mark.parametrize("other", [None, "refuses", "is lost"])
+async def test_failure_is_passed_on_if_no_retry_succeeds(
+    served: path_site.Site, other: str | None
+) -> None:
+    """Guards against an upstream's answer that is replaced by a 502."""
+    served.engines["d1"].behaviour.failure_status = 500
+    if other is not None:
+        second = await served.add_engine("d2", card="")
+        second.behaviour.refusal_status = 503 if other == "refuses" else 0
+        second.behaviour.wrong_id = other == "is lost"
+        registry = served.instances[0].state.registry
+        await path_site.until(lambda: "d2" in registry.entries)
+    answers = [
+        await served.send_request("/stock/x", f"a{n}", deadline_ms=900)
+        for n in range(6)
+    ]
+    failed_first = [a for a in answers if a[2] == b"failed"]
+    assert failed_first
+    for status, headers, _ in failed_first:
+        assert status == 500
+        assert headers["yuccatally-server-signature"] == path_engine.SIGNATURE
+    runs = {r.request for r in served.engines["d1"].executed_requests}
+    assert len(failed_first) == len(runs)
+
+
 async def test_idempotent_call_goes_on_elsewhere(
     served: path_site.Site,
 ) -> None:
