Log why a watch does not come back, and restores of the store

Each different failure now leaves a line (watch_delayed), and the adapter reads the epoch that the store names in all responses (store_restored). Nothing decides by it yet.

The stand-in of the store can be restored from a copy: later changes are lost, their revisions are given out again, a watch from a lost revision gets 410.

--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -72,6 +72,7 @@
         down_since: Start of the current outage; None without one.
         last_outage: The last outage that has ended.
         behind_since: Time since which a peer has a newer revision.
+        logged_error: Last failure that was logged; empty while connected.
         pending_call: The call that waits for changes; None without one.
         primary: The watch that reconnects to an unreachable store on behalf of
             this one.
@@ -117,6 +118,7 @@
         self.down_since: float | None = None
         self.last_outage: Outage | None = None
         self.behind_since: float | None = None
+        self.logged_error = ""
         self.pending_call: asyncio.Task[client.Listing] | None = None
         self.primary: KindWatch | None = None
         self.connected_event = asyncio.Event()
@@ -271,12 +273,16 @@
             _log.info("store_reached", kind=self.kind, revision=self.cursor)
             self.on_connected(True)
         self.connected = True
+        self.logged_error = ""
         self.connected_event.set()
 
     def _record_failure(self, error: client.StoreError) -> None:
         if self.connected:
             _log.warning("store_lost", kind=self.kind, error=str(error))
             self.on_connected(False)
+        elif str(error) != self.logged_error:
+            _log.info("watch_delayed", kind=self.kind, error=str(error))
+        self.logged_error = str(error)
         self.connected = False
         self.connected_event.clear()
         if self.cursor and self.down_since is None:
--- a/src/yuccatally/platform/store.py
+++ b/src/yuccatally/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 import urllib.parse
 
@@ -11,6 +12,12 @@
 from yuccatally.store import calls
 from yuccatally.store import client
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# Number of times that the store was restored from a copy; in all responses.
+EPOCH = "store-era"
+MAX_EPOCH_DIGITS = 5
 # Statuses with which the store guarantees that a call had no effect.
 _REFUSAL_STATUSES = frozenset({429, 503})
 
@@ -50,12 +57,17 @@
 
     The store keeps no labels. The version of an object is the revision of its
     last change.
+
+    Attributes:
+        epoch: Latest epoch of the store; it rises when the store is restored
+            from a copy and loses changes. 0 until it is known.
     """
 
     def __init__(self, address: str) -> None:
         self.http = calls.ObjectApiSession(
-            f"http://{address}", _REFUSAL_STATUSES
+            f"http://{address}", _REFUSAL_STATUSES, self._read_epoch
         )
+        self.epoch = 0
 
     @property
     def call_count(self) -> int:
@@ -146,6 +158,27 @@
         """See ``client.StoreClient.close``."""
         await self.http.close()
 
+    def _read_epoch(self, headers: Mapping[str, str]) -> None:
+        """Reads the epoch of a response."""
+        epoch = _decode_epoch(headers)
+        if epoch > self.epoch:
+            if self.epoch:
+                _log.warning("store_restored", epoch=epoch, before=self.epoch)
+            self.epoch = epoch
+
+
+def _decode_epoch(headers: Mapping[str, str]) -> int:
+    """Returns the epoch of a response; 0 if it names no valid one.
+
+    >>> _decode_epoch({EPOCH: "3"}), _decode_epoch({})
+    (3, 0)
+    """
+    text = headers.get(EPOCH, "0").strip()
+    if text.isascii() and text.isdigit() and len(text) <= MAX_EPOCH_DIGITS:
+        return int(text)
+    _log.warning("store_epoch_ignored", value=text[: 2 * MAX_EPOCH_DIGITS])
+    return 0
+
 
 def _decode_page(raw: Any) -> _Page:
     try:
--- a/src/yuccatally/store/calls.py
+++ b/src/yuccatally/store/calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+from typing import TYPE_CHECKING
 from typing import Any
 
 import aiohttp
@@ -11,6 +13,10 @@
 from yuccatally.store import client
 from yuccatally.store import middlewares
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
 # The store responds within milliseconds, or about 300 ms when it is slow.
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -20,18 +26,39 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A successful response.
+
+    Attributes:
+        headers: Headers, found by their names in any case.
+        payload: Decoded body.
+    """
+
+    headers: Mapping[str, str]
+    payload: Any
+
+
 class ObjectApiSession:
     """Makes HTTP calls and raises failures as ``client.StoreError``.
 
     Attributes:
         base_url: ``http://IP:PORT`` of the platform.
         refusal_statuses: Statuses that guarantee that a call had no effect.
+        on_headers: Called with the headers of each response, before its status
+            is checked. It may raise ``client.StoreError``.
         call_count: Number of calls, counted as the platform counts them.
     """
 
-    def __init__(self, base_url: str, refusal_statuses: frozenset[int]) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        refusal_statuses: frozenset[int],
+        on_headers: Callable[[Mapping[str, str]], None] = lambda headers: None,
+    ) -> None:
         self.base_url = base_url
         self.refusal_statuses = refusal_statuses
+        self.on_headers = on_headers
         self.call_count = 0
         self.session: aiohttp.ClientSession | None = None
 
@@ -43,7 +70,23 @@
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Any:
-        """Makes one call and returns the decoded response.
+        """Makes one call and returns the decoded body of the response.
+
+        Raises:
+            client.StoreError: The call failed; see the subclasses.
+        """
+        answer = await self.exchange(method, path, headers, body, timeout_s)
+        return answer.payload
+
+    async def exchange(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Answer:
+        """Makes one call and returns the response.
 
         Raises:
             client.StoreError: The call failed; see the subclasses.
@@ -64,8 +107,9 @@
                 ),
             ) as response:
                 payload = await bodies.read(response, MAX_RESPONSE_BYTES)
+                self.on_headers(response.headers)
                 self._raise_for_status(response.status, method, path)
-                return msgspec.json.decode(payload)
+                return Answer(response.headers, msgspec.json.decode(payload))
         except aiohttp.ClientConnectorError as error:
             raise client.StoreError(f"{method} {path}: {error}") from error
         except aiohttp.ConnectionTimeoutError as error:
--- a/src/yuccatally_standins/object_store.py
+++ b/src/yuccatally_standins/object_store.py
@@ -28,6 +28,14 @@
     refused: set[str] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """Objects and revision of a store at a moment."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class ObjectStore:
     """Objects by kind and name, with a common revision.
 
@@ -37,6 +45,7 @@
         compacted: Revision up to which the history was discarded.
         objects: Objects by kind and name.
         history: Changes after ``compacted`` as revision, kind and event.
+        epoch: Number that all responses name; it rises with each restore.
         changed: Notified on each change.
         calls: Method and path of each call so far.
     """
@@ -47,12 +56,14 @@
         self.compacted = 0
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[tuple[int, str, dict[str, Any]]] = []
+        self.epoch = 1
         self.changed = asyncio.Condition()
         self.calls: list[str] = []
 
     def application(self) -> web.Application:
         """Returns the HTTP application."""
         app = web.Application(middlewares=[self._apply_faults])
+        app.on_response_prepare.append(self._name_epoch)
         app.router.add_get("/objects/{kind}", self._list)
         app.router.add_post("/objects/{kind}", self._create)
         app.router.add_get("/objects/{kind}/{name}", self._get)
@@ -76,6 +87,25 @@
         self.history.clear()
         await self._notify()
 
+    def copy(self) -> Copy:
+        """Returns a copy from which the store can be restored."""
+        return Copy(self.revision, dict(self.objects))
+
+    async def restore(self, saved: Copy) -> None:
+        """Restores a copy: later changes are lost, their revisions free."""
+        self.epoch += 1
+        self.revision = saved.revision
+        self.objects = dict(saved.objects)
+        # The copy has no history; a watch from a lost revision gets 410.
+        self.compacted = saved.revision
+        self.history.clear()
+        await self._notify()
+
+    async def _name_epoch(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Store-Era"] = str(self.epoch)
+
     @web.middleware
     async def _apply_faults(
         self, request: web.Request, handler: Any
@@ -106,8 +136,9 @@
 
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         since = int(request.query["watch"])
-        if since < self.compacted:
+        if since < self.compacted or since > self.revision:
             return web.Response(status=410)
+        epoch = self.epoch
         wait_s = int(request.query["waitMs"]) / 1e3
 
         def events() -> list[dict[str, Any]]:
@@ -117,10 +148,18 @@
             try:
                 async with asyncio.timeout(wait_s):
                     await self.changed.wait_for(
-                        lambda: events() or since < self.compacted
+                        lambda: (
+                            events()
+                            or since < self.compacted
+                            or epoch != self.epoch
+                        )
                     )
             except TimeoutError:
                 pass
+        if epoch != self.epoch:
+            # The restart that comes with a restore ends all connections.
+            request.transport.abort()
+            return web.Response()
         if since < self.compacted:
             return web.Response(status=410)
         return web.json_response({"events": events(), "at": self.revision})
