Qualify revisions of the store by the epoch of its history

Cause: revisions were compared as bare numbers, which the store gives out again after a restore. A list of the new history counted as outdated until as many changes had been made as were lost ("the list is at revision 111, behind 123" on all instances, 0.1 s after store_restored). Ruled out: a store that stays away (it answered), changes ignored as older ones.

Fix: the adapter adds the epoch, which the store names in all responses, to each revision (epoch * 10**13 + number), so that everything that orders by revision orders by history: watches, entries, removals, lists and heartbeats between instances, conditions of writes. A watch from another epoch starts with a list, also if its number exists again; a write on a version of a lost history is refused, or counts as uncertain if the restore is seen only in its response; a response of a lost history is an error; a list that is cut by a restore starts again. Numbers of more than 13 digits make an object invalid.

--- a/src/yuccatally/platform/store.py
+++ b/src/yuccatally/platform/store.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
+from typing import Annotated
 from typing import Any
 import urllib.parse
 
@@ -17,16 +19,19 @@
 
 # Number of times that the store was restored from a copy; in all responses.
 EPOCH = "store-era"
-MAX_EPOCH_DIGITS = 5
+MAX_EPOCH_DIGITS = len(str(client.MAX_EPOCH))
 # Statuses with which the store guarantees that a call had no effect.
 _REFUSAL_STATUSES = frozenset({429, 503})
 
 _log = structlog.get_logger()
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, lt=client.REVISIONS_PER_EPOCH)]
+
+
 class _Metadata(msgspec.Struct):
     name: str
-    revision: int
+    revision: _Number
 
 
 class _Object(msgspec.Struct):
@@ -38,7 +43,7 @@
 class _Page(msgspec.Struct, rename="camel"):
     items: tuple[Any, ...]
     # Revision of the whole store, not of an object.
-    at: int
+    at: _Number
     has_more: bool = False
 
 
@@ -49,7 +54,15 @@
 
 class _Events(msgspec.Struct):
     events: tuple[_Event, ...]
-    at: int
+    at: _Number
+
+
+@dataclasses.dataclass(frozen=True)
+class _Answer:
+    """Body of a response and the epoch that it belongs to."""
+
+    epoch: int
+    payload: Any
 
 
 class PlatformStore:
@@ -60,14 +73,14 @@
 
     Attributes:
         epoch: Latest epoch of the store; it rises when the store is restored
-            from a copy and loses changes. 0 until it is known.
+            from a copy and loses changes. None until it is known.
     """
 
     def __init__(self, address: str) -> None:
         self.http = calls.ObjectApiSession(
             f"http://{address}", _REFUSAL_STATUSES, self._read_epoch
         )
-        self.epoch = 0
+        self.epoch: int | None = None
 
     @property
     def call_count(self) -> int:
@@ -77,18 +90,22 @@
     async def list_objects(self, kind: str = "") -> client.Listing:
         """See ``client.StoreClient.list_objects``; the kind is required."""
         items: list[client.StoredObject] = []
-        after, first_revision = "", 0
+        after, first_revision = "", None
         while True:
             query = f"?{urllib.parse.urlencode({'after': after})}"
-            page = _decode_page(
-                await self.http.call(
-                    "GET", f"/objects/{kind}{query if after else ''}"
-                )
+            answer = await self._call(
+                "GET", f"/objects/{kind}{query if after else ''}"
             )
+            page = _decode_page(answer.payload)
             # The watch starts at the revision of the first page, so it repeats
             # changes that happen while later pages are read.
-            first_revision = first_revision or page.at
-            objects = [_decode_object(kind, raw) for raw in page.items]
+            if first_revision is None:
+                first_revision = client.qualify(answer.epoch, page.at)
+            elif client.epoch_of(first_revision) != answer.epoch:
+                raise client.StoreError(f"{kind}: restored within a list")
+            objects = [
+                _decode_object(kind, r, answer.epoch) for r in page.items
+            ]
             items.extend(o for o in objects if o is not None)
             if not page.has_more:
                 return client.Listing(first_revision, tuple(items))
@@ -100,8 +117,8 @@
 
     async def get(self, kind: str, name: str) -> client.StoredObject:
         """See ``client.StoreClient.get``."""
-        raw = await self.http.call("GET", f"/objects/{kind}/{_quote(name)}")
-        return _decode_required_object(kind, raw)
+        answer = await self._call("GET", f"/objects/{kind}/{_quote(name)}")
+        return _decode_required_object(kind, answer)
 
     async def put(
         self,
@@ -114,41 +131,56 @@
         """See ``client.StoreClient.put``."""
         if version == 0:
             body = {"metadata": {"name": name}, "spec": spec}
-            raw = await self.http.call("POST", f"/objects/{kind}", body=body)
-            return _decode_required_object(kind, raw)
-        metadata = {"name": name, "revision": version}
-        raw = await self.http.call(
+            answer = await self._call("POST", f"/objects/{kind}", body=body)
+            return _decode_required_object(kind, answer)
+        metadata = {"name": name, "revision": self._condition(version)}
+        answer = await self._call(
             "PUT",
             f"/objects/{kind}/{_quote(name)}",
             body={"metadata": metadata, "spec": spec},
         )
-        return _decode_required_object(kind, raw)
+        _check_epoch(answer, version)
+        return _decode_required_object(kind, answer)
 
     async def delete(self, kind: str, name: str, version: int) -> int:
         """See ``client.StoreClient.delete``."""
-        await self.http.call(
-            "DELETE", f"/objects/{kind}/{_quote(name)}?revision={version}"
+        number = self._condition(version)
+        answer = await self._call(
+            "DELETE", f"/objects/{kind}/{_quote(name)}?revision={number}"
         )
+        _check_epoch(answer, version)
         return version
 
     async def watch(
         self, since: int, wait_s: float, kind: str = ""
     ) -> client.Listing:
-        """See ``client.StoreClient.watch``; the kind is required."""
+        """See ``client.StoreClient.watch``; the kind is required.
+
+        A restored store can answer from its new history, as the revision may
+        name another change there. The changes before it would be missed.
+        """
+        epoch = client.epoch_of(since)
+        if self.epoch is not None and epoch != self.epoch:
+            raise client.CompactedError(f"{kind}: the store was restored")
         wait_ms = max(1, int(wait_s * 1e3))
-        raw = await self.http.call(
+        answer = await self._call(
             "GET",
-            f"/objects/{kind}?watch={since}&waitMs={wait_ms}",
+            f"/objects/{kind}?watch={client.number_of(since)}&waitMs={wait_ms}",
             timeout_s=wait_s + calls.WATCH_MARGIN_S,
         )
+        if answer.epoch != epoch:
+            raise client.CompactedError(f"{kind}: the store was restored")
         try:
-            changes = msgspec.convert(raw, _Events)
+            changes = msgspec.convert(answer.payload, _Events)
         except msgspec.MsgspecError as error:
             raise client.StoreError(f"watch of {kind}: {error}") from error
         items = (
-            _decode_object(kind, e.object, e.deleted) for e in changes.events
+            _decode_object(kind, e.object, epoch, e.deleted)
+            for e in changes.events
+        )
+        return client.Listing(
+            client.qualify(epoch, changes.at), tuple(i for i in items if i)
         )
-        return client.Listing(changes.at, tuple(i for i in items if i))
 
     async def members(self) -> tuple[client.Member, ...]:
         """See ``client.StoreClient.members``; this store keeps no such list."""
@@ -158,13 +190,58 @@
         """See ``client.StoreClient.close``."""
         await self.http.close()
 
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = calls.CALL_TIMEOUT_S,
+    ) -> _Answer:
+        """Makes one call and returns the response with its epoch.
+
+        Raises:
+            client.StoreError: The call failed, or the store was restored before
+                the response was read; see the subclasses.
+        """
+        answer = await self.http.exchange(
+            method, path, body=body, timeout_s=timeout_s
+        )
+        epoch = _decode_epoch(answer.headers)
+        if self.epoch is not None and epoch < self.epoch:
+            message = f"{method} {path}: the response is of a lost history"
+            if method == "GET":
+                raise client.StoreError(message)
+            raise client.UncertainError(message)
+        return _Answer(epoch, answer.payload)
+
+    def _condition(self, version: int) -> int:
+        """Returns the number on which a write of an object depends.
+
+        Raises:
+            client.ConflictError: The version is of a lost history, where the
+                same number may name another change.
+        """
+        if client.epoch_of(version) != self.epoch:
+            raise client.ConflictError("the version is of a lost history")
+        return client.number_of(version)
+
     def _read_epoch(self, headers: Mapping[str, str]) -> None:
         """Reads the epoch of a response."""
         epoch = _decode_epoch(headers)
-        if epoch > self.epoch:
-            if self.epoch:
-                _log.warning("store_restored", epoch=epoch, before=self.epoch)
-            self.epoch = epoch
+        if self.epoch is not None and epoch > self.epoch:
+            _log.warning("store_restored", epoch=epoch, before=self.epoch)
+        self.epoch = max(epoch, self.epoch or 0)
+
+
+def _check_epoch(answer: _Answer, version: int) -> None:
+    """Checks that a conditional write met the history of its condition.
+
+    Raises:
+        client.UncertainError: The store was restored before the write, whose
+            condition may hold for another change.
+    """
+    if answer.epoch != client.epoch_of(version):
+        raise client.UncertainError("written after the store was restored")
 
 
 def _decode_epoch(headers: Mapping[str, str]) -> int:
@@ -175,7 +252,7 @@
     """
     text = headers.get(EPOCH, "0").strip()
     if text.isascii() and text.isdigit() and len(text) <= MAX_EPOCH_DIGITS:
-        return int(text)
+        return min(int(text), client.MAX_EPOCH)
     _log.warning("store_epoch_ignored", value=text[: 2 * MAX_EPOCH_DIGITS])
     return 0
 
@@ -188,14 +265,14 @@
 
 
 def _decode_object(
-    kind: str, raw: Any, deleted: bool = False
+    kind: str, raw: Any, epoch: int, deleted: bool = False
 ) -> client.StoredObject | None:
     try:
         decoded = msgspec.convert(raw, _Object)
     except msgspec.MsgspecError as error:
         _log.warning("object_ignored", kind=kind, reason=str(error))
         return None
-    revision = decoded.metadata.revision
+    revision = client.qualify(epoch, decoded.metadata.revision)
     return client.StoredObject(
         kind,
         decoded.metadata.name,
@@ -207,8 +284,8 @@
     )
 
 
-def _decode_required_object(kind: str, raw: Any) -> client.StoredObject:
-    stored = _decode_object(kind, raw)
+def _decode_required_object(kind: str, answer: _Answer) -> client.StoredObject:
+    stored = _decode_object(kind, answer.payload, answer.epoch)
     if stored is None:
         raise client.StoreError(f"{kind}: the response holds no valid object")
     return stored
--- a/src/yuccatally/store/client.py
+++ b/src/yuccatally/store/client.py
@@ -6,6 +6,13 @@
 from typing import Any
 from typing import Protocol
 
+# A store that is restored from a copy gives revisions out again, so they are
+# qualified by the epoch of its history: epoch times this number, plus the
+# store's own number. Their order is that of the history.
+REVISIONS_PER_EPOCH = 10**13
+# Later epochs do not fit the 64 bits of a number in a message.
+MAX_EPOCH = 900_000
+
 
 class StoreError(Exception):
     """A call failed and, unless ``UncertainError``, changed nothing."""
@@ -41,7 +48,8 @@
         spec: Content; at most 1 MB encoded.
         labels: Labels of the object.
         version: Version of the object; the first is 1.
-        revision: Revision of the store at the last change of the object.
+        revision: Revision of the store at the last change of the object,
+            qualified by the epoch; see ``qualify``.
         deleted: Whether this entry records a deletion.
     """
 
@@ -54,6 +62,27 @@
     deleted: bool = False
 
 
+def qualify(epoch: int, number: int) -> int:
+    """Returns the revision for a store's own number in an epoch.
+
+    >>> qualify(0, 117) < qualify(1, 112)
+    True
+    >>> epoch_of(qualify(1, 112)), number_of(qualify(1, 112))
+    (1, 112)
+    """
+    return epoch * REVISIONS_PER_EPOCH + number
+
+
+def epoch_of(revision: int) -> int:
+    """Returns the epoch of a revision."""
+    return revision // REVISIONS_PER_EPOCH
+
+
+def number_of(revision: int) -> int:
+    """Returns the store's own number of a revision."""
+    return revision % REVISIONS_PER_EPOCH
+
+
 def to_raw(stored: StoredObject) -> dict[str, Any]:
     """Converts a stored object to the input of ``kinds.decode``."""
     return {k: v for k, v in vars(stored).items() if k != "deleted"}
--- a/src/yuccatally_standins/object_store.py
+++ b/src/yuccatally_standins/object_store.py
@@ -56,7 +56,7 @@
         self.compacted = 0
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[tuple[int, str, dict[str, Any]]] = []
-        self.epoch = 1
+        self.epoch = 0
         self.changed = asyncio.Condition()
         self.calls: list[str] = []
 
--- /dev/null
+++ b/tests/forwarding/test_restored_store.py
@@ -0,0 +1,122 @@
+"""A store that is restored from a copy and loses its latest changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from yuccatally_standins import path_site
+
+if TYPE_CHECKING:
+    from yuccatally.forwarding import node
+
+# The operators allow two seconds from the confirmation of a change.
+APPLY_S = 2.0
+
+
+@pytest.fixture
+async def site_of_two(served: path_site.Site) -> path_site.Site:
+    """Adds an instance, and waits until both exchange heartbeats."""
+    await served.start_instance("n2")
+    await path_site.until(
+        lambda: all(len(i.fleet.live_peers()) == 1 for i in served.instances)
+    )
+    return served
+
+
+def _version(instance: node.Node) -> int:
+    assert instance.state.rules is not None
+    return instance.state.rules.version
+
+
+async def _add_changes(site: path_site.Site, count: int) -> None:
+    """Writes objects that nobody reads, so that the revision rises."""
+    for number in range(count):
+        await site.store.set("others", f"o{number}", {})
+
+
+async def test_change_after_a_restore_is_in_force_in_time(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against changes that are ignored until revisions catch up."""
+    store = site_of_two.store
+    await site_of_two.publish_configuration(2)
+    saved = store.copy()
+    await _add_changes(site_of_two, 30)
+    await site_of_two.publish_configuration(3)
+    await path_site.until(
+        lambda: all(_version(i) == 3 for i in site_of_two.instances)
+    )
+    await store.restore(saved)
+    await site_of_two.publish_configuration(4)
+    assert store.revision < 30 + saved.revision
+    await path_site.until(
+        lambda: all(_version(i) == 4 for i in site_of_two.instances),
+        timeout_s=APPLY_S,
+    )
+
+
+async def test_change_with_a_revision_of_the_lost_history_is_in_force(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against a watch that goes on behind changes of a new history."""
+    store = site_of_two.store
+    saved = store.copy()
+    await site_of_two.publish_configuration(2)
+    await path_site.until(
+        lambda: all(_version(i) == 2 for i in site_of_two.instances)
+    )
+    await store.restore(saved)
+    # Has the revision up to which the watches have received changes.
+    await site_of_two.publish_configuration(3)
+    await _add_changes(site_of_two, 5)
+    await path_site.until(
+        lambda: all(_version(i) == 3 for i in site_of_two.instances),
+        timeout_s=APPLY_S,
+    )
+
+
+async def test_configuration_does_not_go_back_with_the_store(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against routes and keys that return from a copy."""
+    store = site_of_two.store
+    saved = store.copy()
+    await site_of_two.publish_configuration(5, tenants=[])
+    await path_site.until(
+        lambda: all(_version(i) == 5 for i in site_of_two.instances)
+    )
+    await store.restore(saved)
+    later = await site_of_two.start_instance("n3")
+    await path_site.until(lambda: _version(later) == 5, timeout_s=APPLY_S)
+    for instance in site_of_two.instances:
+        assert _version(instance) == 5
+        status, _, _ = await site_of_two.send_request("/ask/x", at=instance)
+        assert status == 401
+
+
+async def test_upstreams_are_followed_after_a_restore(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against instances that do not see engines come and go.
+
+    The second instance has its list from the first, its relay.
+    """
+    store = site_of_two.store
+    saved = store.copy()
+    await _add_changes(site_of_two, 30)
+    await site_of_two.add_engine("d2", card="")
+    registries = [i.state.registry for i in site_of_two.instances]
+    await path_site.until(lambda: all("d2" in r.entries for r in registries))
+    await store.restore(saved)
+    await site_of_two.publish_entry(site_of_two.engines["d2"])
+    await site_of_two.add_engine("d3", card="")
+    await path_site.until(
+        lambda: all("d3" in r.entries for r in registries), timeout_s=APPLY_S
+    )
+    await site_of_two.publish_entry(site_of_two.engines["d2"], "draining")
+    await path_site.until(
+        lambda: all(r.entries["d2"].draining for r in registries),
+        timeout_s=APPLY_S,
+    )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
@@ -137,3 +138,96 @@
     assert [i.name for i in listing.items] == [
         n for n in names if n != malformed
     ]
+
+
+async def test_list_of_a_restored_store_is_later(pair: Pair) -> None:
+    """Guards against a restored store that counts as behind what is known."""
+    store, store_client = pair
+    saved = store.copy()
+    for number in range(5):
+        await store.set("k", f"n{number}", 1)
+    before = await store_client.list_objects("k")
+    await store.restore(saved)
+    await store.set("k", "n9", 2)
+    after = await store_client.list_objects("k")
+    assert store.revision < before.revision < after.revision
+    assert after.items[0].revision > before.items[-1].revision
+    assert client.number_of(after.items[0].revision) == store.revision
+
+
+@pytest.mark.parametrize("known", [True, False])
+async def test_watch_of_a_restored_store_lists_again(
+    pair: Pair, known: bool
+) -> None:
+    """Guards against changes that a watch skips after a restore.
+
+    The new history has the revision of the watch already.
+    """
+    store, store_client = pair
+    saved = store.copy()
+    await store.set("k", "lost", 1)
+    since = (await store_client.list_objects("k")).revision
+    await store.restore(saved)
+    await store.set("k", "first", 1)
+    await store.set("k", "second", 1)
+    if known:
+        await store_client.get("k", "first")
+    calls_before = len(store.calls)
+    with pytest.raises(client.CompactedError):
+        await store_client.watch(since, 1.0, "k")
+    assert len(store.calls) - calls_before == (0 if known else 1)
+
+
+async def test_write_on_a_lost_version_is_refused(pair: Pair) -> None:
+    """Guards against a write whose condition holds for another change."""
+    store, store_client = pair
+    await store.set("k", "n", 0)
+    saved = store.copy()
+    stored = await store_client.get("k", "n")
+    lost = await store_client.put("k", "n", {"a": 1}, {}, stored.version)
+    await store.restore(saved)
+    await store.set("k", "n", {"a": 2})
+    assert client.number_of(lost.version) == store.revision
+    # Nothing has told this client of the restore.
+    with pytest.raises(client.UncertainError):
+        await store_client.put("k", "n", {"a": 3}, {}, lost.version)
+    with pytest.raises(client.ConflictError):
+        await store_client.put("k", "n", {"a": 4}, {}, lost.version)
+    with pytest.raises(client.ConflictError):
+        await store_client.delete("k", "n", lost.version)
+    assert store.objects["k", "n"]["spec"] == {"a": 3}
+
+
+async def test_response_of_a_lost_history_is_ignored(pair: Pair) -> None:
+    """Guards against a late response that brings lost changes back."""
+    store, store_client = pair
+    store.epoch = 3
+    await store_client.list_objects("k")
+    store.epoch = 2
+    with pytest.raises(client.StoreError):
+        await store_client.list_objects("k")
+    with pytest.raises(client.UncertainError):
+        await store_client.put("k", "n", {}, {}, 0)
+    store.epoch = 3
+    assert client.epoch_of((await store_client.get("k", "n")).version) == 3
+
+
+async def test_restore_within_a_list_starts_it_again(
+    pair: Pair, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a list of which each part is of another history."""
+    store, store_client = pair
+    for number in range(object_store.PAGE_ITEM_COUNT + 1):
+        await store.set("k", f"n{number:04}", {})
+    exchange = store_client.http.exchange
+
+    async def exchange_and_restore(*args: Any, **options: Any) -> Any:
+        answer = await exchange(*args, **options)
+        if store.epoch == 0:
+            await store.restore(store.copy())
+        return answer
+
+    monkeypatch.setattr(store_client.http, "exchange", exchange_and_restore)
+    with pytest.raises(client.StoreError):
+        await store_client.list_objects("k")
+    assert len((await store_client.list_objects("k")).items) == 501
