Keep departures and missing entries through a restore of the store

Engines that had come since the copy were dropped at once wherever peers had reached the store shortly before.

Cause: an entry with a later revision took precedence over the known departure, and a list without an entry counted as its removal unless the instance had seen an outage. Both are wrong for a copy: it is older than what was known, and its gaps are filled by the engines within about two seconds.

Fix: the first list of a new epoch, from the store or from a peer, records up to which revision entries may be those of the copy. An incarnation that left stays excluded until its entry changes after that; entries that are missing are kept for the same time as after an outage, on all instances. A final drain for each incarnation was tried and dropped: the rule above covers it, and test_store_goes_first_when_it_is_back relies on the store's later word.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -84,6 +84,8 @@
             entry returns it to service.
         removed_revisions: Revision of the store at which each entry was
             missing, in the order of the removals.
+        restored_revision: Revision up to which entries may be those of the copy
+            from which the store was restored; 0 if it never was.
         on_leaving: Called with an upstream that is newly known to leave.
         on_return: Called with an upstream that accepts requests again, although
             its incarnation was known to leave.
@@ -101,6 +103,7 @@
         self.leaving: dict[tuple[str, int], None] = {}
         self.announced_at: dict[tuple[str, int], float] = {}
         self.removed_revisions: dict[str, int] = {}
+        self.restored_revision = 0
         self.on_leaving: Callable[[Upstream], None] = lambda upstream: None
         self.on_return: Callable[[Upstream], None] = lambda upstream: None
 
@@ -113,7 +116,7 @@
         if self._is_outdated(entry):
             return False
         self.rejoin_deadlines.pop(entry.name, None)
-        if (entry.name, entry.born_ms) in self.announced_at:
+        if self._has_departed(entry):
             entry = dataclasses.replace(entry, draining=True)
         if self.entries.get(entry.name) == entry:
             return False
@@ -158,6 +161,19 @@
             if name not in listed:
                 self.remove(name, rejoin_until, revision)
 
+    def begin_epoch(self, revision: int) -> None:
+        """Records that the store was restored from a copy.
+
+        Load pattern: engines are released, and the store returns with their
+        entries from before. An incarnation that left stays excluded unless its
+        entry changes in the restored store.
+
+        Args:
+            revision: Revision of the store up to which entries may be those of
+                the copy.
+        """
+        self.restored_revision = max(revision, self.restored_revision)
+
     def announce_leaving(self, name: str, born_ms: int, now: float) -> bool:
         """Records that an incarnation has stated that it leaves.
 
@@ -318,6 +334,12 @@
         current = self.entries.get(entry.name)
         return current is not None and entry.revision < current.revision
 
+    def _has_departed(self, entry: Upstream) -> bool:
+        """Returns whether its incarnation left, whatever the entry says."""
+        key = (entry.name, entry.born_ms)
+        may_be_copy = 0 < entry.revision <= self.restored_revision
+        return key in self.announced_at or (may_be_copy and key in self.leaving)
+
     def _set_entry(self, entry: Upstream) -> None:
         key = (entry.name, entry.born_ms)
         if entry.draining:
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -170,6 +170,10 @@
             and now - self.peer_store_since >= watches.REJOIN_PERIOD_S
         )
 
+    def record_restore(self) -> None:
+        """Records that the store was restored and lacks entries for a while."""
+        self.peer_store_since = time.monotonic()
+
     def suspect(self, engine: upstreams.Upstream) -> None:
         """Records an engine that may have caused a missing response."""
         self._record_suspicion(suspicions.Kind.SILENT, engine)
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -29,6 +29,7 @@
 from yuccatally.platform import statements
 from yuccatally.platform import store as platform_store
 from yuccatally.settings import settings as settings_module
+from yuccatally.store import client
 from yuccatally.store import middlewares
 from yuccatally.telemetry import metrics
 from yuccatally.upstreams import exchange
@@ -42,7 +43,6 @@
 
     from yuccatally.core.forwarding import instance_settings
     from yuccatally.core.forwarding import rules
-    from yuccatally.store import client
 
 # Callers cache addresses for this long, and some for three times as long.
 DIRECTORY_TTL_S = 1.0
@@ -81,6 +81,8 @@
         state: State that the components share.
         stopping: Set when a drain starts.
         failure: Error with which a component has ended; None without one.
+        restored_revision: Revision at which the latest restore of the store
+            became known; 0 without one.
     """
 
     def __init__(self, settings: instance_settings.InstanceSettings) -> None:
@@ -93,6 +95,7 @@
         self.metrics = metrics.Metrics()
         self.stopping = asyncio.Event()
         self.failure: BaseException | None = None
+        self.restored_revision = 0
         self.tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -136,7 +139,9 @@
         # are already logged with the request.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         _log.info("starting", name=self.settings.name)
-        client = exchange.UpstreamClient((self._read_statements(True),))
+        upstream_client = exchange.UpstreamClient(
+            (self._read_statements(True),)
+        )
         session = aiohttp.ClientSession(
             middlewares=(
                 self._read_statements(False),
@@ -144,14 +149,14 @@
             )
         )
         try:
-            listeners = self._open(client, session)
+            listeners = self._open(upstream_client, session)
             await self.stopping.wait()
             await self._drain(listeners)
         finally:
             for task in self.tasks:
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
-            await client.close()
+            await upstream_client.close()
             await session.close()
             await self.fleet.close()
             await self.store.close()
@@ -167,7 +172,9 @@
         )
 
     def _open(
-        self, client: exchange.UpstreamClient, session: aiohttp.ClientSession
+        self,
+        upstream_client: exchange.UpstreamClient,
+        session: aiohttp.ClientSession,
     ) -> list[servers.Listener]:
         """Starts all components and returns the listeners."""
         self.control = control.Control(
@@ -176,7 +183,7 @@
         detector = detection.FaultDetector(self.state, self.fleet)
         forwarder = streams.StreamForwarder(
             self.state,
-            client,
+            upstream_client,
             detector.record_failure,
             self.fleet.rate_limiter,
         )
@@ -188,7 +195,7 @@
             forwarder,
             calls.CallForwarder(
                 self.state,
-                client,
+                upstream_client,
                 detector.record_failure,
                 self.fleet.rate_limiter,
             ),
@@ -285,6 +292,7 @@
             self._apply_configuration,
             rng,
             on_connected=self._set_store_connected,
+            on_restored=self._handle_restore,
         )
         upstreams = watches.KindWatch(
             self.store,
@@ -293,6 +301,7 @@
             self._apply_upstream,
             rng,
             batch_delay_s=UPSTREAM_BATCH_DELAY_S,
+            on_restored=self._handle_restore,
         )
         plans = watches.KindWatch(
             self.store,
@@ -303,6 +312,7 @@
         )
         self.fleet.upstream_watch = upstreams
         self.fleet.peer_sync.upstream_watch = upstreams
+        self.fleet.peer_sync.on_restored = self._handle_restore
         self.control.on_store_failure = self._restart_watches
         self.fleet.on_peer_store_loss = lambda: configuration.restart(
             "a peer lost the store"
@@ -323,6 +333,18 @@
     def _set_store_connected(self, up: bool) -> None:
         self.state.store_connected = up
 
+    def _handle_restore(self, revision: int) -> None:
+        """Handles that the store was restored, once for each epoch.
+
+        Args:
+            revision: Revision of the restored store when this became known.
+        """
+        if not client.is_later_epoch(revision, self.restored_revision):
+            return
+        self.restored_revision = revision
+        self.state.registry.begin_epoch(revision)
+        self.fleet.record_restore()
+
     def _apply_configuration_list(
         self,
         items: tuple[client.StoredObject, ...],
--- a/src/yuccatally/forwarding/peer_sync.py
+++ b/src/yuccatally/forwarding/peer_sync.py
@@ -15,6 +15,7 @@
 from yuccatally.peers import heartbeats
 from yuccatally.peers import transport
 from yuccatally.platform import documents
+from yuccatally.store import client
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -74,6 +75,8 @@
         synced_versions: Version that was applied last, by name of the instance.
         pulled_at: Time of the last pull of upstreams.
         is_pulling_rules: Whether a pull of the configuration is under way.
+        on_restored: Called with the revision of the first list of a peer after
+            the store was restored, before the list is applied.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         self.synced_versions: dict[str, SyncedVersion] = {}
         self.pulled_at = 0.0
         self.is_pulling_rules = False
+        self.on_restored: Callable[[int], None] = lambda revision: None
 
     def open(self) -> None:
         """Starts to serve pulls of other instances."""
@@ -233,6 +237,11 @@
         watch: watches.KindWatch,
     ) -> None:
         first = pages[0]
+        known_revision = self._known_revision(watch)
+        if known_revision and client.is_later_epoch(
+            first.store_revision, known_revision
+        ):
+            self.on_restored(first.store_revision)
         self.applied_revision = first.store_revision
         # Versions of other instances may be older than the list applied now.
         self.synced_versions = {
--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -89,6 +89,7 @@
         rng: random.Random,
         batch_delay_s: float = BATCH_DELAY_S,
         on_connected: Callable[[bool], None] = lambda connected: None,
+        on_restored: Callable[[int], None] = lambda revision: None,
     ) -> None:
         """Creates a watch.
 
@@ -102,6 +103,8 @@
             batch_delay_s: Pause between two calls, in seconds.
             on_connected: Called with whether the store is reachable, when that
                 changes.
+            on_restored: Called with the revision of the first list after the
+                store was restored from a copy, before the list is applied.
         """
         self.store = store
         self.kind = kind
@@ -110,6 +113,7 @@
         self.rng = rng
         self.batch_delay_s = batch_delay_s
         self.on_connected = on_connected
+        self.on_restored = on_restored
         self.cursor = 0
         self.newest_revision = 0
         self.connected = False
@@ -227,6 +231,8 @@
                 f"behind {self.cursor}"
             )
         self._end_outage()
+        if self.cursor and client.is_later_epoch(listing.revision, self.cursor):
+            self._begin_epoch(listing.revision)
         self.cursor = listing.revision
         self.listed = True
         if self.first_listed_at is None:
@@ -262,6 +268,15 @@
         revisions = (i.revision for i in listing.items)
         self.newest_revision = max(self.newest_revision, *revisions, 0)
 
+    def _begin_epoch(self, revision: int) -> None:
+        """Lets entries return that are missing in the restored store.
+
+        Their owners write them again within the same time as after an outage.
+        """
+        now = time.monotonic()
+        self.last_outage = Outage(now, now + REJOIN_PERIOD_S)
+        self.on_restored(revision)
+
     def _end_outage(self) -> None:
         if self.down_since is not None:
             now = time.monotonic()
--- a/src/yuccatally/store/client.py
+++ b/src/yuccatally/store/client.py
@@ -78,6 +78,11 @@
     return revision // REVISIONS_PER_EPOCH
 
 
+def is_later_epoch(revision: int, other: int) -> bool:
+    """Returns whether a revision is of a later epoch than another."""
+    return epoch_of(revision) > epoch_of(other)
+
+
 def number_of(revision: int) -> int:
     """Returns the store's own number of a revision."""
     return revision % REVISIONS_PER_EPOCH
--- a/tests/core/forwarding/test_upstreams.py
+++ b/tests/core/forwarding/test_upstreams.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+import pytest
+
 from yuccatally.core.forwarding import upstreams
 
 ENTRY = upstreams.Upstream("e", 1, "s", "10.0.0.1:1", "a", 6, False)
@@ -162,3 +164,19 @@
     assert len(registry.announced_at) <= upstreams.MAX_REMOVED_COUNT
     assert len(registry.leaving) <= upstreams.MAX_REMOVED_COUNT
     assert len(registry.removed_revisions) <= upstreams.MAX_REMOVED_COUNT
+
+
+@pytest.mark.parametrize("departure", ["draining", "removed"])
+def test_incarnation_that_left_returns_only_with_a_new_change(
+    departure: str,
+) -> None:
+    """Guards against entries that a restored store has from its copy."""
+    registry = upstreams.Registry()
+    registry.apply_entry(_at(5, draining=departure == "draining"))
+    if departure == "removed":
+        registry.remove("e", None, revision=7)
+    registry.begin_epoch(100)
+    registry.apply_entry(_at(95))
+    assert registry.usable_of(ENTRY.service) == []
+    registry.apply_entry(_at(101))
+    assert registry.usable_of(ENTRY.service)
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
 
+from yuccatally.forwarding import watches
+from yuccatally.store import client
 from yuccatally_standins import path_site
 
 if TYPE_CHECKING:
@@ -120,3 +123,108 @@
         lambda: all(r.entries["d2"].draining for r in registries),
         timeout_s=APPLY_S,
     )
+
+
+async def _add_service(site: path_site.Site, name: str) -> None:
+    """Adds a second upstream of the plain service that all instances use."""
+    await site.add_engine(name, card="")
+    await path_site.until(lambda: all(_uses(i, name) for i in site.instances))
+
+
+def _uses(instance: node.Node, name: str) -> bool:
+    usable = instance.state.registry.usable_of("desk")
+    return name in {u.name for u in usable}
+
+
+async def _wait_for_epoch(site: path_site.Site) -> None:
+    """Waits until all instances have a list of the restored store."""
+    epoch = site.store.epoch
+
+    def has_list(instance: node.Node) -> bool:
+        sync = instance.fleet.peer_sync
+        revision = sync._known_revision(instance.fleet.upstream_watch)
+        return client.epoch_of(revision) == epoch
+
+    await path_site.until(
+        lambda: all(has_list(i) for i in site.instances), timeout_s=5.0
+    )
+
+
+@pytest.mark.parametrize("departure", ["draining", "removed"])
+async def test_engine_that_left_does_not_return_with_a_copy(
+    site_of_two: path_site.Site, departure: str
+) -> None:
+    """Guards against requests to an engine that left before a restore."""
+    store = site_of_two.store
+    await _add_service(site_of_two, "d2")
+    saved = store.copy()
+    if departure == "draining":
+        await site_of_two.publish_entry(site_of_two.engines["d2"], "draining")
+    else:
+        await store.remove("servers", "d2")
+    await path_site.until(
+        lambda: not any(_uses(i, "d2") for i in site_of_two.instances)
+    )
+    await store.restore(saved)
+    await _wait_for_epoch(site_of_two)
+    before = len(site_of_two.engines["d2"].arrivals)
+    for number in range(20):
+        status, _, _ = await site_of_two.send_request(
+            "/stock/x", f"a{number}", at=site_of_two.instances[number % 2]
+        )
+        assert status == 200
+    assert len(site_of_two.engines["d2"].arrivals) == before
+
+
+async def test_engine_that_writes_its_entry_again_returns(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against an engine that is lost for good by a missing entry."""
+    store = site_of_two.store
+    await _add_service(site_of_two, "d2")
+    saved = store.copy()
+    await store.remove("servers", "d2")
+    await path_site.until(
+        lambda: not any(_uses(i, "d2") for i in site_of_two.instances)
+    )
+    await store.restore(saved)
+    await _wait_for_epoch(site_of_two)
+    await site_of_two.publish_entry(site_of_two.engines["d2"])
+    await path_site.until(
+        lambda: all(_uses(i, "d2") for i in site_of_two.instances),
+        timeout_s=APPLY_S,
+    )
+
+
+async def test_engine_that_a_copy_lacks_stays_in_use(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against engines that are dropped before they write again."""
+    store = site_of_two.store
+    saved = store.copy()
+    await _add_service(site_of_two, "d2")
+    # A missing entry counts as removed if the store was there all the time.
+    for instance in site_of_two.instances:
+        fleet = instance.fleet
+        await path_site.until(fleet.peers_kept_store, timeout_s=5.0)
+    await store.restore(saved)
+    await _wait_for_epoch(site_of_two)
+    assert all(_uses(i, "d2") for i in site_of_two.instances)
+    await site_of_two.publish_entry(site_of_two.engines["d2"])
+    await asyncio.sleep(watches.REJOIN_PERIOD_S + 0.5)
+    assert all(_uses(i, "d2") for i in site_of_two.instances)
+
+
+async def test_engine_that_ended_with_the_lost_history_is_dropped(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against engines that stay in use although they never return."""
+    store = site_of_two.store
+    saved = store.copy()
+    await _add_service(site_of_two, "d2")
+    await store.restore(saved)
+    await _wait_for_epoch(site_of_two)
+    await path_site.until(
+        lambda: not any(_uses(i, "d2") for i in site_of_two.instances),
+        timeout_s=watches.REJOIN_PERIOD_S + 1.0,
+    )
