Restart watches that wait for changes of a lost history

A change that was confirmed right after a restore was not in force for up to ten seconds on instances whose watch was called at a revision that the restored store had given out again: such a watch gets no 410 and waits for the next change.

Found by test_change_with_a_revision_of_the_lost_history_is_in_force.

Fix: the epoch of any response, to whatever call, ends the calls that wait at a revision of an earlier one, and heartbeats carry the epoch to instances that make no other call. The stand-in can be restored without ending its watches.

Tests: without the heartbeats, test_peers_tell_of_a_restore fails.

--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -69,6 +69,9 @@
         peer_store_since: Time of the first such report without a gap since.
         on_peer_store_loss: Called when another instance does not reach the
             store and this one does.
+        store_epoch: Latest epoch of the store, from the store or a peer.
+        on_store_epoch: Called with an epoch of which a peer is the first to
+            tell.
         on_relay_status: Called in each interval with whether a relay provides
             this instance with all upstreams.
         rate_limiter: Reserves turns at upstreams that limit their rate.
@@ -94,6 +97,8 @@
         self.store_checked_at = 0.0
         self.last_gossip_at = 0.0
         self.on_peer_store_loss: Callable[[], None] = lambda: None
+        self.store_epoch = 0
+        self.on_store_epoch: Callable[[int], None] = lambda epoch: None
         self.on_relay_status: Callable[[bool], None] = lambda has_relay: None
         self.upstream_watch: watches.KindWatch | None = None
         self.peer_sync = peer_sync.PeerSync(
@@ -340,6 +345,7 @@
             ),
             prompts=self.state.quarantine.evidence(now),
             limits=self.state.limits.share(now),
+            store_epoch=self.store_epoch,
         )
 
     def _answer_heartbeat(
@@ -367,6 +373,8 @@
             name, heartbeat.members_digest, heartbeat.member_list, now
         )
         self.acknowledged_digests[name] = heartbeat.receiver_digest
+        if heartbeat.store_epoch > self.store_epoch:
+            self.on_store_epoch(heartbeat.store_epoch)
         self._apply_store_state(heartbeat, now)
         self._apply_outstanding_work(heartbeat, now)
         self.suspicions.merge(heartbeat.engine_suspicions, now)
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -314,6 +314,8 @@
         self.fleet.peer_sync.upstream_watch = upstreams
         self.fleet.peer_sync.on_restored = self._handle_restore
         self.control.on_store_failure = self._restart_watches
+        self.store.on_epoch = self._restart_outdated_watches
+        self.fleet.on_store_epoch = self._restart_outdated_watches
         self.fleet.on_peer_store_loss = lambda: configuration.restart(
             "a peer lost the store"
         )
@@ -395,6 +397,12 @@
             return None
         return outage.rejoin_until
 
+    def _restart_outdated_watches(self, epoch: int) -> None:
+        """Restarts the watches that wait for changes of an earlier epoch."""
+        self.fleet.store_epoch = max(epoch, self.fleet.store_epoch)
+        for watch in self.watches:
+            watch.restart_before(epoch)
+
     def _restart_watches(self) -> None:
         for watch in self.watches:
             watch.restart("another call failed")
--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -176,6 +176,15 @@
         self.listed = False
         self.pending_call.cancel()
 
+    def restart_before(self, epoch: int) -> None:
+        """Restarts the watch if it waits for changes of an earlier epoch.
+
+        A restored store may have the revision of the watch already. It then
+        responds only to the next change.
+        """
+        if client.epoch_of(self.cursor) < epoch:
+            self.restart("the store was restored")
+
     def pause(self) -> None:
         """Stops calls until ``resume``; peers provide the changes meanwhile."""
         if not self.enabled.is_set():
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -88,6 +88,8 @@
             far as the sender learned of it in the last seconds.
         prompts: Evidence on prompts that crash engines; None without any.
         limits: Request rates that upstreams accept, or some of them.
+        store_epoch: Latest epoch of the store that the sender knows; 0 for
+            none.
     """
 
     reply: ClassVar[type]
@@ -110,6 +112,7 @@
     leaving: tuple[suspicions.Incarnation, ...] = ()
     prompts: prompt_evidence.Evidence | None = None
     limits: tuple[rate_limits.SharedLimit, ...] = ()
+    store_epoch: int = 0
 
 
 Heartbeat.reply = Heartbeat
--- a/src/yuccatally/platform/store.py
+++ b/src/yuccatally/platform/store.py
@@ -15,6 +15,7 @@
 from yuccatally.store import client
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
 # Number of times that the store was restored from a copy; in all responses.
@@ -74,6 +75,7 @@
     Attributes:
         epoch: Latest epoch of the store; it rises when the store is restored
             from a copy and loses changes. None until it is known.
+        on_epoch: Called with the epoch when it becomes known or rises.
     """
 
     def __init__(self, address: str) -> None:
@@ -81,6 +83,7 @@
             f"http://{address}", _REFUSAL_STATUSES, self._read_epoch
         )
         self.epoch: int | None = None
+        self.on_epoch: Callable[[int], None] = lambda epoch: None
 
     @property
     def call_count(self) -> int:
@@ -227,10 +230,13 @@
 
     def _read_epoch(self, headers: Mapping[str, str]) -> None:
         """Reads the epoch of a response."""
-        epoch = _decode_epoch(headers)
-        if self.epoch is not None and epoch > self.epoch:
-            _log.warning("store_restored", epoch=epoch, before=self.epoch)
-        self.epoch = max(epoch, self.epoch or 0)
+        epoch, known = _decode_epoch(headers), self.epoch
+        if known is not None and epoch <= known:
+            return
+        self.epoch = epoch
+        if known is not None:
+            _log.warning("store_restored", epoch=epoch, before=known)
+        self.on_epoch(epoch)
 
 
 def _check_epoch(answer: _Answer, version: int) -> None:
--- a/src/yuccatally_standins/object_store.py
+++ b/src/yuccatally_standins/object_store.py
@@ -46,6 +46,7 @@
         objects: Objects by kind and name.
         history: Changes after ``compacted`` as revision, kind and event.
         epoch: Number that all responses name; it rises with each restore.
+        cuts: Number of restores that have ended waiting watches.
         changed: Notified on each change.
         calls: Method and path of each call so far.
     """
@@ -57,6 +58,7 @@
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[tuple[int, str, dict[str, Any]]] = []
         self.epoch = 0
+        self.cuts = 0
         self.changed = asyncio.Condition()
         self.calls: list[str] = []
 
@@ -91,8 +93,15 @@
         """Returns a copy from which the store can be restored."""
         return Copy(self.revision, dict(self.objects))
 
-    async def restore(self, saved: Copy) -> None:
-        """Restores a copy: later changes are lost, their revisions free."""
+    async def restore(self, saved: Copy, cut_watches: bool = True) -> None:
+        """Restores a copy: later changes are lost, their revisions free.
+
+        Args:
+            saved: The copy.
+            cut_watches: Whether waiting watches end; they otherwise wait for
+                changes after their revision in the new history.
+        """
+        self.cuts += cut_watches
         self.epoch += 1
         self.revision = saved.revision
         self.objects = dict(saved.objects)
@@ -138,7 +147,7 @@
         since = int(request.query["watch"])
         if since < self.compacted or since > self.revision:
             return web.Response(status=410)
-        epoch = self.epoch
+        cuts = self.cuts
         wait_s = int(request.query["waitMs"]) / 1e3
 
         def events() -> list[dict[str, Any]]:
@@ -151,12 +160,12 @@
                         lambda: (
                             events()
                             or since < self.compacted
-                            or epoch != self.epoch
+                            or cuts != self.cuts
                         )
                     )
             except TimeoutError:
                 pass
-        if epoch != self.epoch:
+        if cuts != self.cuts:
             # The restart that comes with a restore ends all connections.
             request.transport.abort()
             return web.Response()
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -71,7 +71,8 @@
         lambda: all(_version(i) == 2 for i in site_of_two.instances)
     )
     await store.restore(saved)
-    # Has the revision up to which the watches have received changes.
+    # Has the revision up to which the watches have received changes, so that
+    # they get no 410 and wait for the next change.
     await site_of_two.publish_configuration(3)
     await _add_changes(site_of_two, 5)
     await path_site.until(
@@ -228,3 +229,25 @@
         lambda: not any(_uses(i, "d2") for i in site_of_two.instances),
         timeout_s=watches.REJOIN_PERIOD_S + 1.0,
     )
+
+
+async def test_peers_tell_of_a_restore(site_of_two: path_site.Site) -> None:
+    """Guards against a watch that waits for changes of a lost history.
+
+    The second instance makes no other call to the store.
+    """
+    store = site_of_two.store
+    saved = store.copy()
+    await site_of_two.publish_configuration(2)
+    instance = site_of_two.instances[1]
+    watch = instance.watches[0]
+    await path_site.until(lambda: _version(instance) == 2)
+    # The watch is called again at the revision of the change.
+    await path_site.until(lambda: watch.pending_call is not None)
+    await asyncio.sleep(0.3)
+    await store.restore(saved, cut_watches=False)
+    await _add_changes(site_of_two, 5)
+    await path_site.until(lambda: instance.store.epoch == 1, timeout_s=APPLY_S)
+    await path_site.until(
+        lambda: client.epoch_of(watch.cursor) == 1, timeout_s=APPLY_S
+    )
