Let the test of restores told by peers use an instance without calls

It used the second instance, which polls the lease and so learns of a restore by itself: without the heartbeats it failed in one of two runs only. The third instance makes no other call; without the heartbeats the test fails in two of two runs.

--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -234,12 +234,13 @@
 async def test_peers_tell_of_a_restore(site_of_two: path_site.Site) -> None:
     """Guards against a watch that waits for changes of a lost history.
 
-    The second instance makes no other call to the store.
+    The third instance, no candidate for the lease, makes no other call.
     """
     store = site_of_two.store
+    instance = await site_of_two.start_instance("n3")
+    await path_site.until(lambda: instance.fleet.relay == "n1")
     saved = store.copy()
     await site_of_two.publish_configuration(2)
-    instance = site_of_two.instances[1]
     watch = instance.watches[0]
     await path_site.until(lambda: _version(instance) == 2)
     # The watch is called again at the revision of the change.
