Give no fencing number out twice after a restore of the store

After a restore that lost the lease object, the holder of control acquired the lease again with fencing number 1, the one that it had before, and any other candidate could have done so at the same moment; a candidate whose record was missing on the store wrote on the same lost version once a second (404) for good.

Cause: number, term and availability of the lease were derived from the record in the store alone, which a restore takes back.

Fix: numbers start anew above a million for each epoch of the store, and never below the holder's own last one. A candidate that sees the epoch rise waits for a full term, since the term of a holder that the copy does not name may go on; only that holder acquires it at once. An instance in its first term defers to a holder that it hears in heartbeats. A lease that was written for an earlier epoch is not used before its number is raised.

Remains: a conditional write whose number names another change of the same object in the new history, sent before the restore is known, succeeds. Its sender notices and reads back, but has replaced that record.

--- a/src/yuccatally/core/control/lease.py
+++ b/src/yuccatally/core/control/lease.py
@@ -13,6 +13,8 @@
 USABLE_RATIO = 2 / 3
 RENEW_RATIO = 1 / 3
 POLL_RATIO = 1 / 3
+# Fencing numbers of one epoch of the store, more than it can have holders.
+FENCES_PER_EPOCH = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,6 +60,11 @@
         unsettled_write: Record and start time of a write whose reply was lost.
         paused_until: Time until which no call is made, because the store is
             not reachable.
+        epoch: Epoch of the store, see ``apply_epoch``; None until it is known.
+        available_at: Time before which the lease is not acquired, since a
+            holder that a restored store does not know may still be valid.
+        reacquire_until: Time until which this candidate may acquire the lease
+            again that it held when the store was restored.
     """
 
     def __init__(self, holder: str, term_s: float = TERM_S) -> None:
@@ -72,6 +79,9 @@
         self.unsettled_write: tuple[Record, float] | None = None
         self.must_read = True
         self.paused_until = 0.0
+        self.epoch: int | None = None
+        self.available_at = 0.0
+        self.reacquire_until = 0.0
 
     def is_valid(self, now: float) -> bool:
         """Returns whether orders may be given at a time in seconds."""
@@ -95,10 +105,26 @@
         if self.is_holder:
             return self._renew_or_release(now, candidate)
         if candidate and self._is_available(now):
-            fence = self.record.fence + 1 if self.record else 1
-            return Write(Record(self.holder, fence, 1), self.version)
+            record = Record(self.holder, self._next_fence(), 1)
+            return Write(record, self.version)
         return Read() if now >= self.next_call_at else None
 
+    def apply_epoch(self, epoch: int, now: float) -> None:
+        """Applies the epoch of the store, which rises when it is restored.
+
+        The restored record is an older one or missing, and the term of a holder
+        that it does not name may go on. Only this holder acquires the lease
+        before a full term has passed.
+        """
+        if self.epoch is not None and epoch > self.epoch:
+            self.must_read = True
+            self.next_call_at = now
+            if self.is_valid(now):
+                self.reacquire_until = self.usable_until or now
+            else:
+                self.available_at = now + self.term_s
+        self.epoch = max(epoch, self.epoch or 0)
+
     def apply_read(
         self, record: Record | None, version: int, now: float
     ) -> None:
@@ -131,7 +157,12 @@
             self.usable_until = None
             return
         self.fence = record.fence
-        self.usable_until = started_at + self.term_s * USABLE_RATIO
+        if self._is_of_epoch(record):
+            self.usable_until = started_at + self.term_s * USABLE_RATIO
+        else:
+            # Written for an earlier epoch; another holder may have the number.
+            self.usable_until = None
+            self.next_call_at = started_at
 
     def apply_conflict(self) -> None:
         """Applies a version conflict of a write."""
@@ -160,9 +191,9 @@
         if now < self.next_call_at:
             return None
         fence = self.record.fence
-        if not self.is_valid(now):
+        if not self.is_valid(now) or not self._is_of_epoch(self.record):
             # Orders with the old number may still be in transit.
-            fence += 1
+            fence = self._next_fence()
         return Write(Record(self.holder, fence, renewal), self.version)
 
     @property
@@ -170,7 +201,21 @@
         """Whether the latest record names this candidate as the holder."""
         return self.record is not None and self.record.holder == self.holder
 
+    def _next_fence(self) -> int:
+        """Returns a number that no holder has had, in any epoch."""
+        latest = max(self.record.fence if self.record else 0, self.fence)
+        return max(latest, (self.epoch or 0) * FENCES_PER_EPOCH) + 1
+
+    def _is_of_epoch(self, record: Record) -> bool:
+        """Returns whether a record was written in the current epoch."""
+        return record.fence > (self.epoch or 0) * FENCES_PER_EPOCH
+
     def _is_available(self, now: float) -> bool:
+        is_copy = self.record is None or not self._is_of_epoch(self.record)
+        if is_copy and now < self.reacquire_until:
+            return True
+        if now < self.available_at:
+            return False
         if self.record is None or not self.record.holder:
             return True
         return (
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -64,6 +64,7 @@
         last_engine_count: Number of engines at the previous check.
         first_engine_at: Time at which the first engine was listed; 0 before.
         lease_valid_at: Time at which the lease was last known to be valid.
+        created_at: Time at which this instance was created.
         on_store_failure: Called when a call to the store has failed.
     """
 
@@ -94,6 +95,7 @@
         )
         self.orders.on_failed = self.inspection.mark_failed
         self.lease_valid_at: float | None = None
+        self.created_at = time.monotonic()
         self.on_store_failure: Callable[[], None] = lambda: None
 
     @property
@@ -200,6 +202,8 @@
         """
         if self.state.leaving or not self.state.store_connected:
             return False
+        if not self.lease.is_holder and self._may_miss_holder():
+            return False
         names = [
             m.contact.name
             for m in self.fleet.live_peers()
@@ -208,6 +212,19 @@
         names.append(self.state.settings.name)
         return self.state.settings.name in sorted(names)[:CANDIDATE_COUNT]
 
+    def _may_miss_holder(self) -> bool:
+        """Returns whether the store may not know a holder that is heard.
+
+        An instance that has started less than a term ago cannot tell a lease
+        that was never held from one that a restored store has lost.
+        """
+        heard = self.fleet.leader_state.current(time.monotonic())
+        return (
+            time.monotonic() - self.created_at < LEASE_TERM_S
+            and heard is not None
+            and not self.fleet.is_leaving(heard.holder)
+        )
+
     def _update_placement(
         self, service: rules.Service, model: rules.Model
     ) -> None:
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -175,6 +175,11 @@
             and now - self.peer_store_since >= watches.REJOIN_PERIOD_S
         )
 
+    def is_leaving(self, name: str) -> bool:
+        """Returns whether another instance is shutting down."""
+        contact = self.member_table.contacts.get(name)
+        return contact is not None and contact.leaving
+
     def record_restore(self) -> None:
         """Records that the store was restored and lacks entries for a while."""
         self.peer_store_since = time.monotonic()
--- a/src/yuccatally/store/client.py
+++ b/src/yuccatally/store/client.py
@@ -120,9 +120,12 @@
 
     Attributes:
         call_count: Number of calls, counted as the platform counts them.
+        epoch: Latest epoch of the store; it rises when the store is restored
+            from a copy. None until it is known.
     """
 
     call_count: int
+    epoch: int | None
 
     async def list_objects(self, kind: str = "") -> Listing:
         """Returns all objects of one kind, or of all watched kinds."""
--- a/src/yuccatally/store/http.py
+++ b/src/yuccatally/store/http.py
@@ -11,12 +11,17 @@
 
 
 class HttpStore:
-    """Client of the object API; implements ``client.StoreClient``."""
+    """Client of the object API; implements ``client.StoreClient``.
+
+    Attributes:
+        epoch: Always 0; this store is never restored.
+    """
 
     def __init__(self, base_url: str) -> None:
         self.http = calls.ObjectApiSession(
             base_url, refusal_statuses=frozenset()
         )
+        self.epoch = 0
 
     @property
     def base_url(self) -> str:
--- a/src/yuccatally/store/leases.py
+++ b/src/yuccatally/store/leases.py
@@ -33,6 +33,7 @@
     Raises:
         client.StoreError: The call failed; ``own_lease`` has recorded it.
     """
+    _apply_epoch(store, own_lease)
     match own_lease.next_call(boot_time_s(), candidate):
         case lease.Read():
             await _read(store, name, own_lease)
@@ -60,6 +61,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def _apply_epoch(store: client.StoreClient, own_lease: lease.Lease) -> None:
+    if store.epoch is not None:
+        own_lease.apply_epoch(store.epoch, boot_time_s())
+
+
 async def _read(
     store: client.StoreClient, name: str, own_lease: lease.Lease
 ) -> None:
@@ -67,6 +73,7 @@
         stored = await store.get(KIND, name)
         record = msgspec.convert(stored.spec, lease.Record)
     except client.NotFoundError:
+        _apply_epoch(store, own_lease)
         own_lease.apply_read(None, 0, boot_time_s())
     except msgspec.ValidationError as error:
         own_lease.apply_unavailable(boot_time_s(), UNAVAILABLE_DELAY_S)
@@ -75,6 +82,7 @@
         own_lease.apply_unavailable(boot_time_s(), UNAVAILABLE_DELAY_S)
         raise
     else:
+        _apply_epoch(store, own_lease)
         own_lease.apply_read(record, stored.version, boot_time_s())
 
 
@@ -88,7 +96,9 @@
     spec = dataclasses.asdict(write.record)
     try:
         stored = await store.put(KIND, name, spec, {}, write.version)
-    except client.ConflictError:
+    except (client.ConflictError, client.NotFoundError):
+        # A restored store may not have the object.
+        _apply_epoch(store, own_lease)
         own_lease.apply_conflict()
     except client.UncertainError:
         own_lease.apply_lost_reply(write.record, started_at)
@@ -97,4 +107,5 @@
         own_lease.apply_unavailable(boot_time_s(), UNAVAILABLE_DELAY_S)
         raise
     else:
+        _apply_epoch(store, own_lease)
         own_lease.apply_write(write.record, stored.version, started_at)
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -9,6 +9,8 @@
 
 from yuccatally.forwarding import watches
 from yuccatally.store import client
+from yuccatally.store import leases
+from yuccatally_standins import object_store
 from yuccatally_standins import path_site
 
 if TYPE_CHECKING:
@@ -252,3 +254,46 @@
     await path_site.until(
         lambda: client.epoch_of(watch.cursor) == 1, timeout_s=APPLY_S
     )
+
+
+def _leaders(site: path_site.Site) -> list[node.Node]:
+    return [i for i in site.instances if i.control.is_leader]
+
+
+async def test_control_goes_on_with_a_new_fencing_number(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against numbers that are given out twice, and lost control."""
+    store = site_of_two.store
+    before_lease = object_store.Copy(
+        store.revision,
+        {k: o for k, o in store.objects.items() if k[0] != "lease"},
+    )
+    first = _leaders(site_of_two)[0]
+    used = first.control.lease.fence
+    await store.restore(before_lease)
+    await path_site.until(
+        lambda: first.control.lease.fence > used and first.control.is_leader,
+        timeout_s=2.0,
+    )
+    for _ in range(40):
+        assert len(_leaders(site_of_two)) <= 1
+        await asyncio.sleep(0.1)
+    stored = store.objects["lease", "control"]["spec"]
+    assert stored["fence"] == first.control.lease.fence
+
+
+async def test_instance_that_starts_after_a_restore_does_not_take_control(
+    served: path_site.Site,
+) -> None:
+    """Guards against two holders when a store has lost its lease object."""
+    first = served.instances[0]
+    await path_site.until(lambda: first.control.is_leader)
+    # An instance whose calls to the store fail cannot acquire it again.
+    first.store.http.base_url = "http://127.0.0.1:1"
+    del served.store.objects["lease", "control"]
+    later = await served.start_instance("n0")
+    while first.control.lease.is_valid(leases.boot_time_s()):
+        assert not later.control.lease.is_valid(leases.boot_time_s())
+        await asyncio.sleep(0.02)
+    await path_site.until(lambda: later.control.is_leader, timeout_s=8.0)
