Write plans and entries of instances again after a restore

After a restore the stored plan was that of the copy, or missing, although the holder of the lease took its own for stored; an instance that starts alone would follow a plan from before. Entries of instances that had started since the copy were missing for good, so that one that starts without seeds that answer does not find them.

Cause: both are written once and remembered as written, in a history that the restore ends.

Fix: each instance handles a restore once for each epoch, from whatever watch or peer it learns of it. Control forgets which plans are stored and in which version, so that the list of the new epoch, or a conflict, shows what is to be written; each instance reads its entry within two seconds and writes it again if it is missing or differs.

Tests: three cases failed before.

--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -149,6 +149,14 @@
         self.state.apply_plan(item.name, plan)
         self._record_saved(item.name, plan)
 
+    def handle_restore(self) -> None:
+        """Forgets what is stored, since the store was restored from a copy.
+
+        The holder of the lease writes plans again that the copy lacks.
+        """
+        self.stored_versions.clear()
+        self.saved_ranks.clear()
+
     async def keep_lease(self) -> None:
         """Acquires and renews the lease while eligible, until cancelled."""
         while True:
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -346,6 +346,8 @@
         self.restored_revision = revision
         self.state.registry.begin_epoch(revision)
         self.fleet.record_restore()
+        self.control.handle_restore()
+        self.registration.handle_restore()
 
     def _apply_configuration_list(
         self,
--- a/src/yuccatally/forwarding/registration.py
+++ b/src/yuccatally/forwarding/registration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
 
 import msgspec
 import structlog
@@ -19,6 +20,9 @@
 DISCOVERY_INTERVAL_S = 2.0
 # Until the entry is written, other instances discover this one by heartbeats.
 RETRY_DELAY_S = 0.5
+# Time over which all instances check their entries in a restored store. Until
+# then instances discover each other by heartbeats.
+RESTORE_SPREAD_S = 2.0
 
 _log = structlog.get_logger()
 
@@ -56,14 +60,14 @@
 
     async def register(self) -> None:
         """Writes the entry of this instance; retries until it succeeds."""
-        spec = msgspec.to_builtins(self.fleet.own_contact)
+        spec = self._spec()
         version = 0
         while True:
             try:
                 await self.store.put(
                     OBJECT_KIND,
                     self.fleet.state.settings.name,
-                    {"contact": spec},
+                    spec,
                     {},
                     version,
                 )
@@ -76,6 +80,25 @@
                 RETRY_DELAY_S * self.fleet.state.rng.uniform(0.5, 1.5)
             )
 
+    def handle_restore(self) -> None:
+        """Writes the entry again if the restored store lacks it."""
+        self.fleet.spawn(self._restore_entry())
+
+    async def _restore_entry(self) -> None:
+        await asyncio.sleep(self.fleet.state.rng.uniform(0, RESTORE_SPREAD_S))
+        name = self.fleet.state.settings.name
+        try:
+            stored = await self.store.get(OBJECT_KIND, name)
+        except client.StoreError as error:
+            _log.info("entry_missing", name=name, reason=str(error))
+        else:
+            if stored.spec == self._spec():
+                return
+        await self.register()
+
+    def _spec(self) -> dict[str, Any]:
+        return {"contact": msgspec.to_builtins(self.fleet.own_contact)}
+
     def _apply_entry(self, item: client.StoredObject) -> None:
         """Applies the entry of another instance."""
         if item.name == self.fleet.state.settings.name:
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from yuccatally.core.forwarding import plans
 from yuccatally.forwarding import watches
 from yuccatally.store import client
 from yuccatally.store import leases
@@ -265,10 +266,7 @@
 ) -> None:
     """Guards against numbers that are given out twice, and lost control."""
     store = site_of_two.store
-    before_lease = object_store.Copy(
-        store.revision,
-        {k: o for k, o in store.objects.items() if k[0] != "lease"},
-    )
+    before_lease = _without(store, "lease")
     first = _leaders(site_of_two)[0]
     used = first.control.lease.fence
     await store.restore(before_lease)
@@ -297,3 +295,50 @@
         assert not later.control.lease.is_valid(leases.boot_time_s())
         await asyncio.sleep(0.02)
     await path_site.until(lambda: later.control.is_leader, timeout_s=8.0)
+
+
+def _without(store: object_store.ObjectStore, kind: str) -> object_store.Copy:
+    """Returns a copy of a store from before any object of a kind."""
+    objects = {k: o for k, o in store.objects.items() if k[0] != kind}
+    return object_store.Copy(store.revision, objects)
+
+
+@pytest.mark.parametrize("copy", ["older", "missing"])
+async def test_plan_is_written_again(
+    site_of_two: path_site.Site, copy: str
+) -> None:
+    """Guards against a plan that instances started later do not find."""
+    store = site_of_two.store
+    await path_site.until(lambda: ("placement", "model") in store.objects)
+    saved = store.copy() if copy == "older" else _without(store, "placement")
+    await site_of_two.add_engine("e3", data_centre="dc-e1")
+    instance = site_of_two.instances[0]
+    await path_site.until(lambda: "e3" in instance.state.plans["model"].stages)
+    await path_site.until(lambda: _stored_rank(store) == _rank(instance))
+    await store.restore(saved)
+    await site_of_two.publish_entry(site_of_two.engines["e3"])
+    await path_site.until(
+        lambda: _stored_rank(store) >= _rank(instance), timeout_s=5.0
+    )
+
+
+def _rank(instance: node.Node) -> tuple[int, int]:
+    return instance.state.plans["model"].rank
+
+
+def _stored_rank(store: object_store.ObjectStore) -> tuple[int, int]:
+    stored = store.objects.get(("placement", "model"))
+    if stored is None:
+        return (0, 0)
+    return plans.from_spec(stored["spec"]).rank
+
+
+async def test_entries_of_instances_are_written_again(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against instances that those started later do not find."""
+    store = site_of_two.store
+    names = {k for k in store.objects if k[0] == "instances"}
+    assert len(names) == 2
+    await store.restore(_without(store, "instances"))
+    await path_site.until(lambda: names <= store.objects.keys(), timeout_s=5.0)
