Do not write plans while the store is not reachable

Each call is charged.

Cause: calls of the lease pause for a second after a failure, plans were tried at each tick. They are now written only while the watch of the configuration, which retries with a backoff, is connected.

Test: test_lost_store_is_not_called_all_the_time failed before.

--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -168,7 +168,8 @@
                         self.lease,
                         not self.state.leaving,
                     )
-                await self._save_plans()
+                if self.state.store_connected:
+                    await self._save_plans()
             except client.StoreError as error:
                 _log.warning("control_delayed", error=str(error))
                 self.on_store_failure()
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 import pytest
@@ -342,3 +343,23 @@
     assert len(names) == 2
     await store.restore(_without(store, "instances"))
     await path_site.until(lambda: names <= store.objects.keys(), timeout_s=5.0)
+
+
+async def test_lost_store_is_not_called_all_the_time(
+    site_of_two: path_site.Site,
+) -> None:
+    """Guards against a holder of the lease that calls an absent store.
+
+    It has a plan that is not stored yet.
+    """
+    store = site_of_two.store
+    instance = _leaders(site_of_two)[0]
+    store.faults.status = 500
+    await path_site.until(lambda: not instance.state.store_connected)
+    plan = instance.state.plans["model"]
+    instance.fleet.leader_state.unsaved_plans["model"] = dataclasses.replace(
+        plan, generation=plan.generation + 1
+    )
+    before = sum("placement/" in c for c in store.calls)
+    await asyncio.sleep(1.5)
+    assert sum("placement/" in c for c in store.calls) - before <= 1
