Keep odd objects of other writers from hiding or ending anything

Operators report entries that are nested very deeply, or hold a number that is too large or a port out of range: instances ended again and again, or stopped following the entries. It could happen here:

- A list or watch of the store was decoded as a whole, so one object that is nested 3,000 deep, a float or an integer out of range, or bytes that are no text ended every call.
Unreadable parts are now replaced by a marker that no field accepts, found without recursion; the objects beside them are kept, and the odd one counts as an invalid entry.
A missing value is not enough as a marker: unreadable accounts would have been taken for a configuration without accounts.
- Layers beyond those of the model ended the planning with an IndexError, and with it one leader after the other.
They are ignored; a plan of a model that had more layers is replaced; any other error in planning leaves the plan as it is (placement_failed).
- Start times, counts, layers, texts and names without a limit were accepted; they do not fit the messages between instances.
Ports and addresses are checked.

--- a/src/yuccatally/core/forwarding/pipelines.py
+++ b/src/yuccatally/core/forwarding/pipelines.py
@@ -244,7 +244,9 @@
             self._count_copies(copies, stage)
         held = {s.engine for s in replicas}
         for engine in [e for n, e in self.spares.items() if n not in held]:
-            layers = engine.layers or self._replica_range(engine, copies)
+            layers = self._held_range(engine) or self._replica_range(
+                engine, copies
+            )
             if layers is None:
                 continue
             stage = Stage(
@@ -254,6 +256,13 @@
             replicas.append(stage)
         return tuple(sorted(replicas, key=lambda s: s.engine))
 
+    def _held_range(
+        self, engine: upstreams.Upstream
+    ) -> upstreams.LayerRange | None:
+        """Returns the layers of an engine, if the model has them."""
+        held = engine.layers
+        return held if held and held.last <= self.model.layers else None
+
     def _replica_range(
         self, engine: upstreams.Upstream, copies: dict[str, list[float]]
     ) -> upstreams.LayerRange | None:
@@ -271,7 +280,8 @@
         own = self.usable[stage.engine].data_centre
         for data_centre, counts in copies.items():
             weight = 1.0 if data_centre == own else REMOTE_COPY_WEIGHT
-            for layer in range(stage.first, stage.last):
+            # A plan may be of a model that had more layers.
+            for layer in range(stage.first, min(stage.last, len(counts))):
                 counts[layer] += weight
 
     def _cover_with_replicas(
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -65,6 +65,7 @@
         first_engine_at: Time at which the first engine was listed; 0 before.
         lease_valid_at: Time at which the lease was last known to be valid.
         created_at: Time at which this instance was created.
+        failed_services: Services whose plan cannot be computed.
         on_store_failure: Called when a call to the store has failed.
     """
 
@@ -96,6 +97,7 @@
         self.orders.on_failed = self.inspection.mark_failed
         self.lease_valid_at: float | None = None
         self.created_at = time.monotonic()
+        self.failed_services: set[str] = set()
         self.on_store_failure: Callable[[], None] = lambda: None
 
     @property
@@ -190,7 +192,7 @@
                 self.inspection.check()
                 for service in self.state.rules.services.values():
                     if service.model is not None:
-                        self._update_placement(service, service.model)
+                        self._try_update_placement(service, service.model)
             await asyncio.sleep(TICK_INTERVAL_S)
 
     async def release_lease(self) -> None:
@@ -234,6 +236,22 @@
             and not self.fleet.is_leaving(heard.holder)
         )
 
+    def _try_update_placement(
+        self, service: rules.Service, model: rules.Model
+    ) -> None:
+        """Updates a plan; an error leaves it as it is, and is logged once.
+
+        An unexpected entry would otherwise end one leader after the other.
+        """
+        try:
+            self._update_placement(service, model)
+        except Exception:
+            if service.name not in self.failed_services:
+                _log.exception("placement_failed", service=service.name)
+            self.failed_services.add(service.name)
+        else:
+            self.failed_services.discard(service.name)
+
     def _update_placement(
         self, service: rules.Service, model: rules.Model
     ) -> None:
--- a/src/yuccatally/platform/documents.py
+++ b/src/yuccatally/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
@@ -18,6 +20,21 @@
 CONFIGURATION_NAME = "main"
 UPSTREAM_KIND = "servers"
 
+# Limits of what another writer may put into entries and reports. Texts and
+# numbers are sent to other instances: messages hold 64 bits for a number and
+# 64 KB in all.
+MAX_TEXT_CHARS = 256
+MAX_LAYER_COUNT = 65_536
+MAX_COUNT = 2**31
+MAX_INTEGER = 2**53
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+
+Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
+Count = Annotated[int, msgspec.Meta(ge=0, lt=MAX_COUNT)]
+Integer = Annotated[int, msgspec.Meta(ge=0, lt=MAX_INTEGER)]
+Layer = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYER_COUNT)]
+
 DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
 
 
@@ -106,7 +123,7 @@
 
 
 class _Configuration(msgspec.Struct, rename="camel"):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, lt=MAX_INTEGER)]
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -114,24 +131,24 @@
 
 
 class _Layers(msgspec.Struct):
-    first: int = msgspec.field(name="from")
+    first: Layer = msgspec.field(name="from")
     # Exclusive end of the range.
-    last: int = msgspec.field(name="target")
+    last: Layer = msgspec.field(name="target")
 
 
 class _HeldModel(msgspec.Struct):
-    name: str
+    name: Text
 
 
 class _UpstreamEntry(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str
+    service: Text
+    address: Text
+    zone: Text
     state: str
-    slots: int = 1
-    born: int = 0
+    slots: Count = 1
+    born: Integer = 0
     # Accelerator type; unrelated to ``route_kind`` of a route.
-    route_kind: str = ""
+    route_kind: Text = ""
     models: tuple[_HeldModel, ...] = ()
     layers: _Layers | None = None
 
@@ -148,11 +165,11 @@
 
 class _EngineReport(msgspec.Struct, rename="camel"):
     # Orders accepted since the engine started.
-    sequence: int
+    sequence: Integer
     busy: bool = False
-    born: int = 0
-    waiting: int = 0
-    running: int = 0
+    born: Integer = 0
+    waiting: Count = 0
+    running: Count = 0
     kv_used: float = 0.0
     kv_total: float = 0.0
     pace: float = 1.0
@@ -203,8 +220,7 @@
     raw = _convert(spec, _UpstreamEntry)
     if raw.state not in ("ready", "draining"):
         raise FormatError(f"unknown state {raw.state!r}")
-    host, _, port = raw.address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
+    if not _is_address(raw.address):
         raise FormatError(f"address {raw.address!r} is not IP:PORT")
     return upstreams.Upstream(
         name=name,
@@ -350,6 +366,22 @@
     return rules.Service(raw.name, raw.max_connections, raw.health_path, model)
 
 
+def _is_address(text: str) -> bool:
+    """Returns whether a text is an IPv4 address and a port.
+
+    >>> _is_address("10.0.0.1:80"), _is_address("10.0.0.1:70000")
+    (True, False)
+    """
+    host, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= MAX_PORT
+
+
 def _decode_layers(raw: _Layers | None) -> upstreams.LayerRange | None:
     if raw is None or raw.first >= raw.last:
         return None
--- a/src/yuccatally/platform/store.py
+++ b/src/yuccatally/platform/store.py
@@ -21,6 +21,8 @@
 # Number of times that the store was restored from a copy; in all responses.
 EPOCH = "store-era"
 MAX_EPOCH_DIGITS = len(str(client.MAX_EPOCH))
+# Names are sent to other instances, whose messages are limited in length.
+MAX_NAME_CHARS = 256
 # Statuses with which the store guarantees that a call had no effect.
 _REFUSAL_STATUSES = frozenset({429, 503})
 
@@ -31,7 +33,7 @@
 
 
 class _Metadata(msgspec.Struct):
-    name: str
+    name: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
     revision: _Number
 
 
@@ -54,7 +56,7 @@
 
 
 class _Events(msgspec.Struct):
-    events: tuple[_Event, ...]
+    events: tuple[Any, ...]
     at: _Number
 
 
@@ -177,10 +179,7 @@
             changes = msgspec.convert(answer.payload, _Events)
         except msgspec.MsgspecError as error:
             raise client.StoreError(f"watch of {kind}: {error}") from error
-        items = (
-            _decode_object(kind, e.object, epoch, e.deleted)
-            for e in changes.events
-        )
+        items = (_decode_event(kind, e, epoch) for e in changes.events)
         return client.Listing(
             client.qualify(epoch, changes.at), tuple(i for i in items if i)
         )
@@ -290,6 +289,17 @@
     )
 
 
+def _decode_event(
+    kind: str, raw: Any, epoch: int
+) -> client.StoredObject | None:
+    try:
+        event = msgspec.convert(raw, _Event)
+    except msgspec.MsgspecError as error:
+        _log.warning("event_ignored", kind=kind, reason=str(error))
+        return None
+    return _decode_object(kind, event.object, epoch, event.deleted)
+
+
 def _decode_required_object(kind: str, answer: _Answer) -> client.StoredObject:
     stored = _decode_object(kind, answer.payload, answer.epoch)
     if stored is None:
--- a/src/yuccatally/store/calls.py
+++ b/src/yuccatally/store/calls.py
@@ -11,6 +11,7 @@
 
 from yuccatally.store import bodies
 from yuccatally.store import client
+from yuccatally.store import decoding
 from yuccatally.store import middlewares
 
 if TYPE_CHECKING:
@@ -109,14 +110,14 @@
                 payload = await bodies.read(response, MAX_RESPONSE_BYTES)
                 self.on_headers(response.headers)
                 self._raise_for_status(response.status, method, path)
-                return Answer(response.headers, msgspec.json.decode(payload))
+                return Answer(response.headers, decoding.decode(payload))
         except aiohttp.ClientConnectorError as error:
             raise client.StoreError(f"{method} {path}: {error}") from error
         except aiohttp.ConnectionTimeoutError as error:
             raise client.StoreError(f"{method} {path}: {error}") from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise _error_without_answer(method, path, error) from error
-        except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        except decoding.DECODE_ERRORS as error:
             raise _error_without_answer(method, path, error) from error
 
     async def close(self) -> None:
--- a/src/yuccatally_standins/object_store.py
+++ b/src/yuccatally_standins/object_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import json
 from typing import Any
 
 from aiohttp import web
@@ -44,6 +45,7 @@
         revision: Revision of the last change.
         compacted: Revision up to which the history was discarded.
         objects: Objects by kind and name.
+        raw_specs: Content of objects that is passed on unchanged, by name.
         history: Changes after ``compacted`` as revision, kind and event.
         epoch: Number that all responses name; it rises with each restore.
         cuts: Number of restores that have ended waiting watches.
@@ -56,6 +58,7 @@
         self.revision = 1
         self.compacted = 0
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.raw_specs: dict[str, bytes] = {}
         self.history: list[tuple[int, str, dict[str, Any]]] = []
         self.epoch = 0
         self.cuts = 0
@@ -78,6 +81,11 @@
         self._store(kind, name, spec)
         await self._notify()
 
+    async def set_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Writes an object whose content is passed on as these bytes."""
+        self.raw_specs[name] = spec
+        await self.set(kind, name, f"raw:{name}")
+
     async def remove(self, kind: str, name: str) -> None:
         """Removes an object, as the platform does."""
         self._drop(kind, name)
@@ -141,7 +149,7 @@
         items = [self.objects[(kind, n)] for n in names[:PAGE_ITEM_COUNT]]
         more = len(names) > PAGE_ITEM_COUNT
         body = {"items": items, "hasMore": more, "at": self.revision}
-        return web.json_response(body)
+        return self._respond(body)
 
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         since = int(request.query["watch"])
@@ -171,7 +179,13 @@
             return web.Response()
         if since < self.compacted:
             return web.Response(status=410)
-        return web.json_response({"events": events(), "at": self.revision})
+        return self._respond({"events": events(), "at": self.revision})
+
+    def _respond(self, body: dict[str, Any]) -> web.Response:
+        encoded = json.dumps(body).encode()
+        for name, spec in self.raw_specs.items():
+            encoded = encoded.replace(b'"raw:%s"' % name.encode(), spec)
+        return web.Response(body=encoded, content_type="application/json")
 
     async def _get(self, request: web.Request) -> web.Response:
         stored = self.objects.get(_key(request))
--- a/tests/core/forwarding/test_pipelines.py
+++ b/tests/core/forwarding/test_pipelines.py
@@ -334,3 +334,27 @@
     stages = tuple(pipelines.Stage("e", 1, f, t) for f, t in ranges)
     with pytest.raises(ValueError, match="gap or overlap"):
         pipelines.Pipeline("p", stages)
+
+
+@pytest.mark.parametrize("held", [(0, 200), (75, 81), (500, 501)])
+def test_engine_with_layers_of_no_model_is_planned_like_an_empty_one(
+    held: tuple[int, int],
+) -> None:
+    """Guards against an odd entry that ends the planning of all engines."""
+    engines = _engines(TODAY)
+    odd = upstreams.LayerRange(*held)
+    # The last engines are the slowest, which no pipeline needs.
+    engines[-1] = dataclasses.replace(engines[-1], layers=odd)
+    plan = _settled(engines)
+    _assert_complete(plan, engines)
+    assert all(s.last <= MODEL.layers for s in plan.stages.values())
+    assert engines[-1].name in plan.stages
+
+
+def test_plan_of_a_model_with_more_layers_is_replaced() -> None:
+    """Guards against planning that ends when a model gets smaller."""
+    engines = _engines(TODAY)
+    larger = dataclasses.replace(MODEL, layers=MODEL.layers + 10)
+    previous = pipelines.plan(larger, engines, pipelines.Plan())
+    settled = pipelines.plan(larger, engines, previous)
+    pipelines.plan(MODEL, engines, settled)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import TYPE_CHECKING
 from typing import Any
 
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from yuccatally.platform import store as platform_store
 from yuccatally.store import client
+from yuccatally.store import decoding
 from yuccatally_standins import object_store
 from yuccatally_standins import path_site
 
@@ -231,3 +236,79 @@
     with pytest.raises(client.StoreError):
         await store_client.list_objects("k")
     assert len((await store_client.list_objects("k")).items) == 501
+
+
+DEEP = b'{"a":' * 3000 + b"1" + b"}" * 3000
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [DEEP, b"[" * 3000 + b"]" * 3000, b"1e999", b"9" * 5000, b'"\xff\xfe"'],
+    ids=["deep object", "deep list", "large float", "large int", "no text"],
+)
+async def test_unreadable_object_does_not_hide_the_others(
+    pair: Pair, odd: bytes
+) -> None:
+    """Guards against one odd object that ends lists and watches."""
+    store, store_client = pair
+    await store.set("k", "a", {"n": 1})
+    since = store.revision
+    await store.set_raw("k", "b", odd)
+    await store.set("k", "c", {"n": 2})
+    listing = await store_client.list_objects("k")
+    changes = await store_client.watch(since, 1.0, "k")
+    for items, names in ((listing.items, "abc"), (changes.items, "bc")):
+        assert "".join(i.name for i in items) == names
+        assert items[-1].spec == {"n": 2}
+        unreadable = next(i for i in items if i.name == "b")
+        assert decoding.Unreadable.__name__ in repr(unreadable.spec)
+
+
+@pytest.mark.parametrize("revision", [10**31, -1, "5", None])
+async def test_object_with_an_invalid_revision_is_ignored(
+    pair: Pair, revision: object
+) -> None:
+    """Guards against a revision that is later than all others for ever."""
+    store, store_client = pair
+    await store.set("k", "a", 1)
+    await store.set("k", "b", 2)
+    store.objects["k", "a"]["metadata"]["revision"] = revision
+    listing = await store_client.list_objects("k")
+    assert [i.name for i in listing.items] == ["b"]
+
+
+@pytest.mark.parametrize(
+    "document", [b"", b"[1", b'{"a":1', b'{"a":[1,2}', b'{"a":1}}', b"1e999"]
+)
+def test_incomplete_document_is_rejected(document: bytes) -> None:
+    """Guards against a list that looks complete although it is cut off."""
+    with pytest.raises(msgspec.DecodeError):
+        decoding.decode(document)
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+
+
+@given(st.lists(VALUES, max_size=6), st.integers(0, 6), st.booleans())
+def test_readable_parts_are_those_that_were_written(
+    values: list[Any], position: int, indented: bool
+) -> None:
+    """Guards against parts that are split at the wrong place."""
+    encoded = [
+        json.dumps(v, indent=2 if indented else None).encode() for v in values
+    ]
+    encoded.insert(position, DEEP)
+    decoded = decoding.decode(b'{ "items" : [' + b" , ".join(encoded) + b"]}")
+    readable = [v for v in decoded["items"] if v != {"a": _unreadable_part(v)}]
+    expected = json.loads(json.dumps(values))
+    assert readable == [msgspec.json.decode(json.dumps(v)) for v in expected]
+
+
+def _unreadable_part(value: Any) -> Any:
+    """Returns the part of a decoded ``DEEP``; None for any other value."""
+    part = value.get("a") if isinstance(value, dict) else None
+    return part if "Unreadable" in repr(part) else object()
