Read no earlier response of a kept connection as a later one

Operators report engines that write an earlier refusal once more on a kept connection. It could happen here, shown by stand-ins:

- A copy that arrives while the connection is idle was read as the response to the next request on it.
One with another id gave a 502 to a request that the engine ran; one with the same id (a client that uses an id again) gave "503, not run" for a request that ran.
- A stream that returns to the path that refused it before has the id of that refusal: its copy in place of the response made the request run twice on that engine.

Cause: the client library checks for unused bytes when it keeps a connection and not when it uses it again, and an attempt was told apart by its id alone. Ruled out: requests that may run once only, which have a connection of their own each; a copy with another id in place of the response, which counts as lost (502, or sent elsewhere).

Fix: a connection on which bytes arrived while it was idle is discarded, for engines and for the store; later attempts of a request use new connections, so that no response to an earlier one can be on them.

--- a/src/yuccatally/core/forwarding/attempts.py
+++ b/src/yuccatally/core/forwarding/attempts.py
@@ -96,13 +96,21 @@
 
     Attributes:
         run_count: Number of upstreams that executed or may have executed it.
+        start_count: Number of attempts in all.
     """
 
     run_count: int = 0
+    start_count: int = 0
+
+    @property
+    def is_retry(self) -> bool:
+        """Whether the latest attempt is not the first."""
+        return self.start_count > 1
 
     def record_start(self) -> None:
         """Counts an attempt as possibly executed."""
         self.run_count += 1
+        self.start_count += 1
 
     def record_failure(self, failure: Failure) -> None:
         """Uncounts the attempt if it was certainly not executed."""
--- a/src/yuccatally/forwarding/calls.py
+++ b/src/yuccatally/forwarding/calls.py
@@ -103,7 +103,10 @@
                         ),
                         body=context.body,
                         read_timeout_s=timeout_s,
-                        new_connection=not context.route.repeat.may_run_again,
+                        new_connection=(
+                            progress.is_retry
+                            or not context.route.repeat.may_run_again
+                        ),
                     )
                 )
                 body = await response.body(MAX_RESPONSE_BYTES)
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -30,6 +30,7 @@
 from yuccatally.platform import store as platform_store
 from yuccatally.settings import settings as settings_module
 from yuccatally.store import client
+from yuccatally.store import connectors
 from yuccatally.store import middlewares
 from yuccatally.telemetry import metrics
 from yuccatally.upstreams import exchange
@@ -143,10 +144,11 @@
             (self._read_statements(True),)
         )
         session = aiohttp.ClientSession(
+            connector=connectors.UnusedDataConnector(),
             middlewares=(
                 self._read_statements(False),
                 middlewares.send_at_most_once,
-            )
+            ),
         )
         try:
             listeners = self._open(upstream_client, session)
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -230,7 +230,9 @@
         try:
             async with asyncio.timeout(None) as attempt.timeout:
                 self.running.add(attempt)
-                return await self._send(context, writer, attempt, splitter)
+                return await self._send(
+                    context, writer, attempt, splitter, progress.is_retry
+                )
         except TimeoutError:
             return upstream_responses.FailedAttempt(
                 attempts.NoResponse("path stalled", True)
@@ -249,11 +251,12 @@
         writer: request_context.ResponseWriter,
         attempt: RunningAttempt,
         splitter: events.EventSplitter,
+        is_retry: bool,
     ) -> upstream_responses.FailedAttempt | None:
         try:
             timeout_s = _event_timeout_s(context, attempt)
             response = await self.client.open(
-                self._exchange(context, attempt, splitter, timeout_s)
+                self._exchange(context, attempt, splitter, timeout_s, is_retry)
             )
             attempt.response = response
             failed = upstream_responses.check_headers(context, response)
@@ -340,6 +343,7 @@
         attempt: RunningAttempt,
         splitter: events.EventSplitter,
         timeout_s: float,
+        is_retry: bool,
     ) -> exchange.UpstreamRequest:
         return exchange.UpstreamRequest(
             method=context.method,
@@ -350,7 +354,7 @@
             # A stream that cannot resume on another path may still continue on
             # this one.
             read_timeout_s=timeout_s,
-            new_connection=not context.route.repeat.may_run_again,
+            new_connection=(is_retry or not context.route.repeat.may_run_again),
         )
 
 
--- a/src/yuccatally/store/calls.py
+++ b/src/yuccatally/store/calls.py
@@ -11,6 +11,7 @@
 
 from yuccatally.store import bodies
 from yuccatally.store import client
+from yuccatally.store import connectors
 from yuccatally.store import decoding
 from yuccatally.store import middlewares
 
@@ -95,7 +96,8 @@
         self.call_count += 1
         if self.session is None:
             self.session = aiohttp.ClientSession(
-                middlewares=(middlewares.send_at_most_once,)
+                connector=connectors.UnusedDataConnector(),
+                middlewares=(middlewares.send_at_most_once,),
             )
         try:
             async with self.session.request(
--- /dev/null
+++ b/src/yuccatally/store/connectors.py
@@ -0,0 +1,35 @@
+"""Connectors for aiohttp."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import structlog
+
+if TYPE_CHECKING:
+    from aiohttp import connector
+    from aiohttp import tracing
+
+_log = structlog.get_logger()
+
+
+class UnusedDataConnector(aiohttp.TCPConnector):
+    """Keeps connections, but none on which bytes arrived while it was idle.
+
+    A faulty server may write a response once more. aiohttp checks for such
+    bytes when it keeps a connection and not when it uses it again, and would
+    return them as the response to the next request.
+    """
+
+    async def _get(
+        self, key: connector.ConnectionKey, traces: list[tracing.Trace]
+    ) -> connector.Connection | None:
+        while True:
+            kept = await super()._get(key, traces)
+            if kept is None or kept.protocol is None:
+                return kept
+            if not kept.protocol.should_close:
+                return kept
+            _log.info("connection_discarded", host=key.host, port=key.port)
+            kept.close()
--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -62,7 +62,7 @@
             two parts of its body.
         new_connection: Whether the request needs a connection of its own,
             because it may not be repeated if a pooled connection turns out to
-            be closed.
+            be closed, or because an earlier response on one may have its id.
     """
 
     method: str
--- a/src/yuccatally/upstreams/services.py
+++ b/src/yuccatally/upstreams/services.py
@@ -8,6 +8,7 @@
 import aiohttp
 import yarl
 
+from yuccatally.store import connectors
 from yuccatally.store import middlewares
 
 if TYPE_CHECKING:
@@ -137,7 +138,7 @@
     trace_config.on_connection_reuseconn.append(_on_connected)
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
     if keep_alive_s:
-        connector = aiohttp.TCPConnector(
+        connector = connectors.UnusedDataConnector(
             limit=0, keepalive_timeout=keep_alive_s
         )
     return aiohttp.ClientSession(
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -13,6 +13,8 @@
 
 EVENT_INTERVAL_S = 0.005
 TRICKLE_INTERVAL_S = 0.05
+# The response before has been written.
+REPEAT_DELAY_S = 0.02
 SIGNATURE = "signed"
 HALF_EVENT = b"id: %d\ndata: half"
 
@@ -25,6 +27,9 @@
         stalled: Whether requests on paths through it make no progress.
         refusal_status: Status of responses that state that the request was not
             executed; 0 for none.
+        repeats_refusal: When the latest refusal is written once more: ``idle``
+            for just after it, ``next`` for in place of the next response on the
+            connection; empty for never.
         retry_after: Value of Retry-After in refusals; empty for none.
         failure_status: Status of responses to executed requests that fail; 0
             for none.
@@ -52,6 +57,7 @@
 
     stalled: bool = False
     refusal_status: int = 0
+    repeats_refusal: str = ""
     retry_after: str = ""
     failure_status: int = 0
     empty_status: int = 0
@@ -110,6 +116,8 @@
         ordered_at: Time of the last accepted order.
         fence: Highest fencing token received.
         executed_requests: Requests executed.
+        latest_refusal: Bytes of the latest refusal.
+        refused_on: Connection of the latest refusal.
         arrivals: Monotonic time of the arrival of each request, executed or
             refused.
         cancelled: Attempts whose connection closed before their end.
@@ -149,6 +157,8 @@
         self.fence = 0
         self.executed_requests: list[ExecutedRequest] = []
         self.arrivals: list[float] = []
+        self.latest_refusal = b""
+        self.refused_on: asyncio.BaseTransport | None = None
         self.cancelled: list[str] = []
         self.loaded_ranges: list[tuple[int, int]] = []
         self.paths: dict[str, str] = {}
@@ -283,15 +293,16 @@
                 request, 421, b"", signed=False, faulty_address=missing
             )
         if self.behaviour.refusal_status or self.behaviour.leaving:
-            status = self.behaviour.refusal_status or 503
-            self.refused_count += 1
-            return self._create_response(
-                request, status, b"", signed=False, executed=False
-            )
+            return self._refuse(request)
         body = await request.read()
         headers = {n.lower(): v for n, v in request.headers.items()}
         executed = ExecutedRequest(attempt, request.raw_path, headers, body)
         self.executed_requests.append(executed)
+        if (
+            self.behaviour.repeats_refusal == "next"
+            and request.transport is self.refused_on
+        ):
+            request.transport.write(self.latest_refusal)
         try:
             await asyncio.sleep(self.delay_s)
             if self._has_fatal_part(request):
@@ -320,6 +331,22 @@
             self.cancelled.append(attempt)
             raise
 
+    def _refuse(self, request: web.Request) -> web.Response:
+        status = self.behaviour.refusal_status or 503
+        self.refused_count += 1
+        response = self._create_response(
+            request, status, b"", signed=False, executed=False
+        )
+        lines = [f"{n}: {v}" for n, v in response.headers.items()]
+        lines = [f"HTTP/1.1 {status} Refused", *lines, "Content-Length: 0"]
+        self.latest_refusal = "\r\n".join([*lines, "", ""]).encode()
+        self.refused_on = request.transport
+        if self.behaviour.repeats_refusal == "idle":
+            asyncio.get_running_loop().call_later(
+                REPEAT_DELAY_S, request.transport.write, self.latest_refusal
+            )
+        return response
+
     def _has_fatal_part(self, request: web.Request) -> bool:
         parts = request.headers.get("Yuccatally-Prefix-Hash", "").split(",")
         fatal = self.behaviour.fatal_part
