End streams whose next engine answers with anything but further events

Operators report streams with the text or the head of an error in their middle, or that end as if complete, when the first engine breaks off and the next one answers with an error. Error statuses could not get into a stream here (five cases, which passed before), but four other answers did: 204 ended the stream as complete, a signed text was appended, the head of a response within the body was passed on as an event, and an engine that ignores Last-Event-Id repeated all events.

Cause: whatever had a 2xx status and a signature was relayed, and events were split at empty lines without a look at them.

Fix: a stream that has begun goes on with an event stream only. Events need one of the fields of an event, or a comment, and numeric ids that increase; otherwise the attempt counts as lost, nothing of the data is sent, and the stream goes on elsewhere or stays incomplete.

Test: four of nine cases failed before.

--- a/src/yuccatally/core/forwarding/events.py
+++ b/src/yuccatally/core/forwarding/events.py
@@ -8,10 +8,23 @@
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 
 
-class EventTooLongError(Exception):
+# Starts of the lines of an event, one of which each event has. A line that
+# starts with a colon is a comment.
+_FIELDS = (b"id:", b"data:", b"event:", b"retry:", b":")
+
+
+class EventError(Exception):
+    """The stream is not a series of events."""
+
+
+class EventTooLongError(EventError):
     """An event exceeds the size limit."""
 
 
+class NoEventError(EventError):
+    """The stream contains something else than events, or events again."""
+
+
 class EventSplitter:
     """Returns complete events and buffers the bytes after the last one.
 
@@ -23,9 +36,12 @@
         last_id: Id of the last complete event; empty if there was none.
         pending: Bytes after the last complete event.
         events: Number of complete events returned.
+        checked: Whether anything else than events with increasing ids is an
+            error; set for streams that are declared as events.
     """
 
     def __init__(self, last_id: str = "") -> None:
+        self.checked = False
         self.last_id = last_id
         self.pending = b""
         self.events = 0
@@ -35,6 +51,8 @@
 
         Raises:
             EventTooLongError: An event exceeds the size limit.
+            NoEventError: The data holds something else; nothing of it is
+                returned, and the last id stays.
 
         >>> splitter = EventSplitter()
         >>> splitter.feed(b"id: 4\ndata: a\n\nid: 5\nda")
@@ -60,11 +78,35 @@
         self.pending = b""
 
     def _record_ids(self, complete: bytes) -> None:
+        last_id, count = self.last_id, 0
+        has_line = has_field = False
         for line in complete.splitlines():
             if line.startswith(b"id:"):
-                self.last_id = line[3:].strip().decode("latin-1")
+                event_id = line[3:].strip().decode("latin-1")
+                if self.checked and _is_repeated(event_id, last_id):
+                    raise NoEventError(f"event {event_id} after {last_id}")
+                last_id = event_id
             elif not line:
-                self.events += 1
+                if self.checked and has_line and not has_field:
+                    raise NoEventError("lines that are no event")
+                count += 1
+                has_line = has_field = False
+                continue
+            has_line = True
+            has_field = has_field or line.startswith(_FIELDS)
+        self.last_id = last_id
+        self.events += count
+
+
+def _is_repeated(event_id: str, last_id: str) -> bool:
+    """Returns whether a numeric id is not greater than the last one.
+
+    >>> _is_repeated("4", "4"), _is_repeated("10", "9"), _is_repeated("a", "b")
+    (True, False, False)
+    """
+    if not (event_id.isdecimal() and last_id.isdecimal()):
+        return False
+    return int(event_id) <= int(last_id)
 
 
 def _end_of_last_event(data: bytes) -> int:
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -270,6 +270,11 @@
                 return upstream_responses.FailedAttempt(
                     attempts.ErrorResponse(response.status), error_response
                 )
+            splitter.checked = _is_event_stream(response)
+            if writer.started and not splitter.checked:
+                return upstream_responses.FailedAttempt(
+                    attempts.NoResponse("the response is no event stream")
+                )
             await self._relay(
                 response,
                 writer,
@@ -285,7 +290,7 @@
             return upstream_responses.FailedAttempt(
                 attempts.NoResponse(str(error), error.timed_out)
             )
-        except events.EventTooLongError as error:
+        except events.EventError as error:
             return upstream_responses.FailedAttempt(
                 attempts.NoResponse(str(error))
             )
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -16,6 +16,7 @@
 # The response before has been written.
 REPEAT_DELAY_S = 0.02
 SIGNATURE = "signed"
+FOREIGN_HEAD = b"HTTP/1.1 503 Busy\r\nContent-Type: text/plain\r\n\r\nfailed"
 HALF_EVENT = b"id: %d\ndata: half"
 
 
@@ -34,6 +35,10 @@
         failure_status: Status of responses to executed requests that fail; 0
             for none.
         empty_status: Status of responses without a body; 0 for none.
+        plain_answer: Whether streams are answered with a text.
+        foreign_head: Whether a stream continues with the head and the text of
+            an error response within its body.
+        ignores_last_id: Whether streams always start with the first event.
         break_after: Number of events after which the connection breaks within
             an event.
         ends_within_event: Whether the response ends there in order instead.
@@ -61,6 +66,9 @@
     retry_after: str = ""
     failure_status: int = 0
     empty_status: int = 0
+    plain_answer: bool = False
+    foreign_head: bool = False
+    ignores_last_id: bool = False
     break_after: int | None = None
     ends_within_event: bool = False
     wrong_id: bool = False
@@ -318,7 +326,7 @@
                 return self._create_response(
                     request, self.behaviour.empty_status, b""
                 )
-            if not self.streams:
+            if not self.streams or self.behaviour.plain_answer:
                 return await self._send_plain(
                     request, b"done " + attempt.encode()
                 )
@@ -371,7 +379,7 @@
         response = web.StreamResponse(headers=self._headers(request))
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        first = self._first_event(request)
         attempt = request.headers.get("Yuccatally-Attempt-Id", "")
         self.paths[attempt] = path
         try:
@@ -381,6 +389,11 @@
             del self.paths[attempt]
         return response
 
+    def _first_event(self, request: web.Request) -> int:
+        if self.behaviour.ignores_last_id:
+            return 1
+        return int(request.headers.get("Last-Event-Id", "0")) + 1
+
     async def _send_events(
         self,
         request: web.Request,
@@ -388,6 +401,8 @@
         first: int,
         attempt: str,
     ) -> None:
+        if self.behaviour.foreign_head:
+            await response.write(FOREIGN_HEAD)
         for number in range(first, self.events + 1):
             while self._is_stalled(attempt):  # noqa: ASYNC110
                 await asyncio.sleep(EVENT_INTERVAL_S)
--- a/tests/core/forwarding/test_events.py
+++ b/tests/core/forwarding/test_events.py
@@ -50,3 +50,38 @@
     with pytest.raises(events.EventTooLongError):
         for _ in range(40):
             splitter.feed(b"x" * 65_536)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\ndata: a\n\n\ndata: b\n\n",
+        b": comment\n\nid: 7\n\n",
+        b"yuccatally-weight-versions: 3\nid: 8\ndata: x\n\n",
+        b"id: later\ndata: x\n\nid: 4\ndata: y\n\n",
+        b"event: end\r\ndata: x\r\n\r\n",
+    ],
+)
+def test_events_of_any_kind_are_accepted(data: bytes) -> None:
+    """Guards against a sound stream that is cut for its form."""
+    splitter = events.EventSplitter("6")
+    splitter.checked = True
+    assert splitter.feed(data) == data
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"id: 7\ndata: a\n\nHTTP/1.1 500 Error\r\n\r\n",
+        b"id: 7\ndata: a\n\nid: 7\ndata: a\n\n",
+        b"id: 6\ndata: a\n\n",
+        b"<html>\n\n",
+    ],
+)
+def test_anything_else_is_rejected_as_a_whole(data: bytes) -> None:
+    """Guards against an id that is recorded although its event is not sent."""
+    splitter = events.EventSplitter("6")
+    splitter.checked = True
+    with pytest.raises(events.NoEventError):
+        splitter.feed(data)
+    assert (splitter.last_id, splitter.events) == ("6", 0)
--- a/tests/forwarding/test_ends.py
+++ b/tests/forwarding/test_ends.py
@@ -283,6 +283,54 @@
     assert _count_runs(served) == 2
 
 
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        {"failure_status": 500},
+        {"failure_status": 404},
+        {"failure_status": 503},
+        {"failure_status": 500, "unsigned": True},
+        {"refusal_status": 503},
+        {"empty_status": 204},
+        {"plain_answer": True},
+        {"foreign_head": True},
+        {"ignores_last_id": True},
+    ],
+    ids=lambda b: ",".join(b),
+)
+async def test_error_after_a_stream_has_begun_is_not_part_of_it(
+    served: path_site.Site, behaviour: dict[str, object]
+) -> None:
+    """Guards against errors, heads and repetitions within a stream.
+
+    The first engine breaks off, the next one answers with something else.
+    """
+    begun = 0
+    for number in range(8):
+        for engine in served.engines.values():
+            engine.behaviour = path_engine.Behaviour(break_after=2)
+        request = asyncio.create_task(
+            served.send_request("/ask/x", f"a{number}")
+        )
+        while not request.done():
+            for engine in served.engines.values():
+                if f"a{number}" not in {
+                    r.request for r in engine.executed_requests
+                }:
+                    continue
+                for other in served.engines.values():
+                    if other is not engine:
+                        other.behaviour = path_engine.Behaviour(**behaviour)
+            await asyncio.sleep(0.001)
+        status, _, body = await request
+        if status != 200:
+            continue
+        begun += 1
+        assert body.endswith(b"!")
+        assert WHOLE.startswith(body[:-1])
+    assert begun
+
+
 async def test_stream_goes_on_after_the_last_whole_event(
     served: path_site.Site,
 ) -> None:
