Explain ended engines to others beside the quarantine of a part

Cause, shown by a test of the core that failed before: a message holds 24 losses, the latest ones. An engine that ends loses more requests than that, so an instance may hear of a popular part that was lost with each engine, and not of the fatal part that explains them. Its wrong conclusion then holds for all.

Fix: the quarantine of a part carries the engines that have ended under it, so that no instance needs the single losses to explain them; and a message holds the losses whose parts were lost with most unexplained engines, instead of the latest. 32 engines take 771 bytes at most.

Ruled out: that each instance must conclude by itself; those that lack the evidence would let fatal requests pass.

--- a/src/yuccatally/core/forwarding/prompt_evidence.py
+++ b/src/yuccatally/core/forwarding/prompt_evidence.py
@@ -2,10 +2,57 @@
 
 from __future__ import annotations
 
+import dataclasses
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from yuccatally.core.forwarding import suspicions  # noqa: TC001
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Engines that are remembered and sent for each quarantined part, some 20 bytes
+# each.
+MAX_EXPLAINED_COUNT = 32
+
+
+@dataclasses.dataclass
+class Loss:
+    """A request that was lost before its first event.
+
+    Attributes:
+        at: Monotonic time of the loss, in seconds.
+        ended: Whether its engine is known to have ended.
+    """
+
+    at: float
+    ended: bool
+
+
+@dataclasses.dataclass
+class Quarantine:
+    """Present or past quarantine of a part.
+
+    Attributes:
+        until: Monotonic time of its end, in seconds.
+        count: Number of quarantines of the part so far.
+        engines: Engines that have ended under the part, in the order in which
+            this became known.
+    """
+
+    until: float
+    count: int
+    engines: dict[suspicions.Incarnation, None] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add_engines(self, engines: Iterable[suspicions.Incarnation]) -> None:
+        """Adds engines that have ended under the part."""
+        self.engines.update(dict.fromkeys(engines))
+        while len(self.engines) > MAX_EXPLAINED_COUNT:
+            del self.engines[next(iter(self.engines))]
+
 
 class PromptLoss(msgspec.Struct, array_like=True, frozen=True):
     """A request that was lost before its first event.
@@ -30,11 +77,14 @@
         part: Id of the part.
         left_s: Time until the quarantine ends, in seconds.
         count: Number of quarantines of this part so far.
+        engines: Engines that have ended under it, which need no other
+            explanation.
     """
 
     part: str
     left_s: float
     count: int
+    engines: tuple[suspicions.Incarnation, ...] = ()
 
 
 class Evidence(msgspec.Struct, array_like=True, frozen=True):
--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import enum
 from typing import TYPE_CHECKING
 
@@ -56,18 +55,6 @@
     END = enum.auto()
 
 
-@dataclasses.dataclass
-class _Loss:
-    at: float
-    ended: bool
-
-
-@dataclasses.dataclass
-class _Quarantine:
-    until: float
-    count: int
-
-
 class PromptQuarantine:
     """Compares lost requests of all instances with served ones.
 
@@ -89,9 +76,9 @@
     def __init__(self) -> None:
         self.served_at: dict[str, float] = {}
         self.losses: dict[
-            tuple[suspicions.Incarnation, tuple[str, ...]], _Loss
+            tuple[suspicions.Incarnation, tuple[str, ...]], prompt_evidence.Loss
         ] = {}
-        self.quarantines: dict[str, _Quarantine] = {}
+        self.quarantines: dict[str, prompt_evidence.Quarantine] = {}
         self.total_count = 0
 
     def record_served(self, parts: Iterable[str], now: float) -> None:
@@ -161,22 +148,17 @@
             self._quarantine(part, now)
         # A part explains the end of its engines, so that parts of requests
         # which were lost beside it need other evidence.
-        explained: set[suspicions.Incarnation] = set()
-        for part in self.quarantines:
-            explained |= self._ended_under(part)
-        while (part := self._most_suspect(explained, now)) is not None:
+        for part, quarantine in self.quarantines.items():
+            quarantine.add_engines(self._ended_under(part))
+        while (part := self._most_suspect(self._explained(), now)) is not None:
             self._quarantine(part, now)
-            explained |= self._ended_under(part)
+            self.quarantines[part].add_engines(self._ended_under(part))
             found.append(part)
         return found
 
     def evidence(self, now: float) -> prompt_evidence.Evidence | None:
         """Returns the evidence for other instances; None without any."""
-        recent = [
-            (key, loss)
-            for key, loss in self.losses.items()
-            if now - loss.at < SEND_LOSS_S
-        ][-MAX_SENT_COUNT:]
+        recent = self._telling_losses(now)
         active = [(p, q) for p, q in self.quarantines.items() if q.until > now][
             -MAX_SENT_COUNT:
         ]
@@ -197,7 +179,7 @@
             },
             tuple(
                 prompt_evidence.QuarantinedPart(
-                    p, round(q.until - now, 3), q.count
+                    p, round(q.until - now, 3), q.count, tuple(q.engines)
                 )
                 for p, q in active
             ),
@@ -224,10 +206,12 @@
             # The remaining time is a little too long when it arrives, so that
             # instances which exchange it again would prolong it.
             if known is None or known.count < received.count:
-                self.quarantines[received.part] = _Quarantine(
+                known = prompt_evidence.Quarantine(
                     now + received.left_s, received.count
                 )
+                self.quarantines[received.part] = known
                 added.append(received.part)
+            known.add_engines(received.engines)
         self.total_count += len(added)
         return added
 
@@ -242,6 +226,41 @@
             if loss.at > served_at
         )
 
+    def _telling_losses(
+        self, now: float
+    ) -> list[
+        tuple[
+            tuple[suspicions.Incarnation, tuple[str, ...]], prompt_evidence.Loss
+        ]
+    ]:
+        """Returns the recent losses that tell others most, as many as fit.
+
+        Load pattern: an engine ends and loses more requests than fit, of which
+        one is fatal. Its part is lost with one engine after the other, unlike
+        the rare parts beside it. Losses that a quarantined part explains are
+        told by the quarantine itself and come last.
+        """
+        explained = self._explained()
+        recent = [
+            (key, loss)
+            for key, loss in self.losses.items()
+            if now - loss.at < SEND_LOSS_S
+        ]
+        engines: dict[str, set[suspicions.Incarnation]] = {}
+        for (engine, parts), loss in recent:
+            if engine not in explained:
+                for part in self._candidates(parts, loss):
+                    engines.setdefault(part, set()).add(engine)
+        # Stable, so that of equal ones the later losses are sent.
+        recent.sort(
+            key=lambda item: max(len(engines.get(p, ())) for p in item[0][1])
+        )
+        return recent[-MAX_SENT_COUNT:]
+
+    def _explained(self) -> set[suspicions.Incarnation]:
+        """Returns the engines that have ended under a quarantined part."""
+        return {e for q in self.quarantines.values() for e in q.engines}
+
     def _ended_under(self, part: str) -> set[suspicions.Incarnation]:
         """Returns the engines that have ended with requests of a part."""
         return {
@@ -309,7 +328,9 @@
             return None
         return best[-1]
 
-    def _candidates(self, parts: tuple[str, ...], loss: _Loss) -> list[str]:
+    def _candidates(
+        self, parts: tuple[str, ...], loss: prompt_evidence.Loss
+    ) -> list[str]:
         """Returns the parts of a lost request that may have ended its engine.
 
         Parts that requests were served with since are sound. Parts that were
@@ -322,7 +343,9 @@
         return never or unserved
 
     def _quarantine(self, part: str, now: float) -> None:
-        known = self.quarantines.setdefault(part, _Quarantine(now, 0))
+        known = self.quarantines.setdefault(
+            part, prompt_evidence.Quarantine(now, 0)
+        )
         known.until = now + min(
             FIRST_QUARANTINE_S * 2**known.count, MAX_QUARANTINE_S
         )
@@ -344,7 +367,7 @@
     ) -> None:
         known = self.losses.get(key)
         if known is None:
-            self.losses[key] = _Loss(at, ended)
+            self.losses[key] = prompt_evidence.Loss(at, ended)
             if len(self.losses) > MAX_LOSS_COUNT:
                 del self.losses[next(iter(self.losses))]
             return
--- a/tests/core/forwarding/test_quarantine.py
+++ b/tests/core/forwarding/test_quarantine.py
@@ -281,3 +281,46 @@
     assert len(one.evidence(fleet.now).losses) <= quarantine.MAX_SENT_COUNT
     fleet.pass_time(2 * quarantine.CONFIRM_S)
     assert not one.losses
+
+
+def test_part_lost_beside_many_others_is_not_blamed(fleet: Fleet) -> None:
+    """Guards against refusing a sound part, as the fatal one is not told.
+
+    Load pattern: each engine that ends loses more requests than a message
+    holds. A popular part is in one of them each time, and is not served
+    meanwhile.
+    """
+    fleet.serve(2, CALLER, "popular")
+    for number in range(5):
+        engine = f"e{number}"
+        fleet.lose(0, engine, CALLER, FATAL)
+        for other in range(2 * quarantine.MAX_SENT_COUNT):
+            fleet.lose(0, engine, CALLER, f"rare{number}-{other}")
+        fleet.lose(0, engine, CALLER, "popular")
+        fleet.pass_time(0.4)
+        fleet.serve(number % 3, CALLER)
+    fleet.pass_time(3.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+    assert fleet.blocked("popular") == [False] * 3
+    assert fleet.blocked(CALLER) == [False] * 3
+
+
+def test_losses_of_several_instances_explain_an_engine(fleet: Fleet) -> None:
+    """Guards against refusing a part whose losses another instance explains.
+
+    One instance sends the fatal requests, another the sound ones, and a third
+    one hears of both late.
+    """
+    fleet.serve(2, CALLER, "popular")
+    for number in range(6):
+        engine = f"e{number}"
+        fleet.lose(0, engine, CALLER, FATAL)
+        for other in range(quarantine.MAX_SENT_COUNT):
+            fleet.lose(1, engine, CALLER, f"rare{number}-{other}")
+        fleet.lose(1, engine, CALLER, "popular")
+        fleet.is_slow = number % 2 == 0
+        fleet.pass_time(0.6)
+        fleet.serve(number % 3, CALLER)
+    fleet.pass_time(3.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+    assert fleet.blocked("popular") == [False] * 3
