Keep relays while the store fails for all instances

Cause: the relay of a data centre is its first instance that reaches the store, and 65 instances notice a loss within some tenths of a second, and the return within a second and a half. The log has 307 changes of relays in the first second of each outage, instances lose sight of whole data centres for moments (instance_lost at 10.07), and work is counted once for each relay that reported it within 1.5 s, so that paths look full.

Fix: an instance leaves a relay only once that has been without the store for two seconds, and only for one that has had it for as long. A relay that loses the store itself follows another one at once, as before. Ruled out: the capacity of engines, and the restore itself.

--- a/src/yuccatally/core/forwarding/members.py
+++ b/src/yuccatally/core/forwarding/members.py
@@ -17,6 +17,10 @@
 # A relay that did not answer is skipped for this long; a process that hangs has
 # usually recovered by then.
 RELAY_SKIP_S = 2.0
+# Time for which an instance has to keep or lose its connection to the store
+# before the choice of a relay takes it into account: longer than the delays
+# between calls to a store that returns.
+STORE_SETTLE_S = 2.0
 # Digest of a list that was never received.
 NO_DIGEST = 0
 
@@ -54,10 +58,22 @@
     contact: Contact
     store_connected: bool = False
 
-    @property
-    def rank(self) -> tuple[bool, str]:
-        """Precedence of the instances of a data centre as its relay."""
-        return (not self.store_connected, self.contact.name)
+
+@dataclasses.dataclass(frozen=True)
+class StoreConnection:
+    """Whether an instance is connected to the store, and since when.
+
+    Attributes:
+        connected: Whether it is connected, as last reported.
+        since: Monotonic time of the first such report, in seconds.
+    """
+
+    connected: bool
+    since: float
+
+    def is_settled(self, now: float) -> bool:
+        """Returns whether this has not changed for a while."""
+        return now - self.since >= STORE_SETTLE_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,6 +110,7 @@
         presumed_until: Time until which an instance that has not sent any
             message is a candidate for the relay, so that instances which start
             together choose the same one.
+        store_connections: Connection of each instance to the store.
     """
 
     def __init__(self, name: str, data_centre: str) -> None:
@@ -105,6 +122,7 @@
         self.followers: dict[str, float] = {}
         self.skipped_until: dict[str, float] = {}
         self.presumed_until: dict[str, float] = {}
+        self.store_connections: dict[str, StoreConnection] = {}
 
     def apply_contact(self, contact: Contact, now: float) -> bool:
         """Applies a contact; returns whether the instance is new."""
@@ -222,6 +240,12 @@
 
         The relay is the first instance of the data centre by name, among those
         that are connected to the store if any are.
+
+        Load pattern: the store fails for all of 65 instances, which notice it
+        within some tenths of a second. If each notice changed the relays, the
+        instances would lose each other and count the same work several times.
+        They leave a relay only once it has been without the store for a while;
+        a relay that loses the store follows another one at once.
         """
         first = self.relay_of(self.data_centre, own, now)
         return None if first == self.name else first
@@ -233,7 +257,10 @@
             for name, until in self.presumed_until.items()
             if now < until
         }
-        live.update(self.live_members(now))
+        known = self.live_members(now)
+        for member in known.values():
+            self._record_store(member, now)
+        live.update(known)
         candidates = [
             m
             for m in (*live.values(), own)
@@ -243,7 +270,10 @@
         ]
         if not candidates:
             return self.name if data_centre == self.data_centre else ""
-        return min(candidates, key=lambda m: m.rank).contact.name
+        names = sorted(m.contact.name for m in candidates)
+        if any(self._has_store(n, now) for n in names):
+            return min(names, key=lambda n: self._lacks_store(n, own, now))
+        return names[0]
 
     def other_relays(self, own: Member, now: float) -> list[str]:
         """Returns the relays of the other data centres."""
@@ -271,6 +301,30 @@
         self.followers.pop(name, None)
         self.skipped_until.pop(name, None)
         self.presumed_until.pop(name, None)
+        self.store_connections.pop(name, None)
+
+    def _record_store(self, member: Member, now: float) -> None:
+        name, connected = member.contact.name, member.store_connected
+        known = self.store_connections.get(name)
+        if known is None:
+            first = StoreConnection(connected, float("-inf"))
+            self.store_connections[name] = first
+        elif known.connected != connected:
+            self.store_connections[name] = StoreConnection(connected, now)
+
+    def _has_store(self, name: str, now: float) -> bool:
+        """Returns whether another instance has had the store for a while."""
+        known = self.store_connections.get(name)
+        return known is not None and known.connected and known.is_settled(now)
+
+    def _lacks_store(self, name: str, own: Member, now: float) -> bool:
+        """Returns whether an instance makes way for one with the store."""
+        if name == own.contact.name:
+            return not own.store_connected
+        known = self.store_connections.get(name)
+        return (
+            known is not None and not known.connected and known.is_settled(now)
+        )
 
     def _current(self, member: Member) -> Member:
         """Returns a member with the latest contact of its instance."""
--- a/tests/core/forwarding/test_members.py
+++ b/tests/core/forwarding/test_members.py
@@ -209,3 +209,71 @@
     assert [m.contact.name for m in reported] == ["n1", "n2"]
     reported = table.all_members(_member("n1"), 0.1, receiver="n4")
     assert [m.contact.name for m in reported] == ["n1", "n2", "n3"]
+
+
+def _relays(instances: dict[str, _Instance], now: float) -> dict[str, str]:
+    """Returns the relay that each instance has chosen."""
+    return {
+        name: i.member_table.choose_relay(i.own, now) or name
+        for name, i in instances.items()
+    }
+
+
+def _set_store(instance: _Instance, connected: bool) -> None:
+    instance.own = members.Member(instance.own.contact, connected)
+
+
+def _count_relay_changes(
+    instances: dict[str, _Instance],
+    start: float,
+    seconds: float,
+    changes: dict[float, tuple[str, bool]],
+) -> int:
+    """Runs exchanges while connections to the store change.
+
+    Args:
+        instances: The instances.
+        start: Time of the first exchange.
+        seconds: Duration.
+        changes: Instances and their connections by the time of the change.
+    """
+    count, steps = 0, round(seconds / 0.15)
+    before = _relays(instances, start)
+    pending = sorted(changes.items())
+    for step in range(steps):
+        now = start + step * 0.15
+        while pending and pending[0][0] <= now:
+            name, connected = pending.pop(0)[1]
+            _set_store(instances[name], connected)
+        _run_exchanges(instances, now, 0.15)
+        after = _relays(instances, now)
+        count += sum(before[n] != after[n] for n in instances)
+        before = after
+    return count
+
+
+def test_loss_of_the_store_for_all_changes_few_relays() -> None:
+    """Guards against instances that lose each other when the store fails.
+
+    Load pattern: 65 instances notice within 0.3 s that the store is lost, and
+    within 1.5 s that it is back. Each change of a relay counts work twice.
+    """
+    instances = _instances(65)
+    _run_exchanges(instances, 0.0, 3.0)
+    rng = random.Random(2)
+    lost = {3.0 + rng.uniform(0, 0.3): (name, False) for name in instances}
+    back = {6.0 + rng.uniform(0, 1.5): (name, True) for name in instances}
+    changed = _count_relay_changes(instances, 3.0, 9.0, {**lost, **back})
+    assert changed <= len(instances)
+    assert set(_relays(instances, 12.0).values()) == {"n000", "n001", "n002"}
+
+
+def test_relay_that_loses_the_store_alone_is_replaced() -> None:
+    """Guards against a relay that the store rejects, and which stays."""
+    instances = _instances(9)
+    _run_exchanges(instances, 0.0, 3.0)
+    _set_store(instances["n000"], False)
+    _run_exchanges(instances, 3.0, members.STORE_SETTLE_S + 1.0)
+    now = 4.0 + members.STORE_SETTLE_S
+    of_first = {n: r for n, r in _relays(instances, now).items() if r != n}
+    assert of_first["n000"] == of_first["n006"] == "n003"
