Test that a former holder leaves a lease of the new epoch

Leaving this rule out was not noticed by the state machine, which has no candidate that starts after a restore. The new test fails without it.

--- a/tests/core/control/test_lease.py
+++ b/tests/core/control/test_lease.py
@@ -229,3 +229,12 @@
     # Its own term has ended before the restore.
     member.apply_read(lease.Record("other", 1, 5), VERSIONS_PER_EPOCH, 5.0)
     assert not isinstance(member.next_call(10.9, candidate=True), lease.Write)
+
+
+def test_former_holder_leaves_a_lease_of_the_new_epoch() -> None:
+    """Guards against a former holder that takes over from its successor."""
+    member = _holder()
+    member.apply_epoch(1, 2.0)
+    taken = lease.Record("other", lease.FENCES_PER_EPOCH + 1, 1)
+    member.apply_read(taken, VERSIONS_PER_EPOCH + 1, 2.1)
+    assert not isinstance(member.next_call(2.1, candidate=True), lease.Write)
