Send the latest sixteen engines of a quarantined part

24 quarantined parts with 32 engines each took 18 KB of a heartbeat, more than the control of an instance may send in a second.

--- a/src/yuccatally/core/forwarding/prompt_evidence.py
+++ b/src/yuccatally/core/forwarding/prompt_evidence.py
@@ -12,9 +12,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Engines that are remembered and sent for each quarantined part, some 20 bytes
-# each.
+# Engines that are remembered for each quarantined part.
 MAX_EXPLAINED_COUNT = 32
+# Of these, the latest are sent, some 24 bytes each.
+MAX_SENT_ENGINE_COUNT = 16
 
 
 @dataclasses.dataclass
@@ -53,6 +54,11 @@
         while len(self.engines) > MAX_EXPLAINED_COUNT:
             del self.engines[next(iter(self.engines))]
 
+    @property
+    def latest_engines(self) -> tuple[suspicions.Incarnation, ...]:
+        """The engines to tell other instances, as many as fit."""
+        return tuple(self.engines)[-MAX_SENT_ENGINE_COUNT:]
+
 
 class PromptLoss(msgspec.Struct, array_like=True, frozen=True):
     """A request that was lost before its first event.
--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -179,7 +179,7 @@
             },
             tuple(
                 prompt_evidence.QuarantinedPart(
-                    p, round(q.until - now, 3), q.count, tuple(q.engines)
+                    p, round(q.until - now, 3), q.count, q.latest_engines
                 )
                 for p, q in active
             ),
