Let an instance that has just started watch the store by itself

An instance that had started less than three seconds before knew no engine that had come just before the store was lost.

Cause: made such an instance no candidate for the lease while it hears a holder, and instances that are no candidates pause their watches and pull the lists of their relay, which it had not done yet. Ruled out: load, which only moves the moment.

--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -168,7 +168,7 @@
                         self.store,
                         LEASE_NAME,
                         self.lease,
-                        not self.state.leaving,
+                        self._may_acquire(),
                     )
                 if self.state.store_connected:
                     await self._save_plans()
@@ -213,8 +213,6 @@
         """
         if self.state.leaving or not self.state.store_connected:
             return False
-        if not self.lease.is_holder and self._may_miss_holder():
-            return False
         names = [
             m.contact.name
             for m in self.fleet.live_peers()
@@ -223,17 +221,20 @@
         names.append(self.state.settings.name)
         return self.state.settings.name in sorted(names)[:CANDIDATE_COUNT]
 
-    def _may_miss_holder(self) -> bool:
-        """Returns whether the store may not know a holder that is heard.
+    def _may_acquire(self) -> bool:
+        """Returns whether this candidate may hold the lease.
 
         An instance that has started less than a term ago cannot tell a lease
-        that was never held from one that a restored store has lost.
+        that was never held from one that a restored store has lost. It defers
+        to a holder that it hears of.
         """
+        if self.state.leaving or self.lease.is_holder:
+            return not self.state.leaving
         heard = self.fleet.leader_state.current(time.monotonic())
         return (
-            time.monotonic() - self.created_at < LEASE_TERM_S
-            and heard is not None
-            and not self.fleet.is_leaving(heard.holder)
+            time.monotonic() - self.created_at >= LEASE_TERM_S
+            or heard is None
+            or self.fleet.is_leaving(heard.holder)
         )
 
     def _try_update_placement(
