Accept in a planned stop only what can be answered before its end

What callers saw: in a planned stop, requests that came in the last part of the period of accepting were passed on, and ended with the process. On the code before, with all engines at work without an end, a grace of 4 s, and bookings with a limit of 10 s sent every 0.1 s from 0.1 s after SIGTERM: 31 of 34 were passed on and ended with 502 while the process closed its connections. With a store that gives no answer, all 39 were passed on, the process was killed and the clients got no answer at all.

Cause: the instance accepted everything for 3.2 s without a look at deadlines and timeouts, and ended 0.5 s before the kill with whatever was in flight. The answers of 502 came only since sessions were closed before the loop ended. The 3.2 s began when the relays and the store had answered, which a silent store delays by 2 s, and they were not bounded by the grace.

Ruled out: requests whose limit ends within the grace (served, also before), a second signal, and connections just accepted.

Change: core/forwarding/draining.py decides. A request that may run once only is accepted if its time limit ends before the process does, one that may be repeated also if its expected duration does, and none after 2.6 s. Requests that wait for a turn when a drain starts are judged again. At the end, those without a byte of an answer get 503 if no attempt was made, else 504. Relays and the store are told in the background.

--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -10,10 +10,12 @@
 import structlog
 
 from yuccatally.core.forwarding import attempts
+from yuccatally.core.forwarding import draining
 from yuccatally.core.forwarding import rules
 from yuccatally.forwarding import calls
 from yuccatally.forwarding import request_context
 from yuccatally.forwarding import streams
+from yuccatally.forwarding import upstream_responses
 from yuccatally.platform import headers as platform_headers
 from yuccatally.upstreams import services
 
@@ -55,12 +57,28 @@
     retry_after_s: float | None = None
 
 
+@dataclasses.dataclass(eq=False)
+class InFlight:
+    """A request that is in flight.
+
+    Attributes:
+        writer: Sends its response.
+        time_limit: Ends the request when it is rescheduled.
+        context: The admitted request; None before.
+    """
+
+    writer: request_context.ResponseWriter
+    time_limit: asyncio.Timeout
+    context: request_context.RequestContext | None = None
+
+
 class Application:
     """Matches requests to a route and a client account and forwards them.
 
     Attributes:
-        refusing: Whether new requests are refused because the process could
-            end before they do.
+        drain: The graceful shutdown; None before it starts.
+        paces: Recent durations of requests.
+        in_flight: Requests in flight.
     """
 
     def __init__(
@@ -74,7 +92,26 @@
         self.streams = stream_forwarder
         self.calls = call_forwarder
         self.metrics = counters
-        self.refusing = False
+        self.drain: draining.Drain | None = None
+        self.paces = draining.PaceHistory()
+        self.in_flight: set[InFlight] = set()
+
+    def start_drain(self, drain: draining.Drain) -> None:
+        """Limits all requests to the time that is left.
+
+        Requests that wait here and would not be accepted now are refused.
+        """
+        self.drain = drain
+        now = time.monotonic()
+        for entry in self.in_flight:
+            context = entry.context
+            is_refused = (
+                context is not None
+                and not entry.writer.attempt_count
+                and not self._accepts(drain, context, now)
+            )
+            end = now if is_refused else drain.ends_at
+            entry.time_limit.reschedule(_loop_time(end))
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -90,33 +127,58 @@
         )
         route = ""
         self.state.in_flight += 1
+        drain = self.drain
+        time_limit = asyncio.timeout_at(drain and _loop_time(drain.ends_at))
+        entry = InFlight(writer, time_limit)
         try:
-            body = await self._read_body(receive)
-            admitted = self._admit(scope, headers, request, body, started_at)
-            if isinstance(admitted, Rejection):
-                await writer.send_error(
-                    admitted.status, admitted.reason, admitted.retry_after_s
+            async with time_limit:
+                self.in_flight.add(entry)
+                body = await self._read_body(receive)
+                admitted = self._admit(
+                    scope, headers, request, body, started_at
                 )
-            else:
-                route = admitted.route.name
-                await self._forward(admitted, receive, writer)
+                if isinstance(admitted, Rejection):
+                    await writer.send_error(
+                        admitted.status, admitted.reason, admitted.retry_after_s
+                    )
+                else:
+                    route = admitted.route.name
+                    entry.context = admitted
+                    await self._forward(admitted, receive, writer)
         except ClientDisconnectedError:
             writer.reason = "client-gone"
         except asyncio.CancelledError:
             writer.reason = "stopped"
             raise
+        except TimeoutError:
+            if time_limit.expired():
+                action = draining.final_action(writer.attempt_count)
+                await upstream_responses.end_request(writer, action, "leaving")
+            else:
+                await self._end_failed(request, writer)
         except Exception:
-            # Returning aborts a response that has started. The upstream may
-            # have processed the request, so the error does not state that it
-            # was not executed.
-            _log.exception("request_failed", request=request.id)
-            writer.reason = "internal-error"
-            if not writer.started:
-                await writer.send_error(500, writer.reason)
+            await self._end_failed(request, writer)
         finally:
+            self.in_flight.discard(entry)
             self.state.in_flight -= 1
             self._record(request, route, writer, started_at)
 
+    async def _end_failed(
+        self,
+        request: requests.Request,
+        writer: request_context.ResponseWriter,
+    ) -> None:
+        """Ends a request after an unexpected exception, which it logs.
+
+        Returning aborts a response that has started. The upstream may have
+        processed the request, so the error does not state that it was not
+        executed.
+        """
+        _log.exception("request_failed", request=request.id)
+        writer.reason = "internal-error"
+        if not writer.started:
+            await writer.send_error(500, writer.reason)
+
     async def _forward(
         self,
         context: request_context.RequestContext,
@@ -172,8 +234,6 @@
             return Rejection(503, "no-configuration", attempts.RETRY_AFTER_S)
         if body is None:
             return Rejection(413, "body-too-long")
-        if self.refusing:
-            return Rejection(503, "leaving", 0.0)
         host = _host(scope)
         path = scope["raw_path"].decode("latin-1")
         route = current_rules.match_route(host, path)
@@ -192,7 +252,7 @@
         wait_s = route.timeout_s
         if request.wait_s is not None:
             wait_s = min(wait_s, request.wait_s)
-        return request_context.RequestContext(
+        context = request_context.RequestContext(
             request=request,
             method=scope["method"],
             target=f"{path}?{query}" if query else path,
@@ -205,6 +265,27 @@
             received_at=started_at,
             deadline=started_at + wait_s,
         )
+        if self.drain and not self._accepts(
+            self.drain, context, time.monotonic()
+        ):
+            return Rejection(503, "leaving", draining.RETRY_AFTER_S)
+        return context
+
+    def _accepts(
+        self,
+        drain: draining.Drain,
+        context: request_context.RequestContext,
+        now: float,
+    ) -> bool:
+        """Returns whether a request ends before the instance does."""
+        return drain.accepts(
+            now,
+            context.deadline,
+            context.route.repeat.may_run_again,
+            self.paces.expected_s(
+                context.route.name, context.request.max_answer_tokens
+            ),
+        )
 
     def _reject_unknown(self, status: int, reason: str) -> Rejection:
         """Rejects a request whose route or key is not configured.
@@ -227,6 +308,10 @@
         outcome = "complete" if writer.is_complete else "broken-off"
         self.metrics.count("forwarded", f"{writer.status} {outcome}")
         self.metrics.observe("request", now - started_at)
+        if writer.is_complete and 200 <= writer.status < 300:
+            self.paces.record(
+                route, request.max_answer_tokens, now - started_at
+            )
         if writer.first_byte_at:
             self.metrics.observe(
                 "first_byte", writer.first_byte_at - started_at
@@ -264,6 +349,12 @@
         pass
 
 
+def _loop_time(monotonic_time: float) -> float:
+    """Returns a monotonic time on the clock of the event loop."""
+    loop = asyncio.get_running_loop()
+    return loop.time() + monotonic_time - time.monotonic()
+
+
 def _host(scope: Scope) -> str:
     for name, value in scope["headers"]:
         if name == b"host":
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -11,6 +11,7 @@
 import aiohttp
 import structlog
 
+from yuccatally.core.forwarding import draining
 from yuccatally.forwarding import application
 from yuccatally.forwarding import calls
 from yuccatally.forwarding import control
@@ -45,13 +46,9 @@
 
 # Callers cache addresses for this long, and some for three times as long.
 DIRECTORY_TTL_S = 1.0
-# Requests that arrive later than this after the start of a drain come from
-# callers that could not resolve addresses again. They are refused, since a long
-# response would be aborted.
-REFUSE_AFTER_S = 3.2
-# The process exits this long before it would be killed: the listeners wait 0.2
-# s for a last request, and closing takes some tens of milliseconds.
-END_MARGIN_S = 0.5
+# Time to write the last answers of a drain. It and the closing of connections
+# fit into ``draining.END_MARGIN_S``.
+FINAL_ANSWER_S = 0.15
 # Short compared with the duration of a response.
 DRAIN_POLL_S = 0.05
 # Idle connections are kept well beyond the idle timeout that clients use, so
@@ -75,6 +72,7 @@
     Attributes:
         state: State that the components share.
         stopping: Set when a drain starts.
+        leaving_at: Monotonic time at which a drain started; 0 before.
         failure: Error with which a component has ended; None without one.
     """
 
@@ -87,6 +85,7 @@
         self.fleet.on_removed = self.registration.remove
         self.metrics = metrics.Metrics()
         self.stopping = asyncio.Event()
+        self.leaving_at = 0.0
         self.failure: BaseException | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -121,8 +120,13 @@
     def start_drain(self) -> None:
         """Starts a graceful shutdown; further calls have no effect."""
         if not self.state.leaving:
+            self.leaving_at = time.monotonic()
             self.state.leaving = True
-            _log.info("draining", in_flight=self.state.in_flight)
+            _log.info(
+                "draining",
+                in_flight=self.state.in_flight,
+                grace_s=self.settings.bounds.grace_s,
+            )
             self.stopping.set()
 
     async def run(self) -> None:
@@ -217,19 +221,21 @@
 
     async def _drain(self, listeners: list[servers.Listener]) -> None:
         """Serves until no more requests are expected and none is in flight."""
-        started_at = time.monotonic()
-        await asyncio.gather(
-            self.fleet.notify_relays(), self.control.release_lease()
+        drain = draining.Drain.from_config(
+            self.leaving_at, self.settings.bounds.grace_s
         )
-        await asyncio.sleep(REFUSE_AFTER_S)
-        self.application.refusing = True
-        ends_at = started_at + self.settings.bounds.grace_s - END_MARGIN_S
-        await self._until_idle(ends_at)
+        self.application.start_drain(drain)
+        # These calls may last as long as the drain if the store is silent.
+        for work in (self.fleet.notify_relays(), self.control.release_lease()):
+            self.fleet.spawn(work)
+        await asyncio.sleep(drain.refuses_at - time.monotonic())
+        stops_at = drain.ends_at - servers.FIRST_REQUEST_GRACE_S
+        await self._until_idle(stops_at)
         for listener in listeners:
             listener.close_idle()
         # A request that has just been accepted is still answered.
         await asyncio.gather(*(listener.stop() for listener in listeners))
-        await self._until_idle(ends_at)
+        await self._until_idle(drain.ends_at + FINAL_ANSWER_S)
 
     async def _until_idle(self, ends_at: float) -> None:
         # Polling keeps the request counter free of synchronization.
--- a/tests/forwarding/test_state.py
+++ b/tests/forwarding/test_state.py
@@ -14,6 +14,7 @@
 import pytest
 import structlog
 
+from yuccatally.core.forwarding import draining
 from yuccatally.forwarding import control
 from yuccatally.platform import documents
 from yuccatally_standins import path_engine
@@ -465,7 +466,10 @@
 ) -> None:
     """Guards against a request that is aborted when the process is killed."""
     instance = served.instances[0]
-    instance.application.refusing = True
+    started_at = time.monotonic() - draining.ACCEPT_PERIOD_S
+    instance.application.start_drain(
+        draining.Drain.from_config(started_at, instance.settings.bounds.grace_s)
+    )
     for target in ("/ask/x", "/book/x"):
         status, headers, _ = await served.send_request(target)
         assert (status, headers["retry-after"]) == (503, "0")
@@ -551,6 +555,8 @@
     Listeners were cancelled as soon as no request was in flight.
     """
     instance = served.instances[0]
+    bounds = dataclasses.replace(instance.settings.bounds, grace_s=5.0)
+    instance.reload(dataclasses.replace(instance.settings, bounds=bounds))
     plain_service = served.engines["d1"]
     plain_service.delay_s = 0.1
     instance.start_drain()
