Wait in a planned stop until answers have left the instance

What callers saw: an answer that its client reads slowly could end short at the end of a planned stop. The test showed the instance stop while most of an answer of 8 MB was still in its buffer.

Cause: a request is no longer in flight once its answer is handed to the connection, and the drain waited for requests in flight only.

Ruled out: answers within the socket buffer, which the kernel sends after the end of the process.

Change: a drain also waits, within its end, until no connection has unsent data. test_answer_to_a_slow_reader_is_sent_whole failed before.

--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -230,16 +230,25 @@
             self.fleet.spawn(work)
         await asyncio.sleep(drain.refuses_at - time.monotonic())
         stops_at = drain.ends_at - servers.FIRST_REQUEST_GRACE_S
-        await self._until_idle(stops_at)
+        await self._until_idle(listeners, stops_at)
         for listener in listeners:
             listener.close_idle()
         # A request that has just been accepted is still answered.
         await asyncio.gather(*(listener.stop() for listener in listeners))
-        await self._until_idle(drain.ends_at + FINAL_ANSWER_S)
+        await self._until_idle(listeners, drain.ends_at + FINAL_ANSWER_S)
+
+    async def _until_idle(
+        self, listeners: list[servers.Listener], ends_at: float
+    ) -> None:
+        """Waits until all answers are sent, or until a time."""
+
+        def is_busy() -> bool:
+            return self.state.in_flight > 0 or any(
+                listener.has_unsent_data for listener in listeners
+            )
 
-    async def _until_idle(self, ends_at: float) -> None:
         # Polling keeps the request counter free of synchronization.
-        while self.state.in_flight and time.monotonic() < ends_at:  # noqa: ASYNC110
+        while is_busy() and time.monotonic() < ends_at:  # noqa: ASYNC110
             await asyncio.sleep(DRAIN_POLL_S)
 
     def _listeners(self) -> list[servers.Listener]:
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -92,6 +92,14 @@
         """Serves until ``stop`` is called and requests have ended."""
         await self.server.serve(sockets=[self.socket])
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Whether a caller has not received the whole of an answer yet."""
+        return any(
+            connection.transport.get_write_buffer_size()
+            for connection in self.server.server_state.connections
+        )
+
     def close_idle(self) -> None:
         """Closes connections that are idle after a request.
 
--- a/tests/forwarding/test_draining.py
+++ b/tests/forwarding/test_draining.py
@@ -12,6 +12,7 @@
 from yuccatally.core.forwarding import draining
 from yuccatally.core.forwarding import statements
 from yuccatally.forwarding import node
+from yuccatally_standins import path_engine
 from yuccatally_standins import path_site
 
 if TYPE_CHECKING:
@@ -176,3 +177,36 @@
     assert head.startswith(b"http/1.1 503 ")
     assert b"connection: close" in head
     writer.close()
+
+
+async def test_answer_to_a_slow_reader_is_sent_whole(
+    leaving: path_site.Site,
+    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an answer that is cut because the process has ended.
+
+    The request was no longer in flight while its answer waited in a buffer.
+    """
+    reader, writer = connection
+    body = b"x" * 8_000_000
+
+    async def send_long(
+        self: path_engine.PathEngine, request: object, _: bytes
+    ) -> object:
+        return self._create_response(request, 200, body)
+
+    monkeypatch.setattr(path_engine.PathEngine, "_send_plain", send_long)
+    instance = leaving.instances[0]
+    writer.write(REQUEST % b"/book/x")
+    await path_site.until(
+        lambda: "raw" in _executed(leaving) and not instance.state.in_flight
+    )
+    instance.start_drain()
+    await asyncio.sleep(draining.ACCEPT_PERIOD_S + 0.5)
+    assert not leaving.tasks[0].done()
+    await _read_head(reader)
+    async with asyncio.timeout(5.0):
+        assert await reader.readexactly(len(body)) == body
+    async with asyncio.timeout(1.0):
+        await leaving.tasks[0]
