Keep open connections by the largest idle limit in force

What callers saw: beside a change of the configuration, a kept connection was closed by the instance earlier than its client could know. A request that crossed the close ended without an answer. Shown over sockets with limits of 0.4 and 1.2 s: after the limit was lowered, a connection was closed 0.36 s after its next request, and after it was raised, an idle one at 0.40 s.

Cause: a new limit was set on all open connections, and the timer of an idle connection, started by uvicorn, kept the delay of the limit before.

Ruled out: an idle connection whose limit is lowered and that gets no request stays open by the earlier limit (its timer was already running), and new connections get the new limit, both also before.

Change: the limit of an open connection only rises, and a timer that ends before the raised limit is started again.

--- a/src/yuccatally/instance/protocol.py
+++ b/src/yuccatally/instance/protocol.py
@@ -77,6 +77,7 @@
         wire_bytes: Bytes received for the current request.
         header_bytes: Parsed length of the request line and headers.
         closing: Whether a refusal was sent or the connection aborted.
+        idle_since: Time of the event loop at which the latest answer ended.
     """
 
     limits: ConnectionLimits
@@ -90,6 +91,7 @@
         self.wire_bytes = 0
         self.header_bytes = 0
         self.closing = False
+        self.idle_since = 0.0
         self.read_timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
 
@@ -158,6 +160,21 @@
         )
         super().on_headers_complete()
 
+    def on_response_complete(self) -> None:
+        """Records the start of an idle period."""
+        self.idle_since = self.loop.time()
+        super().on_response_complete()
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Closes the connection, unless its idle limit was raised meanwhile."""
+        idle_until = self.idle_since + self.timeout_keep_alive
+        if self.loop.time() < idle_until:
+            self.timeout_keep_alive_task = self.loop.call_at(
+                idle_until, self.timeout_keep_alive_handler
+            )
+        else:
+            super().timeout_keep_alive_handler()
+
     def on_body(self, body: bytes) -> None:
         """Passes the body on, unless the request was refused."""
         if not self.closing:
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -82,11 +82,18 @@
     def apply_limits(
         self, limits: protocol.ConnectionLimits, keep_alive_s: float
     ) -> None:
-        """Changes the limits, also of open connections."""
+        """Changes the limits, also of open connections.
+
+        Open connections keep the largest idle limit that was in force: callers
+        reuse them by it until they know the newer one, and a close that crosses
+        a request leaves it without an answer.
+        """
         self.server.config.http.limits = limits
         self.server.config.timeout_keep_alive = keep_alive_s
         for connection in list(self.server.server_state.connections):
-            connection.timeout_keep_alive = keep_alive_s
+            connection.timeout_keep_alive = max(
+                connection.timeout_keep_alive, keep_alive_s
+            )
 
     async def serve(self) -> None:
         """Serves until ``stop`` is called and requests have ended."""
