Let no request that is just ending end a drain

Ruled out: requests that end in any other way, which wait for nothing between the end of their time limit and their removal.

Change: an entry is removed before its time limit ends.

--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -125,26 +125,13 @@
         request = platform_headers.decode_request(
             {n.lower(): v for n, v in headers}
         )
-        route = ""
         self.state.in_flight += 1
         drain = self.drain
         time_limit = asyncio.timeout_at(drain and _loop_time(drain.ends_at))
         entry = InFlight(writer, time_limit)
         try:
             async with time_limit:
-                self.in_flight.add(entry)
-                body = await self._read_body(receive)
-                admitted = self._admit(
-                    scope, headers, request, body, started_at
-                )
-                if isinstance(admitted, Rejection):
-                    await writer.send_error(
-                        admitted.status, admitted.reason, admitted.retry_after_s
-                    )
-                else:
-                    route = admitted.route.name
-                    entry.context = admitted
-                    await self._forward(admitted, receive, writer)
+                await self._serve(entry, scope, headers, request, receive)
         except ClientDisconnectedError:
             writer.reason = "client-gone"
         except asyncio.CancelledError:
@@ -159,10 +146,37 @@
         except Exception:
             await self._end_failed(request, writer)
         finally:
-            self.in_flight.discard(entry)
             self.state.in_flight -= 1
+            context = entry.context
+            route = context.route.name if context else ""
             self._record(request, route, writer, started_at)
 
+    async def _serve(
+        self,
+        entry: InFlight,
+        scope: Scope,
+        headers: services.Headers,
+        request: requests.Request,
+        receive: Receive,
+    ) -> None:
+        """Reads a request, and forwards or rejects it."""
+        started_at = time.monotonic()
+        writer = entry.writer
+        # The limit of an entry cannot be changed after this method.
+        self.in_flight.add(entry)
+        try:
+            body = await self._read_body(receive)
+            admitted = self._admit(scope, headers, request, body, started_at)
+            if isinstance(admitted, Rejection):
+                await writer.send_error(
+                    admitted.status, admitted.reason, admitted.retry_after_s
+                )
+            else:
+                entry.context = admitted
+                await self._forward(admitted, receive, writer)
+        finally:
+            self.in_flight.discard(entry)
+
     async def _end_failed(
         self,
         request: requests.Request,
--- a/tests/forwarding/test_draining.py
+++ b/tests/forwarding/test_draining.py
@@ -6,6 +6,7 @@
 import dataclasses
 import time
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
@@ -140,6 +141,38 @@
     assert status == 200
 
 
+async def test_request_that_just_ends_does_not_end_a_drain(
+    leaving: path_site.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a drain that fails and cuts all requests in flight.
+
+    The time limit of a request that is being ended cannot be changed.
+    """
+    instance = leaving.instances[0]
+    ending = asyncio.Event()
+    end_failed = instance.application._end_failed
+
+    async def fail(*args: object) -> None:
+        raise RuntimeError("broken")
+
+    async def end_late(*args: Any) -> None:
+        ending.set()
+        await asyncio.sleep(0.5)
+        await end_failed(*args)
+
+    with monkeypatch.context() as changed:
+        changed.setattr(instance.application.calls, "run", fail)
+        changed.setattr(instance.application, "_end_failed", end_late)
+        task = asyncio.create_task(leaving.send_request("/book/x", "failed"))
+        await ending.wait()
+        instance.start_drain()
+        await asyncio.sleep(0.1)
+    assert not leaving.tasks[0].done()
+    status, _, _ = await leaving.send_request("/book/x", "late")
+    assert status == 200
+    assert (await task)[0] == 500
+
+
 async def test_kept_connection_is_closed_with_an_answer(
     leaving: path_site.Site,
     connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
