Test responses that end within their headers at each byte

Operators report an engine that stopped within the headers of its response, and clients that got a 200 with an empty or short body, framed as whole.

Cause of the report, from reading: the parser does complete the headers it has seen when the connection ends, but aiohttp only attaches them to the error. Ruled out: statements in such headers, the first digits of a Content-Length, headers after an early response and on a kept connection, and the parser in Python, which passes the same tests. A response whose headers are whole, that has neither a length nor chunks and that is closed in order is whole by its framing; nothing can tell a cut there.

Tests: each reader of responses against a stand-in; a booking, a repeatable call and a stream through an instance.

--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -47,6 +47,9 @@
         unframed: End of a response without a length: ``close`` or ``reset``;
             empty for responses with a length.
         drops_answer: Whether an executed request gets no response.
+        partial_head: Bytes sent in response to an executed request before its
+            connection closes, with ``%b`` for its ID; empty for whole
+            responses.
         leaving: Whether requests and health checks are refused.
         fatal_part: Part of a prompt under which the process ends when it begins
             to answer; empty for none.
@@ -75,6 +78,7 @@
     unsigned: bool = False
     unframed: str = ""
     drops_answer: bool = False
+    partial_head: bytes = b""
     leaving: bool = False
     fatal_part: str = ""
     announces_leaving: bool = False
@@ -318,6 +322,12 @@
                 await asyncio.sleep(3600)
             if self.behaviour.drops_answer:
                 await asyncio.sleep(3600)
+            if self.behaviour.partial_head:
+                request.transport.write(
+                    self.behaviour.partial_head % attempt.encode()
+                )
+                request.transport.close()
+                return web.Response()
             if self.behaviour.failure_status:
                 return self._create_response(
                     request, self.behaviour.failure_status, b"failed"
