Count a reset body without a length as incomplete at all readers

Callers saw: the answer of a service, cut short and framed as whole, when its connection was reset within a body that has neither a length nor chunks. Health checks and orders took such responses as whole too. Each such reset at a request of a client wrote a traceback, "Future exception was never retrieved", to the log.

Cause: aiohttp reports a reset as the end of a body that ends with its connection. Only requests of clients checked for it, with a future of the end of the connection that nobody awaited for all other responses. Ruled out: bodies with a length or chunks, which aiohttp itself fails.

Change: the protocol of connections fails such a body, for all sessions of requests, services, the store, reports and orders. This replaces the future and the wait of up to 0.5 s for the end of the connection.

--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -34,6 +34,7 @@
 from yuccatally.instance import usage
 from yuccatally.instance import watch
 from yuccatally.operators import application as operators_application
+from yuccatally.store import connectors
 from yuccatally.store import http as http_store
 from yuccatally.store import middlewares
 from yuccatally.telemetry import metrics
@@ -129,7 +130,7 @@
 
     async def run(self) -> None:
         """Serves until a drain is complete."""
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = connectors.CheckedConnector(limit=0)
         async with aiohttp.ClientSession(
             connector=connector, middlewares=(middlewares.send_at_most_once,)
         ) as self.session:
--- a/src/yuccatally/store/connectors.py
+++ b/src/yuccatally/store/connectors.py
@@ -2,19 +2,36 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import aiohttp
 import structlog
 
+from yuccatally.store import response_protocol
+
 if TYPE_CHECKING:
+    from typing import Any
+
     from aiohttp import connector
     from aiohttp import tracing
 
 _log = structlog.get_logger()
 
 
-class UnusedDataConnector(aiohttp.TCPConnector):
+class CheckedConnector(aiohttp.TCPConnector):
+    """Reads responses with ``response_protocol.CheckedProtocol``."""
+
+    def __init__(self, **options: Any) -> None:
+        """Creates a connector; see ``aiohttp.TCPConnector``."""
+        super().__init__(**options)
+        # aiohttp has no public option for the class of its protocol.
+        self._factory = functools.partial(
+            response_protocol.CheckedProtocol, loop=self._loop
+        )
+
+
+class UnusedDataConnector(CheckedConnector):
     """Keeps connections, but none on which bytes arrived while it was idle.
 
     A faulty server may write a response once more. aiohttp checks for such
--- /dev/null
+++ b/src/yuccatally/store/response_protocol.py
@@ -0,0 +1,50 @@
+"""Protocol of connections to servers, for aiohttp."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import hdrs
+
+if TYPE_CHECKING:
+    from aiohttp import http_parser
+    from aiohttp import streams
+
+
+class CheckedProtocol(client_proto.ResponseHandler):
+    """Fails a body whose connection is reset before its end.
+
+    aiohttp reports the reset of a connection as the end of a body that has
+    neither a length nor chunks.
+
+    Attributes:
+        ends_with_connection: Whether only the end of the connection marks the
+            end of the body of the latest response.
+    """
+
+    ends_with_connection = False
+
+    def feed_data(
+        self,
+        data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Called with each response whose headers are complete."""
+        message = data[0]
+        self.ends_with_connection = (
+            not message.chunked and hdrs.CONTENT_LENGTH not in message.headers
+        )
+        super().feed_data(data, size)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Called at the end of the connection, with an error after a reset."""
+        if exc is not None and self.ends_with_connection:
+            self._fail_body("connection reset within the body")
+        super().connection_lost(exc)
+
+    def _fail_body(self, reason: str) -> None:
+        body = self._payload
+        if body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError(reason))
--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -26,12 +26,6 @@
 # Below the idle timeout of upstreams, so that no request is sent on a
 # connection that the upstream is closing.
 KEEP_ALIVE_TIMEOUT_S = 2.0
-# Time within which an upstream closes the connection after the last byte of a
-# body without a declared length.
-CLOSE_TIMEOUT_S = 0.5
-
-# Responses with these statuses end with their headers.
-BODILESS_STATUSES = frozenset({204, 304})
 
 RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
 
@@ -75,23 +69,18 @@
 
 
 class WatchedResponse(aiohttp.ClientResponse):
-    """A response that records how its connection ended.
+    """A response that keeps the protocol of its connection.
 
     Attributes:
         protocol: Protocol of the connection.
-        connection_closed: Future of the end of the connection; None if it had
-            ended before the headers were read.
     """
 
     protocol: client_proto.ResponseHandler | None = None
-    connection_closed: asyncio.Future[None] | None = None
 
     async def start(self, connection: connector.Connection) -> Self:
         """Reads the headers."""
         # Read first: later the connection may be released or closed.
         self.protocol = connection.protocol
-        if self.protocol is not None:
-            self.connection_closed = self.protocol.closed
         return await super().start(connection)
 
 
@@ -101,22 +90,12 @@
     Attributes:
         status: HTTP status.
         headers: End-to-end headers in order.
-        ends_with_close: Whether only the end of the connection marks the end of
-            the body.
     """
 
     def __init__(self, response: WatchedResponse) -> None:
         self.response = response
         self.status = response.status
         self.headers = services.end_to_end_headers(list(response.raw_headers))
-        length = response.headers.get("Content-Length")
-        encoding = response.headers.get("Transfer-Encoding", "")
-        self.ends_with_close = (
-            length is None
-            and "chunked" not in encoding.lower()
-            and response.status not in BODILESS_STATUSES
-            and response.method != "HEAD"
-        )
 
     def header(self, name: str) -> str:
         """Returns the value of a header, empty if it is missing."""
@@ -135,8 +114,6 @@
             raise NoResponseError("read timeout", timed_out=True) from error
         except RESPONSE_ERRORS as error:
             raise NoResponseError(type(error).__name__) from error
-        if self.ends_with_close:
-            await self._check_close()
 
     async def body(self, max_body_bytes: int) -> bytes:
         """Returns the whole body.
@@ -161,27 +138,6 @@
         if self.response.protocol is not None:
             self.response.protocol.close()
 
-    async def _check_close(self) -> None:
-        """Distinguishes a reset from the end of a body without a length.
-
-        The client library reports both as the end of the body.
-
-        Raises:
-            NoResponseError: The connection was reset or not closed in time.
-        """
-        closed = self.response.connection_closed
-        if closed is None:
-            raise NoResponseError("end of the connection not observed")
-        try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_S):
-                await asyncio.shield(closed)
-        except TimeoutError as error:
-            raise NoResponseError(
-                "end of the connection not observed"
-            ) from error
-        except RESPONSE_ERRORS as error:
-            raise NoResponseError("connection reset within the body") from error
-
 
 class UpstreamClient:
     """Sends each request at most once."""
--- a/src/yuccatally/upstreams/services.py
+++ b/src/yuccatally/upstreams/services.py
@@ -136,7 +136,7 @@
     trace_config.on_connection_create_start.append(_on_connecting)
     trace_config.on_connection_create_end.append(_on_connected)
     trace_config.on_connection_reuseconn.append(_on_connected)
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector = connectors.CheckedConnector(limit=0, force_close=True)
     if keep_alive_s:
         connector = connectors.UnusedDataConnector(
             limit=0, keepalive_timeout=keep_alive_s
--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -97,7 +98,10 @@
         except exchange.NoResponseError:
             assert not received
             return False
-        await response.body(MAX_BODY_BYTES)
+        try:
+            await response.body(MAX_BODY_BYTES)
+        finally:
+            response.close()
     except exchange.NoResponseError:
         return False
     finally:
@@ -251,3 +255,28 @@
     response = HEADS[body] + BODIES[body]
     cuts = range(len(HEADS[body]), len(response))
     assert not await _find_accepted(READERS[reader], response, cuts, ending)
+
+
+@pytest.mark.parametrize("reader", READERS)
+async def test_reset_body_without_length_is_not_whole(reader: str) -> None:
+    """Guards against a short body of a connection that was reset.
+
+    Only bodies that end with their connection looked whole.
+    """
+    response = HEADS["unframed"] + BODY
+    cuts = range(len(HEADS["unframed"]), len(response) + 1)
+    ending = cut_responses.Ending.RESET
+    assert not await _find_accepted(READERS[reader], response, cuts, ending)
+
+
+async def test_reset_connections_log_nothing_of_libraries(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a traceback in the log for each reset connection."""
+    response = HEADS["unframed"] + BODY
+    ending = cut_responses.Ending.RESET
+    for cuts in (range(len(response)), range(len(response), len(response) + 1)):
+        assert not await _find_accepted(_read_upstream, response, cuts, ending)
+    gc.collect()
+    await asyncio.sleep(0)
+    assert not caplog.records
