End a body at once when its chunks are invalid

Callers saw: nothing until the timeout of the attempt when an engine sent bytes that are no chunk within a chunked body: up to the whole deadline for a request that may not be repeated, half of it for another one.

Cause: the parser's error closes the connection and cancels its read timeout, but aiohttp hands the error to the next response only and not to the body that is being read. Ruled out: a shorter read timeout, which aiohttp has cancelled by then; invalid bytes in the same segment as the headers, which fail at once.

Change: the protocol of connections passes the error on to the body.

Tests: all seven readers waited until a timeout, the two of client requests until the test's own; all fail within 0.9 s now.

--- a/src/yuccatally/store/response_protocol.py
+++ b/src/yuccatally/store/response_protocol.py
@@ -7,6 +7,7 @@
 import aiohttp
 from aiohttp import client_proto
 from aiohttp import hdrs
+from aiohttp import http_exceptions
 
 if TYPE_CHECKING:
     from aiohttp import http_parser
@@ -14,10 +15,11 @@
 
 
 class CheckedProtocol(client_proto.ResponseHandler):
-    """Fails a body whose connection is reset before its end.
+    """Fails a body that is cut off by a reset or by bytes that are no body.
 
     aiohttp reports the reset of a connection as the end of a body that has
-    neither a length nor chunks.
+    neither a length nor chunks. After an invalid chunk it closes the connection
+    and leaves the reader waiting until its timeout.
 
     Attributes:
         ends_with_connection: Whether only the end of the connection marks the
@@ -38,6 +40,14 @@
         )
         super().feed_data(data, size)
 
+    def set_exception(
+        self, exc: BaseException, *exc_cause: BaseException
+    ) -> None:
+        """Called with each error of the connection or of its parser."""
+        super().set_exception(exc, *exc_cause)
+        if isinstance(exc, http_exceptions.HttpProcessingError):
+            self._fail_body("invalid bytes within the body")
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Called at the end of the connection, with an error after a reset."""
         if exc is not None and self.ends_with_connection:
--- a/src/yuccatally_standins/cut_responses.py
+++ b/src/yuccatally_standins/cut_responses.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-# A reset discards what the caller has not read yet.
-RESET_DELAY_S = 0.01
+# Time in which the caller reads what was sent; a reset discards the rest.
+READ_DELAY_S = 0.01
 
 _LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 
@@ -36,6 +36,7 @@
     Attributes:
         sent: Bytes sent in response to a request.
         ending: How the connection ends afterwards.
+        later: Further bytes, sent once the caller has read ``sent``.
         earlier_response: Whole response to the first request of a connection;
             empty if that request gets ``sent``.
         late: Bytes sent after the earlier response, while no request is open.
@@ -45,6 +46,7 @@
 
     sent: bytes
     ending: Ending
+    later: bytes = b""
     earlier_response: bytes = b""
     late: bytes = b""
     address: str = ""
@@ -59,15 +61,18 @@
                 await self._read_request(reader)
                 writer.write(self.earlier_response)
                 if self.late:
-                    await asyncio.sleep(RESET_DELAY_S)
+                    await asyncio.sleep(READ_DELAY_S)
                     writer.write(self.late)
             await self._read_request(reader)
             writer.write(self.sent)
             await writer.drain()
+            if self.later:
+                await asyncio.sleep(READ_DELAY_S)
+                writer.write(self.later)
             if self.ending is Ending.NONE:
                 await reader.read()
             if self.ending is Ending.RESET:
-                await asyncio.sleep(RESET_DELAY_S)
+                await asyncio.sleep(READ_DELAY_S)
                 connection = writer.get_extra_info("socket")
                 linger = struct.pack("ii", 1, 0)
                 connection.setsockopt(
@@ -92,11 +97,12 @@
 async def run(
     sent: bytes,
     ending: Ending,
+    later: bytes = b"",
     earlier_response: bytes = b"",
     late: bytes = b"",
 ) -> AsyncIterator[CutServer]:
     """Runs a server on a free port; see ``CutServer``."""
-    cut = CutServer(sent, ending, earlier_response, late)
+    cut = CutServer(sent, ending, later, earlier_response, late)
     tasks: set[asyncio.Task[None]] = set()
 
     async def serve(
--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -29,6 +29,8 @@
 
 MAX_BODY_BYTES = 1024
 TIMEOUT_S = 5.0
+# Below the timeouts of all readers, with that of reports set to ``TIMEOUT_S``.
+INVALID_CHUNK_TIMEOUT_S = 0.9
 # Servers that run at a time.
 CONCURRENT_COUNT = 32
 BODY = b'{"items":[],"at":1}'
@@ -208,7 +210,9 @@
     async def accepts(cut: int) -> bool:
         async with (
             limit,
-            cut_responses.run(response[:cut], ending, earlier) as server,
+            cut_responses.run(
+                response[:cut], ending, earlier_response=earlier
+            ) as server,
         ):
             accepted = await reader(server.address)
             # An attempt is never repeated by the client library.
@@ -280,3 +284,23 @@
     gc.collect()
     await asyncio.sleep(0)
     assert not caplog.records
+
+
+@pytest.mark.parametrize("reader", READERS)
+async def test_invalid_chunk_fails_at_once(
+    reader: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a read until the timeout of a body that cannot go on.
+
+    The client library closed the connection and told the reader nothing.
+    """
+    monkeypatch.setattr(engines, "REPORT_TIMEOUT_S", TIMEOUT_S)
+    earlier = WHOLE_RESPONSE if reader == "kept" else b""
+    async with cut_responses.run(
+        HEADS["chunked"] + b"2\r\n{}\r\n",
+        cut_responses.Ending.NONE,
+        later=b"no size\r\n",
+        earlier_response=earlier,
+    ) as server:
+        async with asyncio.timeout(INVALID_CHUNK_TIMEOUT_S):
+            assert not await READERS[reader](server.address)
