Use no kept connection on which a part of a response arrived

Callers saw: an attempt without a response, so 502 or a repeated run, when a faulty engine had begun another response on an idle connection. Part of the headers was held back and the rest was read in place of the next response.

Cause: a kept connection was discarded for whole unused responses only. Part of one stays in the parser of the earlier request, which shows nothing of it. Ruled out: a response of another request that is taken for this one, since the rest of the headers is no status line; connections of requests that may run once only, which are not kept.

Change: while a connection is idle, bytes are dropped and mark it for closing, so that they occupy no memory either.

--- a/src/yuccatally/store/connectors.py
+++ b/src/yuccatally/store/connectors.py
@@ -34,11 +34,21 @@
 class UnusedDataConnector(CheckedConnector):
     """Keeps connections, but none on which bytes arrived while it was idle.
 
-    A faulty server may write a response once more. aiohttp checks for such
-    bytes when it keeps a connection and not when it uses it again, and would
-    return them as the response to the next request.
+    A faulty server may write a response once more, or a part of one. aiohttp
+    checks for whole responses when it keeps a connection and not when it uses
+    it again, and would return them as the response to the next request.
     """
 
+    def _release(
+        self,
+        key: connector.ConnectionKey,
+        protocol: response_protocol.CheckedProtocol,
+        *,
+        should_close: bool = False,
+    ) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        protocol.idle = True
+
     async def _get(
         self, key: connector.ConnectionKey, traces: list[tracing.Trace]
     ) -> connector.Connection | None:
@@ -47,6 +57,7 @@
             if kept is None or kept.protocol is None:
                 return kept
             if not kept.protocol.should_close:
+                kept.protocol.idle = False
                 return kept
             _log.info("connection_discarded", host=key.host, port=key.port)
             kept.close()
--- a/src/yuccatally/store/response_protocol.py
+++ b/src/yuccatally/store/response_protocol.py
@@ -24,9 +24,20 @@
     Attributes:
         ends_with_connection: Whether only the end of the connection marks the
             end of the body of the latest response.
+        idle: Whether the connection is kept and no request is open on it.
     """
 
     ends_with_connection = False
+    idle = False
+
+    def data_received(self, data: bytes) -> None:
+        """Called with bytes of the connection."""
+        if data and self.idle:
+            # They belong to no request. A parser would hold a part of a
+            # response that nothing shows.
+            self.force_close()
+            return
+        super().data_received(data)
 
     def feed_data(
         self,
--- a/src/yuccatally_standins/cut_responses.py
+++ b/src/yuccatally_standins/cut_responses.py
@@ -42,6 +42,7 @@
         late: Bytes sent after the earlier response, while no request is open.
         address: Address it listens on.
         request_count: Number of requests received.
+        connection_count: Number of connections accepted.
     """
 
     sent: bytes
@@ -51,11 +52,13 @@
     late: bytes = b""
     address: str = ""
     request_count: int = 0
+    connection_count: int = 0
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection."""
+        self.connection_count += 1
         try:
             if self.earlier_response:
                 await self._read_request(reader)
--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -304,3 +304,32 @@
     ) as server:
         async with asyncio.timeout(INVALID_CHUNK_TIMEOUT_S):
             assert not await READERS[reader](server.address)
+
+
+@pytest.mark.parametrize("cut", [1, 20, len(HEADS["refusal"]) - 2])
+async def test_connection_with_a_partial_late_response_is_not_used(
+    cut: int,
+) -> None:
+    """Guards against a request on a connection with another response within.
+
+    Part of the headers arrives while the connection is idle, the rest in place
+    of the next response.
+    """
+    upstream_client = exchange.UpstreamClient()
+    late = HEADS["refusal"]
+    async with cut_responses.run(
+        late[cut:] + WHOLE_RESPONSE,
+        cut_responses.Ending.CLOSE,
+        earlier_response=WHOLE_RESPONSE,
+        late=late[:cut],
+    ) as server:
+        request = exchange.UpstreamRequest(
+            "POST", server.address, "/x", (), b"", TIMEOUT_S, False
+        )
+        for number in (1, 2):
+            response = await upstream_client.open(request)
+            assert await response.body(MAX_BODY_BYTES) == b"{}"
+            # The late bytes arrive meanwhile.
+            await asyncio.sleep(0.1)
+            assert server.connection_count == number
+    await upstream_client.close()
