Count a 101 of an upstream as no response

Callers saw: 101 Switching Protocols with an empty body when a faulty engine answered so, shown with an instance and a booking. Cause: the client library skips all other statuses below 200 and returns this one; a status below 500 counted as the response. Ruled out: a change of the client's connection, which the server ends as usual. Change: the attempt has no response, so a booking ends with 502.

--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -26,6 +26,9 @@
 # Below the idle timeout of upstreams, so that no request is sent on a
 # connection that the upstream is closing.
 KEEP_ALIVE_TIMEOUT_S = 2.0
+# The only status below 200 that the client library returns. No request asks for
+# another protocol.
+SWITCHING_PROTOCOLS = 101
 
 RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
 
@@ -200,6 +203,9 @@
                 raise services.NotSentError(message) from error
             timed_out = isinstance(error, TimeoutError)
             raise NoResponseError(message, timed_out) from error
+        if response.status == SWITCHING_PROTOCOLS:
+            response.close()
+            raise NoResponseError(f"{request.address}: switching protocols")
         return UpstreamResponse(response)
 
     async def close(self) -> None:
--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -333,3 +333,16 @@
             await asyncio.sleep(0.1)
             assert server.connection_count == number
     await upstream_client.close()
+
+
+async def test_switch_of_protocols_is_no_response() -> None:
+    """Guards against a 101 that is passed on as the response of an upstream."""
+    response = b"HTTP/1.1 101 Switching Protocols\r\n%b\r\n" % NAMES
+    upstream_client = exchange.UpstreamClient()
+    async with cut_responses.run(response, ENDINGS[0]) as server:
+        request = exchange.UpstreamRequest(
+            "POST", server.address, "/x", (), b"", TIMEOUT_S, True
+        )
+        with pytest.raises(exchange.NoResponseError):
+            await upstream_client.open(request)
+    await upstream_client.close()
