Let engines of the stand-in pause as a whole

An engine that pauses gives no events, headers or answers to reports, orders and health checks; its connections stay open and new ones are accepted. Its path stalls, and it is named in the reports of the first engine, as one that does not answer is.

--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -7,10 +7,15 @@
 import socket
 import struct
 import time
+from typing import TYPE_CHECKING
 from typing import Any
 
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
 EVENT_INTERVAL_S = 0.005
 TRICKLE_INTERVAL_S = 0.05
 # The response before has been written.
@@ -133,6 +138,7 @@
         paths: Path of each open stream by attempt, on its first engine.
         rerouted_paths: Paths to which open streams were moved.
         has_crashed: Whether a prompt has ended the process.
+        is_running: Set while the process runs; cleared during a pause.
     """
 
     def __init__(
@@ -174,10 +180,12 @@
         self.runner: web.AppRunner | None = None
         self.has_crashed = False
         self.crashed_runner: web.AppRunner | None = None
+        self.is_running = asyncio.Event()
+        self.is_running.set()
 
     async def start(self) -> None:
         """Starts to listen on a free port."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._wait_for_end_of_pause])
         app.on_response_prepare.append(self._announce)
         app.router.add_get("/report", self._report)
         app.router.add_post("/order", self._order)
@@ -200,6 +208,14 @@
                 await runner.cleanup()
         self.runner = self.crashed_runner = None
 
+    def pause(self, pause_s: float) -> None:
+        """Stops all work for a time, in seconds; connections stay open.
+
+        Connections are accepted meanwhile, as the operating system does.
+        """
+        self.is_running.clear()
+        asyncio.get_running_loop().call_later(pause_s, self.is_running.set)
+
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns the entry that the engine publishes in the store."""
         entry: dict[str, Any] = {
@@ -219,9 +235,19 @@
             entry["layers"] = _encode_layers(self.held_layers)
         return entry
 
+    @web.middleware
+    async def _wait_for_end_of_pause(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        await self.is_running.wait()
+        return await handler(request)
+
     async def _announce(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
+        await self.is_running.wait()
         if self.behaviour.announces_leaving:
             response.headers["Server-Leaving"] = "1"
         if self.behaviour.rate_limit:
@@ -244,6 +270,7 @@
                     for attempt, path in self.paths.items()
                     for engine in self._engines_of(path)[1:]
                     if engine.behaviour.stalled
+                    or not engine.is_running.is_set()
                 ],
             }
         )
@@ -313,6 +340,7 @@
             request.transport.write(self.latest_refusal)
         try:
             await asyncio.sleep(self.delay_s)
+            await self.is_running.wait()
             if self._has_fatal_part(request):
                 await self._crash()
                 await asyncio.sleep(3600)
@@ -386,7 +414,7 @@
             await response.prepare(request)
             await self._send_events(request, response, first, attempt)
         finally:
-            del self.paths[attempt]
+            self.paths.pop(attempt, None)
         return response
 
     def _first_event(self, request: web.Request) -> int:
@@ -406,6 +434,7 @@
         for number in range(first, self.events + 1):
             while self._is_stalled(attempt):  # noqa: ASYNC110
                 await asyncio.sleep(EVENT_INTERVAL_S)
+            await self.is_running.wait()
             if self.behaviour.break_after == number - first:
                 await response.write(HALF_EVENT % number)
                 if self.behaviour.ends_within_event:
@@ -416,13 +445,17 @@
             while self.behaviour.trickle_after == number - first:
                 await response.write(b":")
                 await asyncio.sleep(TRICKLE_INTERVAL_S)
+                await self.is_running.wait()
             await response.write(b"id: %d\ndata: e%d\n\n" % (number, number))
             await asyncio.sleep(EVENT_INTERVAL_S)
+        await self.is_running.wait()
         await response.write_eof()
 
     def _is_stalled(self, attempt: str) -> bool:
-        engines = self._engines_of(self.paths[attempt])
-        return any(e.behaviour.stalled for e in engines)
+        engines = self._engines_of(self.paths.get(attempt, ""))
+        return any(
+            e.behaviour.stalled or not e.is_running.is_set() for e in engines
+        )
 
     def _engines_of(self, path: str) -> list[PathEngine]:
         return [
@@ -458,6 +491,7 @@
         head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
         transport = request.transport
         for part in (head, *parts):
+            await self.is_running.wait()
             transport.write(part)
             await asyncio.sleep(EVENT_INTERVAL_S)
         if self.behaviour.unframed == "reset":
