Keep the run of a silent engine while other engines are tried

Callers saw streams cut and calls answered with 502 or 504 although their engine was sound: it had fallen silent for 0.5 to 1.5 s and gone on.

Cause: a stream that was silent for 0.9 s, or whose path stalled, was closed at its engine before another engine had given an event. If that one refused, was lost or also silent, or if the attempts or the retry budget were spent, nothing was left to answer. Calls ended their first attempt after the objective or half of their time in the same way.

Ruled out: changes of the configuration (streams are cut as often beside one as without), the engine's exclusion by the leader (it ends no run; streams through an engine that was declared lost complete), and bookings and streams that may not resume (they already waited).

Now the silent run stays open while another path is tried. The first run to give an event, or for calls a whole answer, goes on and the others are closed. If nothing else can be tried, the request waits for the runs it has until its deadline. Each run has its own splitter, which starts after the last event that the client got. Attempts and budget are spent as before, no path with an open run on the same engines is tried again, and a path is tried beside silent runs only. The early reaction to a stall is unchanged.

When to try another path, which run answers and what to wait for is decided in core/forwarding/runs.py; forwarding/open_runs.py reads the runs of a request, stream_runs.py is the run of a stream at one engine.

--- a/src/yuccatally/forwarding/calls.py
+++ b/src/yuccatally/forwarding/calls.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
 from yuccatally.core.forwarding import attempts
+from yuccatally.core.forwarding import runs
+from yuccatally.forwarding import open_runs
 from yuccatally.forwarding import retrying
 from yuccatally.forwarding import upstream_responses
 from yuccatally.upstreams import exchange
 from yuccatally.upstreams import services
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
     from yuccatally.core.forwarding import dispatch
     from yuccatally.forwarding import rate_limiting
     from yuccatally.forwarding import request_context
@@ -48,102 +51,140 @@
     ) -> None:
         """Forwards a request until an upstream answers or attempts run out."""
         progress = attempts.AttemptCounter()
+        reader = open_runs.RunReader(
+            self.state.dispatcher, retrying.memory_tokens(context)
+        )
 
         async def choose(tried: frozenset[str]) -> retrying.Choice:
-            return retrying.choose(self.state, context, tried)
+            open_paths = {r.path.name for r in reader.open.runs}
+            return retrying.choose(self.state, context, tried | open_paths)
 
         async def attempt(
-            path: dispatch.Path,
-        ) -> upstream_responses.FailedAttempt | None:
-            result = await self._attempt(context, path, progress)
-            if isinstance(result, upstream_responses.FailedAttempt):
-                return result
-            self.state.quarantine.record_served(
-                context.prompt_parts, time.monotonic()
-            )
-            await writer.send_response(
-                result.status, result.headers, result.body
+            path: dispatch.Path | None,
+        ) -> open_runs.FailedRun | None:
+            if path is not None:
+                self._start(context, path, progress, reader)
+            return await self._wait(context, writer, reader)
+
+        try:
+            await retrying.forward(
+                self.state,
+                context,
+                writer,
+                progress,
+                reader,
+                choose,
+                attempt,
+                self.on_failure,
+                self.rate_limiter,
             )
-            return None
-
-        await retrying.forward(
-            self.state,
-            context,
-            writer,
-            progress,
-            choose,
-            attempt,
-            self.on_failure,
-            self.rate_limiter,
-        )
+        finally:
+            reader.close_all()
 
-    async def _attempt(
+    def _start(
         self,
         context: request_context.RequestContext,
         path: dispatch.Path,
         progress: attempts.AttemptCounter,
-    ) -> upstream_responses.CompleteResponse | upstream_responses.FailedAttempt:
+        reader: open_runs.RunReader,
+    ) -> None:
+        """Sends a request; ``progress`` already includes this attempt."""
         timeout_s = self._attempt_timeout_s(context, progress)
+        run = runs.Run(
+            path,
+            may_move=runs.may_try_another(context.route, progress),
+            quiet_until=time.monotonic() + timeout_s,
+        )
+        reader.start(run, self._read(context, path, progress.is_retry))
+
+    async def _wait(
+        self,
+        context: request_context.RequestContext,
+        writer: request_context.ResponseWriter,
+        reader: open_runs.RunReader,
+    ) -> open_runs.FailedRun | None:
+        """Delivers the first whole response; returns a run that fails."""
+        while True:
+            try:
+                run, outcome = await reader.next(context.deadline)
+            except TimeoutError:
+                silent = reader.open.fall_silent(time.monotonic())
+                if silent is not None:
+                    return open_runs.silent_run(silent, "no response yet")
+                if context.remaining_s() > 0:
+                    continue
+                late = reader.open.runs[-1]
+                reader.close_all()
+                return open_runs.silent_run(
+                    late, "no response before the timeout"
+                )
+            reader.close(run)
+            match outcome:
+                case upstream_responses.FailedAttempt():
+                    return open_runs.FailedRun(run.path, outcome)
+                case upstream_responses.CompleteResponse():
+                    reader.close_all()
+                    self.state.quarantine.record_served(
+                        context.prompt_parts, time.monotonic()
+                    )
+                    writer.last_upstream = run.path.name
+                    await writer.send_response(
+                        outcome.status, outcome.headers, outcome.body
+                    )
+                    return None
+
+    async def _read(
+        self,
+        context: request_context.RequestContext,
+        path: dispatch.Path,
+        is_retry: bool,
+    ) -> AsyncGenerator[open_runs.Outcome, None]:
+        """Sends a request and yields its only outcome."""
+        timeout_s = context.remaining_s()
         if timeout_s <= 0:
-            return upstream_responses.FailedAttempt(
-                attempts.NotSent("deadline")
-            )
-        tokens = retrying.memory_tokens(context)
-        self.state.dispatcher.record_start(path.name, tokens, time.monotonic())
+            yield upstream_responses.FailedAttempt(attempts.NotSent("deadline"))
+            return
         response: exchange.UpstreamResponse | None = None
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await self.client.open(
-                    exchange.UpstreamRequest(
-                        method=context.method,
-                        address=path.hops[0].address,
-                        target=context.target,
-                        headers=context.upstream_headers(
-                            context.request.last_event_id, path
-                        ),
-                        body=context.body,
-                        read_timeout_s=timeout_s,
-                        new_connection=(
-                            progress.is_retry
-                            or not context.route.repeat.may_run_again
-                        ),
-                    )
+            response = await self.client.open(
+                exchange.UpstreamRequest(
+                    method=context.method,
+                    address=path.hops[0].address,
+                    target=context.target,
+                    headers=context.upstream_headers(
+                        context.request.last_event_id, path
+                    ),
+                    body=context.body,
+                    read_timeout_s=timeout_s,
+                    new_connection=(
+                        is_retry or not context.route.repeat.may_run_again
+                    ),
                 )
-                body = await response.body(MAX_RESPONSE_BYTES)
-        except services.NotSentError as error:
-            return upstream_responses.FailedAttempt(
-                attempts.NotSent(str(error))
             )
+            body = await response.body(MAX_RESPONSE_BYTES)
+            yield upstream_responses.check_response(context, response, body)
+        except services.NotSentError as error:
+            yield upstream_responses.FailedAttempt(attempts.NotSent(str(error)))
         except exchange.NoResponseError as error:
-            return upstream_responses.FailedAttempt(
+            yield upstream_responses.FailedAttempt(
                 attempts.NoResponse(str(error), error.timed_out)
             )
-        except TimeoutError:
-            return upstream_responses.FailedAttempt(
-                attempts.NoResponse("no response before the timeout", True)
-            )
         finally:
             if response is not None:
                 response.close()
-            self.state.dispatcher.record_end(path.name, tokens)
-        return upstream_responses.check_response(context, response, body)
 
     def _attempt_timeout_s(
         self,
         context: request_context.RequestContext,
         progress: attempts.AttemptCounter,
     ) -> float:
-        """Returns the time limit of one attempt.
+        """Returns the time after which another upstream is tried as well.
 
         If the request may be sent to another upstream, half of the remaining
         time is reserved for that. The limit is not shorter than the latency
         objective, since nearly all responses arrive within it.
         """
         left_s = context.remaining_s()
-        route = context.route
-        if (
-            route.repeat.may_run_again
-            and progress.run_count < route.max_attempts
-        ):
-            return min(left_s, max(route.objective_s, left_s / 2))
+        if runs.may_try_another(context.route, progress):
+            return min(left_s, max(context.route.objective_s, left_s / 2))
         return left_s
--- a/src/yuccatally/forwarding/detection.py
+++ b/src/yuccatally/forwarding/detection.py
@@ -38,8 +38,8 @@
 
     Attributes:
         handled_at: Time at which a stall was last handled, by path.
-        abandon: Ends the attempts on a path that may be sent elsewhere and
-            returns their number.
+        abandon: Tries other paths for the streams on a path that may be sent
+            again and returns their number.
         reroute: Reroutes the attempts that stay on a path around its failed
             engine.
     """
@@ -58,7 +58,7 @@
 
         Load pattern: an engine fails at peak load and all streams through it
         stop at once. They resume on other paths before the pause between two
-        events exceeds its objective.
+        events exceeds its objective, or on this one if it goes on first.
         """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/src/yuccatally/forwarding/rerouting.py
+++ b/src/yuccatally/forwarding/rerouting.py
@@ -17,6 +17,7 @@
 
     from yuccatally.core.forwarding import dispatch
     from yuccatally.forwarding import state
+    from yuccatally.forwarding import stream_runs
     from yuccatally.forwarding import streams
 
 # Interval of requests to the first engine for the engine that it waits for; its
@@ -35,7 +36,7 @@
 class Rerouter:
     """Keeps streams on their first engine when a later one has failed.
 
-    Streams that can resume on another pipeline have left the path before, since
+    Streams that can resume on another pipeline are tried there before, since
     a stall is detected before the report that names the failed engine. The rest
     could not resume because of their route, the retry budget or the state of
     the other pipelines.
@@ -67,9 +68,7 @@
 
     async def _run(self, path: dispatch.Path) -> None:
         until = time.monotonic() + REROUTE_TIMEOUT_S
-        while time.monotonic() < until and self.streams.attempts_on_path(
-            path.name
-        ):
+        while time.monotonic() < until and self.streams.staying_runs(path.name):
             try:
                 report = await engines.fetch_report(self.session, path.hops[0])
             except engines.ReportError as error:
@@ -77,11 +76,11 @@
                 # path.
                 _log.info("reroute_stopped", path=path.name, reason=str(error))
                 return
-            waiting = self.streams.attempts_on_path(path.name)
+            waiting = self.streams.staying_runs(path.name)
             for request, address in report.stalled_on.items():
-                attempt = waiting.get(request)
-                if attempt is not None and attempt.path.has(address):
-                    await self._reroute(attempt, address)
+                run = waiting.get(request)
+                if run is not None and run.path.has(address):
+                    await self._reroute(run, address)
             if not self.state.dispatcher.is_stalled(
                 path.name, time.monotonic()
             ):
@@ -89,59 +88,57 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     async def _reroute(
-        self, attempt: streams.RunningAttempt, failed_address: str
+        self, run: stream_runs.StreamRun, failed_address: str
     ) -> None:
         """Reroutes one stream around a failed engine.
 
         The replacement engines prefill the stream again, so this counts as a
         retry.
         """
-        budget = self.state.retry_budget(attempt.service)
+        budget = self.state.retry_budget(run.context.service.name)
         excluded = frozenset({failed_address})
         budget_spent = False
         for _ in range(MAX_PATH_COUNT):
-            holdings = self.state.holdings(attempt.service, excluded)
-            new_path = reroute.path_around(
-                attempt.path, failed_address, holdings
-            )
+            holdings = self.state.holdings(run.context.service.name, excluded)
+            new_path = reroute.path_around(run.path, failed_address, holdings)
             if new_path is None:
                 self._log(
-                    attempt, failed_address, "no other engine holds the layers"
+                    run, failed_address, "no other engine holds the layers"
                 )
                 return
             budget_spent = budget_spent or budget.try_spend(
                 time.monotonic(), self.state.instance_count
             )
             if not budget_spent:
-                self._log(attempt, failed_address, "retry budget is exhausted")
+                self._log(run, failed_address, "retry budget is exhausted")
                 return
             with self.state.spans.record(
-                "reroute", attempt.request, lost=failed_address
+                "reroute", run.context.request.id, lost=failed_address
             ) as span:
                 outcome = await engines.send_reroute_order(
-                    self.session, attempt.request, new_path
+                    self.session, run.context.request.id, new_path
                 )
                 span.set_attribute("ended", type(outcome).__name__.lower())
             match outcome:
                 case reports.Rerouted():
-                    attempt.path = new_path
-                    self._log(attempt, failed_address, "")
+                    run.path = new_path
+                    self._log(run, failed_address, "")
                     return
                 case reports.NotRerouted(faulty_address=""):
-                    self._log(attempt, failed_address, outcome.reason)
+                    self._log(run, failed_address, outcome.reason)
                     return
                 case reports.NotRerouted():
                     excluded |= {outcome.faulty_address}
-        self._log(attempt, failed_address, "no engine has capacity")
+        self._log(run, failed_address, "no engine has capacity")
 
     def _log(
-        self, attempt: streams.RunningAttempt, failed_address: str, reason: str
+        self, run: stream_runs.StreamRun, failed_address: str, reason: str
     ) -> None:
         _log.info(
             "reroute_failed" if reason else "stream_rerouted",
-            request=attempt.request,
-            path=attempt.path.name,
+            request=run.context.request.id,
+            path=run.path.name,
             lost=failed_address,
             reason=reason,
-            engines=",".join(h.name for h in attempt.path.hops),
+            engines=",".join(h.name for h in run.path.hops),
         )
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -17,16 +17,21 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    import contextlib
 
+    from opentelemetry import trace
+
+    from yuccatally.forwarding import open_runs
     from yuccatally.forwarding import rate_limiting
     from yuccatally.forwarding import request_context
     from yuccatally.forwarding import state
 
     Choice = dispatch.Path | dispatch.Full | dispatch.Nothing
     Choose = Callable[[frozenset[str]], Awaitable[Choice]]
-    # Delivers the response and returns None, or returns the failure.
+    # Delivers the response and returns None, or returns the failure. Without a
+    # path it waits for the open runs.
     Attempt = Callable[
-        [dispatch.Path], Awaitable[upstream_responses.FailedAttempt | None]
+        [dispatch.Path | None], Awaitable[open_runs.FailedRun | None]
     ]
     OnFailure = Callable[
         [dispatch.Path, upstream_responses.FailedAttempt], None
@@ -42,6 +47,7 @@
     context: request_context.RequestContext,
     writer: request_context.ResponseWriter,
     progress: attempts.AttemptCounter,
+    reader: open_runs.RunReader,
     choose: Choose,
     attempt: Attempt,
     on_failure: OnFailure,
@@ -49,11 +55,15 @@
 ) -> None:
     """Sends a request until it is answered or must not be sent again.
 
+    A silent run stays open meanwhile. If nothing else can be tried, the request
+    waits for it.
+
     Args:
         instance_state: Shared state.
         context: The request.
         writer: Sends the response to the client.
         progress: Counter of its attempts, which this function updates.
+        reader: Reads the open runs of the request.
         choose: Chooses a path, given the names of the paths that were tried.
         attempt: Sends the request over a path.
         on_failure: Called when an attempt has failed.
@@ -63,53 +73,62 @@
     budget.record_request(time.monotonic())
     tried: frozenset[str] = frozenset()
     error_response: upstream_responses.CompleteResponse | None = None
+    step: attempts.NextAction = attempts.SendAgain()
+    reason = ""
     while True:
-        if await _ended_by_quarantine(
-            instance_state, context, writer, progress
-        ):
-            return
-        with instance_state.spans.record("choose", context.request.id) as span:
-            path = await _choose_with_turn(
-                instance_state, context, choose, rate_limiter, tried
-            )
-            span.set_attribute("ended", type(path).__name__.lower())
-        if not isinstance(path, dispatch.Path):
-            step, reason = _step_without_path(
-                instance_state, context, progress, path
-            )
+        path = None
+        if isinstance(step, attempts.SendAgain):
+            if not reader.open.any_open and await _ended_by_quarantine(
+                instance_state, context, writer, progress
+            ):
+                return
+            with instance_state.spans.record(
+                "choose", context.request.id
+            ) as span:
+                found = await reader.first_of(
+                    _choose_with_turn(
+                        instance_state, context, choose, rate_limiter, tried
+                    )
+                )
+                span.set_attribute("ended", type(found).__name__.lower())
+            if isinstance(found, dispatch.Path):
+                path = found
+            elif found is not None:
+                step, reason = _step_without_path(
+                    instance_state, context, progress, found
+                )
+        if path is None and not reader.open.any_open:
             await _end(writer, step, reason, error_response)
             return
         # The choice may have waited for capacity.
-        if await _ended_by_quarantine(
+        if reader.open.any_open:
+            if _is_quarantined(instance_state, context):
+                path = None
+        elif await _ended_by_quarantine(
             instance_state, context, writer, progress
         ):
             return
-        instance_state.log_leaving_hops(context.request.id, path)
-        tried |= {path.name}
-        writer.attempt_count += 1
-        writer.last_upstream = path.name
-        progress.record_start()
-        events_before = writer.event_count
-        with instance_state.spans.record(
-            "attempt",
-            context.request.id,
-            number=writer.attempt_count,
-            path=path.name,
-            upstreams=",".join(h.name for h in path.hops),
-        ) as span:
-            result = await attempt(path)
+        if path is not None:
+            instance_state.log_leaving_hops(context.request.id, path)
+            tried |= {path.name}
+            writer.attempt_count += 1
+            writer.last_upstream = path.name
+            progress.record_start()
+        with _record_attempt(instance_state, context, writer, path) as span:
+            failed = await attempt(path)
             span.set_attribute("events", writer.event_count)
-            span.set_attribute("ended", _ended(result))
-        if result is None:
+            span.set_attribute("ended", _ended(failed))
+        if failed is None:
             return
-        progress.record_failure(result.failure)
-        on_failure(path, result)
-        has_event = writer.event_count > events_before
-        if has_event or await _may_repeat(
-            instance_state, context, path, result.failure
-        ):
+        failure = failed.result.failure
+        progress.record_failure(failure)
+        on_failure(failed.path, failed.result)
+        may_repeat = failed.event_count > 0 or await reader.first_of(
+            _may_repeat(instance_state, context, failed.path, failure)
+        )
+        if may_repeat and not reader.open.any_active:
             step = attempts.next_action(
-                result.failure,
+                failure,
                 progress,
                 context.route,
                 context.remaining_s(),
@@ -118,20 +137,35 @@
                 ),
             )
         else:
-            step = attempts.final_action(result.failure, progress)
+            step = attempts.final_action(failure, progress)
+        reason = upstream_responses.failure_reason(failure)
         upstream_responses.log_failure(
             context,
-            path,
-            result.failure,
+            failed.path,
+            failure,
             step,
-            writer.event_count - events_before,
+            failed.event_count,
+            reader.open.any_open,
         )
-        error_response = result.response or error_response
-        if isinstance(step, attempts.SendAgain):
-            continue
-        reason = upstream_responses.failure_reason(result.failure)
-        await _end(writer, step, reason, error_response)
-        return
+        error_response = failed.result.response or error_response
+
+
+def _record_attempt(
+    instance_state: state.InstanceState,
+    context: request_context.RequestContext,
+    writer: request_context.ResponseWriter,
+    path: dispatch.Path | None,
+) -> contextlib.AbstractContextManager[trace.Span]:
+    """Records the span of an attempt, or of the wait for open runs."""
+    if path is None:
+        return instance_state.spans.record("wait", context.request.id)
+    return instance_state.spans.record(
+        "attempt",
+        context.request.id,
+        number=writer.attempt_count,
+        path=path.name,
+        upstreams=",".join(h.name for h in path.hops),
+    )
 
 
 async def _choose_with_turn(
@@ -194,11 +228,11 @@
     )
 
 
-def _ended(result: upstream_responses.FailedAttempt | None) -> str:
+def _ended(failed: open_runs.FailedRun | None) -> str:
     return (
         "whole"
-        if result is None
-        else upstream_responses.failure_reason(result.failure)
+        if failed is None
+        else upstream_responses.failure_reason(failed.result.failure)
     )
 
 
@@ -229,6 +263,16 @@
         await asyncio.sleep(FATE_POLL_S)
 
 
+def _is_quarantined(
+    instance_state: state.InstanceState,
+    context: request_context.RequestContext,
+) -> bool:
+    part = instance_state.quarantine.find_quarantined(
+        context.prompt_parts, time.monotonic()
+    )
+    return part is not None
+
+
 async def _ended_by_quarantine(
     instance_state: state.InstanceState,
     context: request_context.RequestContext,
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -3,27 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import time
 from typing import TYPE_CHECKING
 
+import structlog
+
 from yuccatally.core.forwarding import attempts
 from yuccatally.core.forwarding import dispatch
-from yuccatally.core.forwarding import events
+from yuccatally.core.forwarding import runs
+from yuccatally.forwarding import open_runs
 from yuccatally.forwarding import retrying
+from yuccatally.forwarding import stream_runs
 from yuccatally.forwarding import upstream_responses
-from yuccatally.upstreams import exchange
-from yuccatally.upstreams import services
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from yuccatally.forwarding import rate_limiting
     from yuccatally.forwarding import request_context
     from yuccatally.forwarding import state
+    from yuccatally.upstreams import exchange
 
 
-# A stream without an event for this long is resumed on another path. Clients
+# A stream without an event for this long is also tried on another path. Clients
 # disconnect after a pause of two seconds, and a new engine first prefills the
 # prompt again.
 SILENCE_TIMEOUT_S = 0.9
@@ -37,40 +37,17 @@
 SAME_PATH_DELAY_S = 0.2
 # Longest pause in which a stream waits to resume; clients disconnect after 2 s.
 RESUME_TIMEOUT_S = 1.5
-# Largest error response of an engine that is passed on.
-MAX_ERROR_BYTES = 1024 * 1024
 
+_log = structlog.get_logger()
 
-@dataclasses.dataclass(eq=False)
-class RunningAttempt:
-    """An attempt that is under way on a path.
+
+class StreamForwarder:
+    """Forwards requests to pipelines and resumes interrupted streams.
 
     Attributes:
-        request: Id of the client's attempt.
-        path: The path.
-        service: Service of the path.
-        may_move: Whether the request may be sent again on another path.
-        prompt_parts: Shared parts of its prompt.
-        timeout: Ends the attempt when it is rescheduled.
-        response: The response, once its headers have arrived.
-        has_event: Whether an event has arrived.
-        abandoned: Whether the attempt was ended to resume on another path.
+        running: Streams that have not ended.
     """
 
-    request: str
-    path: dispatch.Path
-    service: str
-    may_move: bool
-    prompt_parts: tuple[str, ...] = ()
-    timeout: asyncio.Timeout | None = None
-    response: exchange.UpstreamResponse | None = None
-    has_event: bool = False
-    abandoned: bool = False
-
-
-class StreamForwarder:
-    """Forwards requests to pipelines and resumes interrupted streams."""
-
     def __init__(
         self,
         instance_state: state.InstanceState,
@@ -90,7 +67,7 @@
         self.client = client
         self.on_failure = on_failure
         self.rate_limiter = rate_limiter
-        self.running: set[RunningAttempt] = set()
+        self.running: set[StreamRelay] = set()
 
     async def run(
         self,
@@ -98,88 +75,136 @@
         writer: request_context.ResponseWriter,
     ) -> None:
         """Forwards a request until its stream is complete or must end."""
-        progress = attempts.AttemptCounter()
+        relay = StreamRelay(self.state, self.client, context, writer)
+        self.running.add(relay)
         try:
             async with asyncio.timeout(context.remaining_s()):
-                await self._forward(context, writer, progress)
+                await retrying.forward(
+                    self.state,
+                    context,
+                    writer,
+                    relay.progress,
+                    relay.reader,
+                    relay.wait_for_path,
+                    relay.attempt,
+                    self.on_failure,
+                    self.rate_limiter,
+                )
         except TimeoutError:
-            step = attempts.refuse_or_give_up(progress)
-            if progress.run_count:
+            step = attempts.refuse_or_give_up(relay.progress)
+            if relay.progress.run_count:
                 step = attempts.GiveUp(504)
             await upstream_responses.end_request(writer, step, "deadline")
+        finally:
+            self.running.discard(relay)
+            relay.reader.close_all()
 
     def abandon(self, path: str) -> int:
-        """Ends attempts on a path, so that they resume on another one.
+        """Tries other paths for the streams on a path.
 
-        Attempts that could not resume, because of their route or the retry
-        budget, stay on the path, since it may recover.
+        Their runs on the path stay open. Streams that must not be sent again,
+        because of their route or the retry budget, wait, since the path may
+        recover.
 
         Returns:
-            Number of attempts that were ended.
+            Number of streams that are tried on other paths.
         """
-        now = asyncio.get_running_loop().time()
         movable = [
-            a
-            for a in self.running
-            if a.path.name == path
-            and a.timeout
-            and a.may_move
-            and not a.abandoned
+            (relay, run)
+            for relay in self.running
+            for run in relay.reader.open.runs
+            if run.path.name == path
+            and run.may_move
+            and not run.is_silent
+            and not run.is_moving
         ]
         if movable:
-            budget = self.state.retry_budget(movable[0].service)
-            remaining = budget.remaining(
+            service = movable[0][0].context.service.name
+            remaining = self.state.retry_budget(service).remaining(
                 time.monotonic(), self.state.instance_count
             )
             movable = movable[:remaining]
-        for attempt in movable:
-            attempt.abandoned = True
-            attempt.timeout.reschedule(now)
+        for relay, run in movable:
+            relay.reader.move(run)
         return len(movable)
 
-    def attempts_on_path(self, path: str) -> dict[str, RunningAttempt]:
-        """Returns the attempts on a path that are not abandoned, by request."""
+    def staying_runs(self, path: str) -> dict[str, stream_runs.StreamRun]:
+        """Returns the runs on a path that no other path is tried for, by id."""
         return {
-            a.request: a
-            for a in self.running
-            if a.path.name == path and not a.abandoned
+            relay.context.request.id: run
+            for relay in self.running
+            for run in relay.reader.open.runs
+            if run.path.name == path and not run.is_moving
         }
 
-    async def _forward(
+
+class StreamRelay:
+    """Relays the events of one stream, from whichever run goes on first.
+
+    Attributes:
+        progress: Counter of its attempts.
+        reader: Reads its runs.
+        last_id: Id of the last event that was sent to the client.
+    """
+
+    def __init__(
         self,
+        instance_state: state.InstanceState,
+        client: exchange.UpstreamClient,
         context: request_context.RequestContext,
         writer: request_context.ResponseWriter,
-        progress: attempts.AttemptCounter,
     ) -> None:
-        splitter = events.EventSplitter(context.request.last_event_id)
-
-        async def attempt(
-            path: dispatch.Path,
-        ) -> upstream_responses.FailedAttempt | None:
-            splitter.restart()
-            result = await self._attempt(
-                context, writer, path, splitter, progress
-            )
-            writer.event_count = splitter.events
-            return result
-
-        await retrying.forward(
-            self.state,
-            context,
-            writer,
-            progress,
-            lambda tried: self._wait_for_path(context, writer, progress, tried),
-            attempt,
-            self.on_failure,
-            self.rate_limiter,
+        self.state = instance_state
+        self.client = client
+        self.context = context
+        self.writer = writer
+        self.progress = attempts.AttemptCounter()
+        self.reader = open_runs.RunReader(
+            instance_state.dispatcher, retrying.memory_tokens(context)
         )
+        self.last_id = context.request.last_event_id
 
-    async def _wait_for_path(
-        self,
-        context: request_context.RequestContext,
-        writer: request_context.ResponseWriter,
-        progress: attempts.AttemptCounter,
-        tried: frozenset[str],
+    async def attempt(
+        self, path: dispatch.Path | None
+    ) -> open_runs.FailedRun | None:
+        """Relays events until the stream is complete or a run fails.
+
+        Args:
+            path: Path on which the request is sent as well; None to wait for
+                the open runs only.
+
+        Returns:
+            The run that failed or fell silent; None if the stream is complete.
+        """
+        if path is None:
+            self.reader.open.stay()
+        else:
+            self._start(path)
+        while True:
+            try:
+                run, outcome = await self.reader.next(self.context.deadline)
+            except TimeoutError:
+                silent = self.reader.open.fall_silent(time.monotonic())
+                if silent is not None:
+                    return open_runs.silent_run(silent, "no event in time")
+                continue
+            match outcome:
+                case open_runs.Events():
+                    await self._relay(run, outcome)
+                case open_runs.StreamEnd():
+                    self._select(run, 0)
+                    self.reader.close(run)
+                    await self._send_headers(outcome)
+                    await self.writer.end(outcome.rest)
+                    return None
+                case upstream_responses.FailedAttempt():
+                    self.reader.close(run)
+                    return open_runs.FailedRun(
+                        run.path, outcome, run.event_count
+                    )
+
+    async def wait_for_path(
+        self, tried: frozenset[str]
     ) -> dispatch.Path | dispatch.Full | dispatch.Nothing:
         """Chooses a path and waits if no path has capacity.
 
@@ -188,204 +213,88 @@
         disconnect and may return to a path that it has tried.
         """
         started_at = time.monotonic()
-        until = started_at + CAPACITY_WAIT_RATIO * context.route.objective_s
-        if progress.run_count:
+        until = (
+            started_at + CAPACITY_WAIT_RATIO * self.context.route.objective_s
+        )
+        if self.progress.run_count:
             until = (
-                writer.last_write_at or context.received_at
+                self.writer.last_write_at or self.context.received_at
             ) + RESUME_TIMEOUT_S
         while True:
             now = time.monotonic()
-            choice = retrying.choose(self.state, context, tried)
+            choice = self._choose(tried)
             if isinstance(choice, dispatch.Path) or now >= until:
                 return choice
-            if progress.run_count and now - started_at >= SAME_PATH_DELAY_S:
+            if (
+                self.progress.run_count
+                and now - started_at >= SAME_PATH_DELAY_S
+            ):
                 tried = frozenset()
             await asyncio.sleep(CAPACITY_POLL_S)
 
-    async def _attempt(
-        self,
-        context: request_context.RequestContext,
-        writer: request_context.ResponseWriter,
-        path: dispatch.Path,
-        splitter: events.EventSplitter,
-        progress: attempts.AttemptCounter,
-    ) -> upstream_responses.FailedAttempt | None:
-        """Sends the request over a path; returns None or the failure.
+    def _choose(self, tried: frozenset[str]) -> retrying.Choice:
+        while True:
+            choice = retrying.choose(self.state, self.context, tried)
+            if not isinstance(
+                choice, dispatch.Path
+            ) or not self.reader.open.covers(choice):
+                return choice
+            tried |= {choice.name}
 
-        ``progress`` already includes this attempt.
-        """
-        tokens = retrying.memory_tokens(context)
-        self.state.dispatcher.record_start(
-            path.name, tokens, time.monotonic(), path.patience_s
-        )
-        route = context.route
-        attempt = RunningAttempt(
-            context.request.id,
+    def _start(self, path: dispatch.Path) -> None:
+        run = stream_runs.StreamRun(
+            self.context,
             path,
-            context.service.name,
-            route.repeat.may_run_again
-            and progress.run_count < route.max_attempts,
-            context.prompt_parts,
+            self.last_id,
+            may_move=self._may_move(),
+            quiet_until=_quiet_until(path),
+            must_stream=self.writer.started,
+            is_retry=self.progress.is_retry,
         )
-        try:
-            async with asyncio.timeout(None) as attempt.timeout:
-                self.running.add(attempt)
-                return await self._send(
-                    context, writer, attempt, splitter, progress.is_retry
-                )
-        except TimeoutError:
-            return upstream_responses.FailedAttempt(
-                attempts.NoResponse("path stalled", True)
-            )
-        finally:
-            self.running.discard(attempt)
-            if attempt.response is not None:
-                attempt.response.close()
-            self.state.dispatcher.record_end(
-                path.name, tokens, attempt.has_event
-            )
-
-    async def _send(
-        self,
-        context: request_context.RequestContext,
-        writer: request_context.ResponseWriter,
-        attempt: RunningAttempt,
-        splitter: events.EventSplitter,
-        is_retry: bool,
-    ) -> upstream_responses.FailedAttempt | None:
-        try:
-            timeout_s = _event_timeout_s(context, attempt)
-            response = await self.client.open(
-                self._exchange(context, attempt, splitter, timeout_s, is_retry)
-            )
-            attempt.response = response
-            failed = upstream_responses.check_headers(context, response)
-            if failed is not None:
-                return failed
-            if response.status >= 300:
-                body = await response.body(MAX_ERROR_BYTES)
-                error_response = upstream_responses.CompleteResponse(
-                    response.status, response.headers, body
-                )
-                return upstream_responses.FailedAttempt(
-                    attempts.ErrorResponse(response.status), error_response
-                )
-            splitter.checked = _is_event_stream(response)
-            if writer.started and not splitter.checked:
-                return upstream_responses.FailedAttempt(
-                    attempts.NoResponse("the response is no event stream")
-                )
-            await self._relay(
-                response,
-                writer,
-                attempt,
-                splitter,
-                timeout_s,
-            )
-        except services.NotSentError as error:
-            return upstream_responses.FailedAttempt(
-                attempts.NotSent(str(error))
+        self.reader.start(run, run.read(self.client))
+
+    async def _relay(self, run: runs.Run, outcome: open_runs.Events) -> None:
+        is_first = run.event_count == 0
+        self._select(run, outcome.count)
+        now = time.monotonic()
+        self.state.dispatcher.record_event(run.path.name, now)
+        if is_first:
+            self.state.dispatcher.record_first_event(run.path.name)
+            self.state.quarantine.record_served(self.context.prompt_parts, now)
+        self.last_id = outcome.last_id
+        self.writer.event_count += outcome.count
+        await self._send_headers(outcome)
+        await self.writer.write(outcome.data)
+        # The time to write to the client does not count as silence.
+        run.quiet_until = _quiet_until(run.path)
+
+    def _select(self, run: runs.Run, events: int) -> None:
+        """Closes all runs but one, which has gone on."""
+        if run.is_silent:
+            _log.info(
+                "run_resumed",
+                request=self.context.request.id,
+                path=run.path.name,
+                closed=len(self.reader.open.runs) - 1,
             )
-        except exchange.NoResponseError as error:
-            return upstream_responses.FailedAttempt(
-                attempts.NoResponse(str(error), error.timed_out)
-            )
-        except events.EventError as error:
-            return upstream_responses.FailedAttempt(
-                attempts.NoResponse(str(error))
-            )
-        return None
-
-    async def _relay(
-        self,
-        response: exchange.UpstreamResponse,
-        writer: request_context.ResponseWriter,
-        attempt: RunningAttempt,
-        splitter: events.EventSplitter,
-        event_timeout_s: float,
-    ) -> None:
-        """Relays events as they become complete.
-
-        Raises:
-            exchange.NoResponseError: The stream is not complete, or no event
-                became complete in time. The time to write to the client does
-                not count.
-        """
-        name = attempt.path.name
-        chunks = response.chunks()
-        while True:
-            try:
-                async with asyncio.timeout(event_timeout_s):
-                    complete_events = await _next_events(chunks, splitter)
-            except TimeoutError as error:
-                raise exchange.NoResponseError(
-                    "no complete event before the timeout", timed_out=True
-                ) from error
-            if not complete_events:
-                break
-            self.state.dispatcher.record_event(name, time.monotonic())
-            if not attempt.has_event:
-                attempt.has_event = True
-                self.state.dispatcher.record_first_event(name)
-                self.state.quarantine.record_served(
-                    attempt.prompt_parts, time.monotonic()
-                )
-            if not writer.started:
-                # The headers are sent with the first event: until then, another
-                # engine can take over with its own headers.
-                await writer.send_headers(response.status, response.headers)
-            await writer.write(complete_events)
-        is_partial_event = bool(splitter.pending.strip())
-        if is_partial_event and _is_event_stream(response):
-            raise exchange.NoResponseError("stream ended within an event")
-        if not writer.started:
-            await writer.send_headers(response.status, response.headers)
-        await writer.end(splitter.pending)
-
-    def _exchange(
-        self,
-        context: request_context.RequestContext,
-        attempt: RunningAttempt,
-        splitter: events.EventSplitter,
-        timeout_s: float,
-        is_retry: bool,
-    ) -> exchange.UpstreamRequest:
-        return exchange.UpstreamRequest(
-            method=context.method,
-            address=attempt.path.hops[0].address,
-            target=context.target,
-            headers=context.upstream_headers(splitter.last_id, attempt.path),
-            body=context.body,
-            # A stream that cannot resume on another path may still continue on
-            # this one.
-            read_timeout_s=timeout_s,
-            new_connection=(is_retry or not context.route.repeat.may_run_again),
+        others = self.reader.open.go_on(
+            run, events, self._may_move(), _quiet_until(run.path)
         )
+        for other in others:
+            self.reader.close(other)
+        self.writer.last_upstream = run.path.name
 
+    def _may_move(self) -> bool:
+        return runs.may_try_another(self.context.route, self.progress)
 
-def _event_timeout_s(
-    context: request_context.RequestContext, attempt: RunningAttempt
-) -> float:
-    """Returns the longest time without a complete event.
-
-    A stream that cannot resume on another path may still continue on its own.
-    """
-    if not attempt.may_move:
-        return context.remaining_s()
-    return SILENCE_TIMEOUT_S + attempt.path.patience_s
-
-
-def _is_event_stream(response: exchange.UpstreamResponse) -> bool:
-    media_type = response.header("Content-Type").partition(";")[0]
-    return media_type.strip().lower() == "text/event-stream"
+    async def _send_headers(
+        self, outcome: open_runs.Events | open_runs.StreamEnd
+    ) -> None:
+        # The headers are sent with the first event: until then, another engine
+        # can take over with its own headers.
+        if not self.writer.started:
+            await self.writer.send_headers(outcome.status, outcome.headers)
 
 
-async def _next_events(
-    chunks: AsyncIterator[bytes], splitter: events.EventSplitter
-) -> bytes:
-    """Returns the next complete events; empty at the end of the stream."""
-    async for chunk in chunks:
-        complete_events = splitter.feed(chunk)
-        if complete_events:
-            return complete_events
-    return b""
+def _quiet_until(path: dispatch.Path) -> float:
+    return time.monotonic() + SILENCE_TIMEOUT_S + path.patience_s
--- a/src/yuccatally/forwarding/upstream_responses.py
+++ b/src/yuccatally/forwarding/upstream_responses.py
@@ -135,6 +135,7 @@
     failure: attempts.Failure,
     action: attempts.NextAction,
     event_count: int,
+    has_open_run: bool,
 ) -> None:
     """Logs a failed attempt and the next action.
 
@@ -144,6 +145,7 @@
         failure: How the attempt failed.
         action: What follows.
         event_count: Number of events that the attempt received.
+        has_open_run: Whether a run of the request may still answer.
     """
     _log.info(
         "attempt_failed",
@@ -155,5 +157,11 @@
         events=event_count,
         parts=",".join(context.request.shared_parts),
         left_ms=round(context.remaining_s() * 1e3),
-        next=type(action).__name__,
+        next=_name_next(action, has_open_run),
     )
+
+
+def _name_next(action: attempts.NextAction, has_open_run: bool) -> str:
+    if has_open_run and not isinstance(action, attempts.SendAgain):
+        return "Wait"
+    return type(action).__name__
--- /dev/null
+++ b/tests/forwarding/test_pauses_before_events.py
@@ -0,0 +1,45 @@
+"""Streams without an event whose sound engines fall silent and go on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from yuccatally_standins import path_site
+from yuccatally_standins import pauses
+
+WHOLE = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 61))
+
+
+@pytest.mark.parametrize("pause_s", pauses.PAUSES_S)
+@pytest.mark.parametrize("name", pauses.SITUATIONS)
+async def test_stream_without_events_outlasts_a_pause(
+    served: path_site.Site, name: str, pause_s: float
+) -> None:
+    """Guards against requests that fail while their engine reads the prompt."""
+    for engine in served.engines.values():
+        engine.events = 60
+        engine.delay_s = 0.1
+    _prefer(served, "e1")
+    tasks = [
+        asyncio.create_task(served.send_request("/ask/x", f"s{n}"))
+        for n in range(6)
+    ]
+    e1 = served.engines["e1"]
+    await path_site.until(lambda: len(e1.executed_requests) == 6)
+    _prefer(served, "")
+    await pauses.pause(served, pauses.SITUATIONS[name], pause_s)
+    answers = await asyncio.gather(*tasks)
+    assert [(s, b) for s, _, b in answers] == [(200, WHOLE)] * len(tasks)
+    await pauses.check_released(served)
+
+
+def _prefer(site: path_site.Site, engine: str) -> None:
+    """Sends requests to one engine only; to any if the name is empty."""
+    dispatcher = site.instances[0].state.dispatcher
+    dispatcher.avoided_until.clear()
+    for name in {"e1", "e2"} - {engine}:
+        if engine:
+            dispatcher.avoid(f"dc-{name}-1", time.monotonic() + 5.0)
