--- a/src/yuccatally/core/forwarding/prompt_evidence.py
+++ b/src/yuccatally/core/forwarding/crash_evidence.py
@@ -1,4 +1,4 @@
-"""Evidence on prompts that crash engines, which instances exchange."""
+"""Evidence on requests that crash engines, which instances exchange."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Engines that are remembered for each quarantined part.
+# Engines that are remembered for each quarantined mark.
 MAX_EXPLAINED_COUNT = 32
 # Of these, the latest are sent, some 24 bytes each.
 MAX_SENT_ENGINE_COUNT = 16
@@ -33,12 +33,12 @@
 
 @dataclasses.dataclass
 class Quarantine:
-    """Present or past quarantine of a part.
+    """Present or past quarantine of a mark.
 
     Attributes:
         until: Monotonic time of its end, in seconds.
-        count: Number of quarantines of the part so far.
-        engines: Engines that have ended under the part, in the order in which
+        count: Number of quarantines of the mark so far.
+        engines: Engines that have ended under the mark, in the order in which
             this became known.
     """
 
@@ -49,7 +49,7 @@
     )
 
     def add_engines(self, engines: Iterable[suspicions.Incarnation]) -> None:
-        """Adds engines that have ended under the part."""
+        """Adds engines that have ended under the mark."""
         self.engines.update(dict.fromkeys(engines))
         while len(self.engines) > MAX_EXPLAINED_COUNT:
             del self.engines[next(iter(self.engines))]
@@ -60,34 +60,35 @@
         return tuple(self.engines)[-MAX_SENT_ENGINE_COUNT:]
 
 
-class PromptLoss(msgspec.Struct, array_like=True, frozen=True):
+class LostRequest(msgspec.Struct, array_like=True, frozen=True):
     """A request that was lost before its first event.
 
     Attributes:
         engine: First engine of its path.
-        parts: Shared parts of its prompt, in order.
+        marks: Shared parts of its prompt, in order, and its fingerprint; see
+            ``marks``.
         age_s: Time since the loss, in seconds.
         ended: Whether the engine is known to have ended.
     """
 
     engine: suspicions.Incarnation
-    parts: tuple[str, ...]
+    marks: tuple[str, ...]
     age_s: float
     ended: bool
 
 
-class QuarantinedPart(msgspec.Struct, array_like=True, frozen=True):
-    """A part in quarantine.
+class QuarantinedMark(msgspec.Struct, array_like=True, frozen=True):
+    """A mark in quarantine.
 
     Attributes:
-        part: Id of the part.
+        mark: The mark.
         left_s: Time until the quarantine ends, in seconds.
-        count: Number of quarantines of this part so far.
+        count: Number of quarantines of this mark so far.
         engines: Engines that have ended under it, which need no other
             explanation.
     """
 
-    part: str
+    mark: str
     left_s: float
     count: int
     engines: tuple[suspicions.Incarnation, ...] = ()
@@ -98,11 +99,11 @@
 
     Attributes:
         losses: Recent losses.
-        served_ages_s: Time since a request was last served, in seconds, by part
+        served_ages_s: Time since a request was last served, in seconds, by mark
             of these losses.
-        quarantined: Parts in quarantine.
+        quarantined: Marks in quarantine.
     """
 
-    losses: tuple[PromptLoss, ...] = ()
+    losses: tuple[LostRequest, ...] = ()
     served_ages_s: dict[str, float] = {}
-    quarantined: tuple[QuarantinedPart, ...] = ()
+    quarantined: tuple[QuarantinedMark, ...] = ()
--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -1,4 +1,4 @@
-"""Finds the parts of prompts that crash engines and quarantines them."""
+"""Finds the requests that crash engines and quarantines them."""
 
 from __future__ import annotations
 
@@ -6,7 +6,10 @@
 import enum
 from typing import TYPE_CHECKING
 
-from yuccatally.core.forwarding import prompt_evidence
+from yuccatally.core.forwarding import crash_evidence
+from yuccatally.core.forwarding import lost_requests
+from yuccatally.core.forwarding import marks as marks_module
+from yuccatally.core.forwarding import served_marks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,37 +17,24 @@
 
     from yuccatally.core.forwarding import suspicions
 
-# A part that a request was served with in this time is sound unless engines
-# end under it afterwards. Losses count as evidence for as long.
-HISTORY_S = 600.0
-# Served parts that are remembered, about 2 MB.
-MAX_SERVED_COUNT = 10_000
-# Time in which the leader confirms that an engine has ended; it is longer when
-# the leader was lost as well.
-CONFIRM_S = 6.0
 # Time in which all instances have answered whether they served a part: a
 # question and its answer pass two relays each.
 ANSWER_S = 1.0
-# Longest wait of a lost request for the fate of its engine. The leader's check
-# and three heartbeats take half of it.
-FATE_TIMEOUT_S = 0.6
-# Engines that have to end under a part. One may end at any time with all its
-# requests, but rarely two in a row under a part that nobody is served with.
+# Engines that have to end under a mark. One may end at any time with all its
+# requests, but rarely two in a row under a mark that nobody is served with.
 MIN_ENDED_COUNT = 2
-# Duration of the first quarantine of a part, and the longest; it doubles each
-# time, as the engines may be repaired or the part may never be sound.
+# Duration of the first quarantine of a mark, and the longest; it doubles each
+# time, as the engines may be repaired or the mark may never be sound.
 FIRST_QUARANTINE_S = 60.0
 MAX_QUARANTINE_S = 3600.0
 # Losses are sent to other instances for this long, several times the time that
 # they take to arrive.
 SEND_LOSS_S = 10.0
 # Ages are too low by the time that their message takes, at most this long.
-# Served parts are newer only beyond it, or messages would renew them.
+# Served marks are newer only beyond it, or messages would renew them.
 MAX_DELAY_S = 0.5
-# Limits of a message and of the memory for losses: a crash loses a few requests
-# that have no event yet.
+# Limit of losses and of quarantines in a message.
 MAX_SENT_COUNT = 24
-MAX_LOSS_COUNT = 512
 
 
 class Verdict(enum.Enum):
@@ -55,267 +45,294 @@
     END = enum.auto()
 
 
-class PromptQuarantine:
+class RequestQuarantine:
     """Compares lost requests of all instances with served ones.
 
-    Load pattern: one request in fifty holds a part under which each engine ends
-    that begins to answer it. The requests arrive at any instance and differ in
-    all other parts, which sound requests hold as well. Each lost engine breaks
-    a pipeline with dozens of streams, and sending the request to the next
-    engine ends that one too. No instance sees more than one or two of them.
+    Load patterns:
+
+    - One request in fifty holds a part under which each engine ends that begins
+      to answer it. The requests arrive at any instance and differ in all other
+      parts, which sound requests hold as well.
+    - One request ends each engine that begins to run it. It is repeated at any
+      instance, and all its parts are sound.
+
+    Each lost engine breaks a pipeline with dozens of streams, or takes a third
+    of a plain service, and sending the request to the next engine ends that one
+    too. No instance sees more than one or two of these requests.
 
     Attributes:
-        served_at: Time at which a request with a part was last served, by any
-            instance that was asked, in the order of the times.
-        losses: Losses by first engine and parts.
-        quarantines: Present and past quarantines by part.
+        served: Times at which marks were last served, by any instance that was
+            asked.
+        lost: Requests that were lost before their first event.
+        quarantines: Present and past quarantines by mark.
         total_count: Number of quarantines that this instance has begun or
             received.
     """
 
     def __init__(self) -> None:
-        self.served_at: dict[str, float] = {}
-        self.losses: dict[
-            tuple[suspicions.Incarnation, tuple[str, ...]], prompt_evidence.Loss
-        ] = {}
-        self.quarantines: dict[str, prompt_evidence.Quarantine] = {}
+        self.served = served_marks.ServedMarks()
+        self.lost = lost_requests.LostRequests(self.served)
+        self.quarantines: dict[str, crash_evidence.Quarantine] = {}
         self.total_count = 0
 
-    def record_served(self, parts: Iterable[str], now: float) -> None:
+    def record_served(self, marks: Iterable[str], now: float) -> None:
         """Records that an engine has begun to answer a request."""
-        for part in parts:
-            self._set_served(part, now)
+        self.served.record(marks, now)
 
     def record_loss(
         self,
         engine: suspicions.Incarnation,
-        parts: tuple[str, ...],
+        marks: tuple[str, ...],
         now: float,
     ) -> None:
         """Records a request that was lost before its first event."""
-        if parts:
-            self._set_loss((engine, parts), now, ended=False)
-
-    def find_quarantined(self, parts: Iterable[str], now: float) -> str | None:
-        """Returns a part that is in quarantine; None if there is none."""
-        for part in parts:
-            if self.remaining_s(part, now) > 0:
-                return part
+        if marks:
+            self.lost.record((engine, marks), now, ended=False)
+
+    def record_fate(
+        self, engine: suspicions.Incarnation, has_ended: bool, now: float
+    ) -> None:
+        """Records whether an engine that lost requests has ended."""
+        self.lost.record_fate(engine, has_ended, now)
+
+    @property
+    def has_news(self) -> bool:
+        """Whether evidence was added that ``take_news`` has not returned."""
+        return self.lost.has_news
+
+    def take_news(self) -> bool:
+        """Returns whether there is evidence to be passed on at once."""
+        had_news, self.lost.has_news = self.lost.has_news, False
+        return had_news
+
+    def has_ended(self, engine: suspicions.Incarnation) -> bool:
+        """Returns whether this instance has found out that an engine ended."""
+        return engine in self.lost.ended_at
+
+    def find_quarantined(self, marks: Iterable[str], now: float) -> str | None:
+        """Returns a mark that is in quarantine; None if there is none."""
+        for mark in marks:
+            if self.remaining_s(mark, now) > 0:
+                return mark
         return None
 
-    def remaining_s(self, part: str, now: float) -> float:
-        """Returns the time until the quarantine of a part ends, in seconds."""
-        quarantine = self.quarantines.get(part)
+    def remaining_s(self, mark: str, now: float) -> float:
+        """Returns the time until the quarantine of a mark ends, in seconds."""
+        quarantine = self.quarantines.get(mark)
         return max(0.0, quarantine.until - now) if quarantine else 0.0
 
+    def is_suspect(self, marks: tuple[str, ...], now: float) -> bool:
+        """Returns whether an engine may have ended under the same request.
+
+        The request was not served since, and may be sound all the same.
+        """
+        found = marks_module.fingerprint_of(marks)
+        return bool(found) and self.lost.is_suspect(found, now)
+
     def judge_repeat(
         self,
         engine: suspicions.Incarnation,
-        parts: tuple[str, ...],
+        marks: tuple[str, ...],
         now: float,
     ) -> Verdict:
         """Returns whether a request that was lost may be sent again.
 
-        A request whose parts others are served with is sent again at once. Any
-        other one may have ended its engine, which shows after a moment.
+        A request whose marks others are served with is sent again at once. Any
+        other one may have ended its engine, which shows after a moment. If all
+        of its parts are sound, it is tried once more, as most requests that
+        are lost with an engine have not caused its end.
         """
-        if self.find_quarantined(parts, now) is not None:
+        if self.find_quarantined(marks, now) is not None:
             return Verdict.END
-        if all(self._is_sound(part, engine) for part in parts):
+        unsound = [m for m in marks if not self.lost.is_sound(m, engine)]
+        loss = self.lost.losses.get((engine, marks))
+        if not unsound or loss is None:
             return Verdict.REPEAT
-        loss = self.losses.get((engine, parts))
-        if loss is not None and now - loss.at < FATE_TIMEOUT_S:
-            return Verdict.WAIT
-        return Verdict.END if loss and loss.ended else Verdict.REPEAT
+        if not loss.ended:
+            is_recent = now - loss.at < lost_requests.FATE_TIMEOUT_S
+            return Verdict.WAIT if is_recent else Verdict.REPEAT
+        if any(
+            not marks_module.is_fingerprint(m)
+            or self.lost.ended_since_served(m) - {engine}
+            for m in unsound
+        ):
+            return Verdict.END
+        return Verdict.REPEAT
 
     def update(
         self, is_ended: Callable[[suspicions.Incarnation], bool], now: float
     ) -> list[str]:
-        """Evaluates all evidence; returns the parts that are quarantined anew.
+        """Evaluates all evidence; returns the marks that are quarantined anew.
 
         Args:
             is_ended: Returns whether an engine is known to have ended.
             now: Monotonic time in seconds.
         """
         self._expire(now)
-        for (engine, _), loss in self.losses.items():
-            loss.ended = loss.ended or is_ended(engine)
-        for part, quarantine in self.quarantines.items():
-            if self._is_exonerated(part):
+        self.lost.confirm(is_ended)
+        for mark, quarantine in self.quarantines.items():
+            if self.lost.is_exonerated(mark):
                 quarantine.until = min(quarantine.until, now)
-        found = [p for p in self.quarantines if self._has_relapsed(p, now)]
-        for part in found:
-            self._quarantine(part, now)
-        # A part explains the end of its engines, so that parts of requests
-        # which were lost beside it need other evidence.
-        for part, quarantine in self.quarantines.items():
-            quarantine.add_engines(self._ended_under(part))
-        while (part := self._most_suspect(self._explained(), now)) is not None:
+        # A mark explains the end of its engines, so that requests which were
+        # lost beside it need other evidence.
+        for mark, quarantine in self.quarantines.items():
+            quarantine.add_engines(self.lost.ended_under(mark))
+        found = [m for m in self.quarantines if self._has_relapsed(m, now)]
+        for mark in found:
+            self._quarantine(mark, now)
+        for fingerprint in self._fatal_fingerprints():
+            self._quarantine(fingerprint, now)
+            found.append(fingerprint)
+        while (part := self._most_suspect_part(now)) is not None:
             self._quarantine(part, now)
-            self.quarantines[part].add_engines(self._ended_under(part))
             found.append(part)
         return found
 
-    def evidence(self, now: float) -> prompt_evidence.Evidence | None:
+    def evidence(self, now: float) -> crash_evidence.Evidence | None:
         """Returns the evidence for other instances; None without any."""
         recent = self._telling_losses(now)
-        active = [(p, q) for p, q in self.quarantines.items() if q.until > now][
+        active = [(m, q) for m, q in self.quarantines.items() if q.until > now][
             -MAX_SENT_COUNT:
         ]
         if not recent and not active:
             return None
-        return prompt_evidence.Evidence(
+        return crash_evidence.Evidence(
             tuple(
-                prompt_evidence.PromptLoss(
-                    engine, parts, round(now - loss.at, 3), loss.ended
+                crash_evidence.LostRequest(
+                    engine, marks, round(now - loss.at, 3), loss.ended
                 )
-                for (engine, parts), loss in recent
+                for (engine, marks), loss in recent
             ),
             {
-                part: round(now - self.served_at[part], 3)
-                for (_, parts), _ in recent
-                for part in parts
-                if part in self.served_at
+                mark: round(now - self.served.at(mark), 3)
+                for (_, marks), _ in recent
+                for mark in marks
+                if mark in self.served
             },
             tuple(
-                prompt_evidence.QuarantinedPart(
-                    p, round(q.until - now, 3), q.count, q.latest_engines
+                crash_evidence.QuarantinedMark(
+                    m, round(q.until - now, 3), q.count, q.latest_engines
                 )
-                for p, q in active
+                for m, q in active
             ),
         )
 
-    def merge(
-        self, evidence: prompt_evidence.Evidence, now: float
-    ) -> list[str]:
+    def merge(self, evidence: crash_evidence.Evidence, now: float) -> list[str]:
         """Merges the evidence of another instance.
 
         Returns:
-            Parts that are in quarantine from now on.
+            Marks that are in quarantine from now on.
         """
-        for part, age_s in evidence.served_ages_s.items():
-            known_at = self.served_at.get(part, float("-inf"))
-            if now - age_s > known_at + MAX_DELAY_S:
-                self._set_served(part, now - age_s)
+        for mark, age_s in evidence.served_ages_s.items():
+            if now - age_s > self.served.at(mark) + MAX_DELAY_S:
+                self.served.record((mark,), now - age_s)
         for loss in evidence.losses:
-            key = (loss.engine, loss.parts)
-            self._set_loss(key, now - loss.age_s, loss.ended)
+            key = (loss.engine, loss.marks)
+            self.lost.record(key, now - loss.age_s, loss.ended)
         added = []
         for received in evidence.quarantined:
-            known = self.quarantines.get(received.part)
+            known = self.quarantines.get(received.mark)
             # The remaining time is a little too long when it arrives, so that
             # instances which exchange it again would prolong it.
             if known is None or known.count < received.count:
-                known = prompt_evidence.Quarantine(
+                known = crash_evidence.Quarantine(
                     now + received.left_s, received.count
                 )
-                self.quarantines[received.part] = known
-                added.append(received.part)
+                self.quarantines[received.mark] = known
+                added.append(received.mark)
             known.add_engines(received.engines)
         self.total_count += len(added)
         return added
 
-    def _is_sound(self, part: str, engine: suspicions.Incarnation) -> bool:
-        """Returns whether requests with a part are served by other engines."""
-        served_at = self.served_at.get(part)
-        if served_at is None:
-            return False
-        return not any(
-            part in parts and other != engine and loss.ended
-            for (other, parts), loss in self.losses.items()
-            if loss.at > served_at
-        )
-
     def _telling_losses(
         self, now: float
-    ) -> list[
-        tuple[
-            tuple[suspicions.Incarnation, tuple[str, ...]], prompt_evidence.Loss
-        ]
-    ]:
+    ) -> list[tuple[lost_requests.Key, crash_evidence.Loss]]:
         """Returns the recent losses that tell others most, as many as fit.
 
         Load pattern: an engine ends and loses more requests than fit, of which
-        one is fatal. Its part is lost with one engine after the other, unlike
-        the rare parts beside it. Losses that a quarantined part explains are
+        one is fatal. Its marks are lost with one engine after the other, unlike
+        the rare marks beside it. Losses that a quarantined mark explains are
         told by the quarantine itself and come last.
         """
-        explained = self._explained()
+        explained = self._explained(self.quarantines)
         recent = [
             (key, loss)
-            for key, loss in self.losses.items()
+            for key, loss in self.lost.losses.items()
             if now - loss.at < SEND_LOSS_S
         ]
         engines: dict[str, set[suspicions.Incarnation]] = {}
-        for (engine, parts), loss in recent:
+        for (engine, marks), loss in recent:
             if engine not in explained:
-                for part in self._candidates(parts, loss):
-                    engines.setdefault(part, set()).add(engine)
+                for mark in self.lost.candidates(marks, loss):
+                    engines.setdefault(mark, set()).add(engine)
         # Stable, so that of equal ones the later losses are sent.
         recent.sort(
-            key=lambda item: max(len(engines.get(p, ())) for p in item[0][1])
+            key=lambda item: max(len(engines.get(m, ())) for m in item[0][1])
         )
         return recent[-MAX_SENT_COUNT:]
 
-    def _explained(self) -> set[suspicions.Incarnation]:
-        """Returns the engines that have ended under a quarantined part."""
-        return {e for q in self.quarantines.values() for e in q.engines}
-
-    def _ended_under(self, part: str) -> set[suspicions.Incarnation]:
-        """Returns the engines that have ended with requests of a part."""
-        return {
-            engine
-            for (engine, parts), loss in self.losses.items()
-            if loss.ended and part in parts
-        }
-
-    def _is_exonerated(self, part: str) -> bool:
-        """Returns whether a part was served after all ends of engines."""
-        ended_at = [
-            loss.at
-            for (_, parts), loss in self.losses.items()
-            if loss.ended and part in parts
-        ]
-        return bool(ended_at) and self.served_at.get(part, float("-inf")) > max(
-            ended_at
-        )
+    def _explained(self, marks: Iterable[str]) -> set[suspicions.Incarnation]:
+        """Returns the engines that have ended under quarantined marks."""
+        return {e for m in marks for e in self.quarantines[m].engines}
 
-    def _has_relapsed(self, part: str, now: float) -> bool:
-        """Returns whether an engine ended after the quarantine of a part."""
-        until = self.quarantines[part].until
+    def _has_relapsed(self, mark: str, now: float) -> bool:
+        """Returns whether an engine ended after the quarantine of a mark."""
+        until = self.quarantines[mark].until
         return until <= now and any(
             loss.ended
             and loss.at > until
-            and part in self._candidates(parts, loss)
-            for (_, parts), loss in self.losses.items()
+            and mark in self.lost.candidates(marks, loss)
+            for (_, marks), loss in self.lost.losses.items()
         )
 
-    def _most_suspect(
-        self, explained: set[suspicions.Incarnation], now: float
-    ) -> str | None:
-        """Returns the part under which most unexplained engines have ended."""
+    def _fatal_fingerprints(self) -> list[str]:
+        """Returns the fingerprints under which enough engines have ended.
+
+        They need no answers of other instances: a fingerprint concerns repeats
+        of one request only, and is released as soon as one of them is served.
+        """
+        explained = self._explained(self.quarantines)
+        suspects = self.lost.suspect_fingerprints()
+        return [
+            fingerprint
+            for fingerprint, engines in suspects.items()
+            if len(engines - explained) >= MIN_ENDED_COUNT
+        ]
+
+    def _most_suspect_part(self, now: float) -> str | None:
+        """Returns the part under which most unexplained engines have ended.
+
+        Engines that a fingerprint explains count only beside others: requests
+        that differ have to end engines before their part is blamed.
+        """
+        by_part = [
+            m for m in self.quarantines if not marks_module.is_fingerprint(m)
+        ]
+        explained = self._explained(by_part)
+        repeated = self._explained(self.quarantines) - explained
         ended: dict[str, set[suspicions.Incarnation]] = {}
         first_at: dict[str, float] = {}
         together: dict[str, set[str]] = {}
         order: collections.Counter[str] = collections.Counter()
-        for (engine, parts), loss in self.losses.items():
+        for (engine, marks), loss in self.lost.losses.items():
             if not loss.ended:
                 continue
-            candidates = self._candidates(parts, loss)
-            for part in candidates:
+            parts = marks_module.parts_of(
+                tuple(self.lost.candidates(marks, loss))
+            )
+            for part in parts:
                 first_at[part] = min(loss.at, first_at.get(part, loss.at))
                 if engine in explained:
                     continue
                 ended.setdefault(part, set()).add(engine)
-                order[part] = max(order[part], parts.index(part))
-                together[part] = together.get(part, set(candidates)) & set(
-                    candidates
-                )
+                order[part] = max(order[part], marks.index(part))
+                together[part] = together.get(part, set(parts)) & set(parts)
         ready = [
             part
             for part, engines in ended.items()
             if now - first_at[part] >= ANSWER_S
             and len(engines) >= MIN_ENDED_COUNT
+            and engines - repeated
         ]
         if not ready:
             return None
@@ -328,64 +345,22 @@
             return None
         return best[-1]
 
-    def _candidates(
-        self, parts: tuple[str, ...], loss: prompt_evidence.Loss
-    ) -> list[str]:
-        """Returns the parts of a lost request that may have ended its engine.
-
-        Parts that requests were served with since are sound. Parts that were
-        served before are less suspect than those that never were.
-        """
-        unserved = [
-            p for p in parts if self.served_at.get(p, float("-inf")) < loss.at
-        ]
-        never = [p for p in unserved if p not in self.served_at]
-        return never or unserved
-
-    def _quarantine(self, part: str, now: float) -> None:
+    def _quarantine(self, mark: str, now: float) -> None:
         known = self.quarantines.setdefault(
-            part, prompt_evidence.Quarantine(now, 0)
+            mark, crash_evidence.Quarantine(now, 0)
         )
         known.until = now + min(
             FIRST_QUARANTINE_S * 2**known.count, MAX_QUARANTINE_S
         )
         known.count += 1
+        known.add_engines(self.lost.ended_under(mark))
         self.total_count += 1
 
-    def _set_served(self, part: str, at: float) -> None:
-        # Reinserted, so that the dict is in the order of the times.
-        self.served_at.pop(part, None)
-        self.served_at[part] = at
-        if len(self.served_at) > MAX_SERVED_COUNT:
-            del self.served_at[next(iter(self.served_at))]
-
-    def _set_loss(
-        self,
-        key: tuple[suspicions.Incarnation, tuple[str, ...]],
-        at: float,
-        ended: bool,
-    ) -> None:
-        known = self.losses.get(key)
-        if known is None:
-            self.losses[key] = prompt_evidence.Loss(at, ended)
-            if len(self.losses) > MAX_LOSS_COUNT:
-                del self.losses[next(iter(self.losses))]
-            return
-        known.ended = known.ended or ended
-
     def _expire(self, now: float) -> None:
-        self.losses = {
-            key: loss
-            for key, loss in self.losses.items()
-            if now - loss.at < (HISTORY_S if loss.ended else CONFIRM_S)
-        }
-        while self.served_at:
-            part = next(iter(self.served_at))
-            if now - self.served_at[part] < HISTORY_S:
-                break
-            del self.served_at[part]
+        self.lost.expire(now)
+        self.served.expire(now)
         self.quarantines = {
-            part: quarantine
-            for part, quarantine in self.quarantines.items()
+            mark: quarantine
+            for mark, quarantine in self.quarantines.items()
             if now - quarantine.until < MAX_QUARANTINE_S
         }
--- a/src/yuccatally/forwarding/calls.py
+++ b/src/yuccatally/forwarding/calls.py
@@ -58,9 +58,7 @@
             result = await self._attempt(context, path, progress)
             if isinstance(result, upstream_responses.FailedAttempt):
                 return result
-            self.state.quarantine.record_served(
-                context.prompt_parts, time.monotonic()
-            )
+            self.state.quarantine.record_served(context.marks, time.monotonic())
             await writer.send_response(
                 result.status, result.headers, result.body
             )
--- a/src/yuccatally/forwarding/detection.py
+++ b/src/yuccatally/forwarding/detection.py
@@ -72,6 +72,8 @@
     ) -> None:
         """Records a failed attempt."""
         now = time.monotonic()
+        if _is_broken_off(result.failure):
+            self.fleet.crash_reports.examine(path.hops[0])
         if not path.ranges:
             if isinstance(result.failure, attempts.NotSent):
                 self.state.suspect_upstream(
@@ -151,3 +153,12 @@
         self.fleet.suspect_refusing(
             named_hops[0] if named_hops else path.hops[0]
         )
+
+
+def _is_broken_off(failure: attempts.Failure) -> bool:
+    """Returns whether the connection broke, as it does if an engine ends."""
+    match failure:
+        case attempts.NoResponse(timed_out=False):
+            return True
+        case _:
+            return False
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -12,6 +12,7 @@
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import members
 from yuccatally.core.forwarding import suspicions
+from yuccatally.forwarding import crash_reports
 from yuccatally.forwarding import leader_state
 from yuccatally.forwarding import peer_sync
 from yuccatally.forwarding import rate_limiting
@@ -22,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterable
 
     from yuccatally.core.forwarding import upstreams
     from yuccatally.forwarding import state
@@ -76,6 +78,7 @@
             this instance with all upstreams.
         rate_limiter: Reserves turns at upstreams that limit their rate.
         logged_live_names: Names of the instances last logged as live.
+        crash_reports: Evidence on requests that crash engines.
     """
 
     def __init__(self, instance_state: state.InstanceState) -> None:
@@ -92,6 +95,12 @@
         self.relay: str | None = None
         self.suspicions = suspicions.SuspicionTable()
         self.leader_state = leader_state.LeaderStateTracker(instance_state)
+        self.crash_reports = crash_reports.CrashReports(
+            instance_state,
+            self.leader_state,
+            self.spawn,
+            lambda: self._notify(self.member_table.followers),
+        )
         self.on_removed: Callable[[str], None] = lambda name: None
         self.peer_store_at = self.peer_store_since = float("-inf")
         self.store_checked_at = 0.0
@@ -217,8 +226,7 @@
         while True:
             now = time.monotonic()
             self._remove_silent(now)
-            found = self.state.quarantine.update(self._has_ended, now)
-            self._log_quarantined(found, "evidence")
+            self.crash_reports.update(now)
             self._choose_relay(now)
             for name in self._exchange_partners(now):
                 address = self.member_table.contacts[name].peers
@@ -233,8 +241,13 @@
 
     async def notify_relays(self) -> None:
         """Sends a heartbeat to the relays at once, for example when leaving."""
+        await self._notify(())
+
+    async def _notify(self, names: Iterable[str]) -> None:
+        """Sends a heartbeat to the relays and to some instances at once."""
         now = time.monotonic()
         recipient_names = {
+            *names,
             *self.member_table.other_relays(self.own_member, now),
             *self._exchange_partners(now),
         }
@@ -389,8 +402,7 @@
             self.state.merge_limit(limit, name)
         self.leader_state.apply(heartbeat.leader_state)
         if heartbeat.prompts is not None:
-            received = self.state.quarantine.merge(heartbeat.prompts, now)
-            self._log_quarantined(received, name)
+            self.crash_reports.merge(heartbeat.prompts, name)
         self._compare_rules(heartbeat, now)
         # Lists of other followers are as old as their last exchange with the
         # relay.
@@ -491,23 +503,6 @@
             _log.info("instance_reached", name=name)
         self.logged_live_names = live
 
-    def _has_ended(self, engine: suspicions.Incarnation) -> bool:
-        """Returns whether an engine has failed, left or been restarted."""
-        return (
-            engine in self.leader_state.failed_until
-            or self.state.registry.has_left(engine.name, engine.born_ms)
-        )
-
-    def _log_quarantined(self, parts: list[str], source: str) -> None:
-        now = time.monotonic()
-        for part in parts:
-            _log.warning(
-                "prompt_quarantined",
-                part=part,
-                seconds=round(self.state.quarantine.remaining_s(part, now)),
-                source=source,
-            )
-
     def _record_suspicion(
         self, kind: suspicions.Kind, engine: upstreams.Upstream
     ) -> None:
--- a/src/yuccatally/forwarding/request_context.py
+++ b/src/yuccatally/forwarding/request_context.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import time
 from typing import TYPE_CHECKING
 
+from yuccatally.core.forwarding import marks
 from yuccatally.platform import headers as platform_headers
 
 if TYPE_CHECKING:
@@ -59,11 +61,18 @@
         """Returns the time until the deadline, in seconds."""
         return self.deadline - time.monotonic()
 
-    @property
-    def prompt_parts(self) -> tuple[str, ...]:
-        """Shared parts of the prompt, which crash engines of one service."""
-        return tuple(
-            f"{self.service.name}/{p}" for p in self.request.shared_parts
+    @functools.cached_property
+    def marks(self) -> tuple[str, ...]:
+        """Shared parts of the prompt, and the fingerprint of the request.
+
+        They name the service, as a request crashes engines of one service.
+        """
+        service = self.service.name
+        return (
+            *(marks.part_mark(service, p) for p in self.request.shared_parts),
+            marks.fingerprint(
+                service, self.method, self.target, self.account, self.body
+            ),
         )
 
     def upstream_headers(
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -9,9 +9,11 @@
 
 from yuccatally.core.forwarding import attempts
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import marks
 from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import suspicions
+from yuccatally.core.forwarding import trials
 from yuccatally.forwarding import upstream_responses
 
 if TYPE_CHECKING:
@@ -211,19 +213,20 @@
     """Returns whether an attempt without an event may be followed by another.
 
     A request whose connection broke may have crashed its engine. It waits until
-    the engine or its prompt proves to be sound.
+    the engine or the request proves to be sound.
     """
-    parts = context.prompt_parts
-    if not parts or not isinstance(failure, attempts.NoResponse):
+    if not isinstance(failure, attempts.NoResponse):
         return True
     engine = suspicions.Incarnation(path.hops[0].name, path.hops[0].born_ms)
-    prompts = instance_state.quarantine
-    prompts.record_loss(engine, parts, time.monotonic())
-    if failure.timed_out:
+    quarantined = instance_state.quarantine
+    quarantined.record_loss(engine, context.marks, time.monotonic())
+    if failure.timed_out or not context.route.repeat.may_run_again:
         # A path stalls when any of its engines fails, mostly a later one.
         return True
     while True:
-        verdict = prompts.judge_repeat(engine, parts, time.monotonic())
+        verdict = quarantined.judge_repeat(
+            engine, context.marks, time.monotonic()
+        )
         if verdict is not quarantine.Verdict.WAIT:
             return verdict is quarantine.Verdict.REPEAT
         await asyncio.sleep(FATE_POLL_S)
@@ -235,15 +238,17 @@
     writer: request_context.ResponseWriter,
     progress: attempts.AttemptCounter,
 ) -> bool:
-    """Returns whether a request was ended, as a part is in quarantine."""
+    """Returns whether a request was ended, as a mark is in quarantine."""
     now = time.monotonic()
-    prompts = instance_state.quarantine
-    part = prompts.find_quarantined(context.prompt_parts, now)
-    if part is None:
+    quarantined = instance_state.quarantine
+    mark = quarantined.find_quarantined(context.marks, now)
+    if mark is None:
         return False
-    left_s = round(prompts.remaining_s(part, now), 1)
+    left_s = round(quarantined.remaining_s(mark, now), 1)
     step = attempts.refuse_or_give_up(progress, left_s)
-    await upstream_responses.end_request(writer, step, "prompt-quarantined")
+    is_request = marks.is_fingerprint(mark)
+    reason = "request-quarantined" if is_request else "prompt-quarantined"
+    await upstream_responses.end_request(writer, step, reason)
     return True
 
 
@@ -259,14 +264,22 @@
     now = time.monotonic()
     limits = instance_state.limits
     dispatcher = instance_state.dispatcher
+    is_suspect = instance_state.quarantine.is_suspect(context.marks, now)
+    trial = marks.fingerprint_of(context.marks) if is_suspect else ""
     if context.service.model is not None:
-        paths = instance_state.paths(context.service)
+        paths = trials.candidates(
+            trial, instance_state.paths(context.service), tried
+        )
         waits_s = {p.name: limits.wait_s(p.hops, now) for p in paths}
         find = functools.partial(
             dispatcher.choose_path, paths, memory_tokens(context)
         )
     else:
-        usable = instance_state.registry.usable_of(context.service.name)
+        usable = trials.candidates(
+            trial,
+            instance_state.registry.usable_of(context.service.name),
+            tried,
+        )
         waits_s = {u.name: limits.wait_s((u,), now) for u in usable}
         find = functools.partial(dispatcher.choose_upstream, usable)
     return rate_limits.choose_by_turn(
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -49,7 +49,7 @@
             start time.
         confirmed_generation: Generation of these layers.
         dispatcher: Chooses paths by outstanding work.
-        quarantine: Parts of prompts that crash engines.
+        quarantine: Requests that crash engines.
         limits: Request rates that upstreams accept.
         retry_budgets: Retry budgets by service.
         instance_count: Number of instances that share the retry budget,
@@ -75,7 +75,7 @@
         self.confirmed_layers: dict[tuple[str, int], upstreams.LayerRange] = {}
         self.confirmed_generation = 0
         self.dispatcher = dispatch.Dispatcher(settings.data_centre, self.rng)
-        self.quarantine = quarantine.PromptQuarantine()
+        self.quarantine = quarantine.RequestQuarantine()
         self.limits = rate_limits.LimitTable()
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
         self.instance_count = 1
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -50,7 +50,7 @@
         path: The path.
         service: Service of the path.
         may_move: Whether the request may be sent again on another path.
-        prompt_parts: Shared parts of its prompt.
+        marks: Its marks, see ``RequestContext``.
         timeout: Ends the attempt when it is rescheduled.
         response: The response, once its headers have arrived.
         has_event: Whether an event has arrived.
@@ -61,7 +61,7 @@
     path: dispatch.Path
     service: str
     may_move: bool
-    prompt_parts: tuple[str, ...] = ()
+    marks: tuple[str, ...] = ()
     timeout: asyncio.Timeout | None = None
     response: exchange.UpstreamResponse | None = None
     has_event: bool = False
@@ -225,7 +225,7 @@
             context.service.name,
             route.repeat.may_run_again
             and progress.run_count < route.max_attempts,
-            context.prompt_parts,
+            context.marks,
         )
         try:
             async with asyncio.timeout(None) as attempt.timeout:
@@ -328,7 +328,7 @@
                 attempt.has_event = True
                 self.state.dispatcher.record_first_event(name)
                 self.state.quarantine.record_served(
-                    attempt.prompt_parts, time.monotonic()
+                    attempt.marks, time.monotonic()
                 )
             if not writer.started:
                 # The headers are sent with the first event: until then, another
--- a/src/yuccatally/forwarding/upstream_responses.py
+++ b/src/yuccatally/forwarding/upstream_responses.py
@@ -8,6 +8,7 @@
 import structlog
 
 from yuccatally.core.forwarding import attempts
+from yuccatally.core.forwarding import marks
 from yuccatally.platform import headers as platform_headers
 
 if TYPE_CHECKING:
@@ -154,6 +155,7 @@
         detail=getattr(failure, "reason", ""),
         events=event_count,
         parts=",".join(context.request.shared_parts),
+        fingerprint=marks.fingerprint_of(context.marks),
         left_ms=round(context.remaining_s() * 1e3),
         next=type(action).__name__,
     )
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from yuccatally.core.forwarding import crash_evidence
 from yuccatally.core.forwarding import members
 from yuccatally.core.forwarding import pipelines
-from yuccatally.core.forwarding import prompt_evidence
 from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
@@ -110,7 +110,7 @@
     leader_state: LeaderState | None = None
     receiver_born_ms: int = 0
     leaving: tuple[suspicions.Incarnation, ...] = ()
-    prompts: prompt_evidence.Evidence | None = None
+    prompts: crash_evidence.Evidence | None = None
     limits: tuple[rate_limits.SharedLimit, ...] = ()
     store_epoch: int = 0
 
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -50,6 +50,8 @@
         leaving: Whether requests and health checks are refused.
         fatal_part: Part of a prompt under which the process ends when it begins
             to answer; empty for none.
+        fatal_body: Body of a request under which the process ends in the same
+            way; empty for none.
         announces_leaving: Whether all responses state that the engine leaves,
             while it serves as before.
         rate_limit: Rate in requests a second that all responses name; empty for
@@ -77,6 +79,7 @@
     drops_answer: bool = False
     leaving: bool = False
     fatal_part: str = ""
+    fatal_body: bytes = b""
     announces_leaving: bool = False
     rate_limit: str = ""
     report_lag_s: float = 0.0
@@ -313,7 +316,7 @@
             request.transport.write(self.latest_refusal)
         try:
             await asyncio.sleep(self.delay_s)
-            if self._has_fatal_part(request):
+            if self._is_fatal(request, body):
                 await self._crash()
                 await asyncio.sleep(3600)
             if self.behaviour.drops_answer:
@@ -355,7 +358,9 @@
             )
         return response
 
-    def _has_fatal_part(self, request: web.Request) -> bool:
+    def _is_fatal(self, request: web.Request, body: bytes) -> bool:
+        if body and body == self.behaviour.fatal_body:
+            return True
         parts = request.headers.get("Yuccatally-Prefix-Hash", "").split(",")
         fatal = self.behaviour.fatal_part
         return bool(fatal) and fatal in (p.partition(":")[0] for p in parts)
--- a/src/yuccatally_standins/path_site.py
+++ b/src/yuccatally_standins/path_site.py
@@ -115,6 +115,7 @@
         headers: dict[str, str] | None = None,
         at: node.Node | None = None,
         deadline_ms: int = 3000,
+        sent_body: bytes = b"prompt",
     ) -> tuple[int, dict[str, str], bytes]:
         """Sends a request; returns the status, the headers and the body.
 
@@ -134,7 +135,7 @@
             method,
             yarl.URL(url, encoded=True),
             headers=sent_headers,
-            data=b"prompt",
+            data=sent_body,
         ) as response:
             received = {n.lower(): v for n, v in response.headers.items()}
             try:
--- a/tests/core/forwarding/test_quarantine.py
+++ b/tests/core/forwarding/test_quarantine.py
@@ -8,7 +8,10 @@
 from hypothesis import strategies
 import pytest
 
+from yuccatally.core.forwarding import lost_requests
+from yuccatally.core.forwarding import marks
 from yuccatally.core.forwarding import quarantine
+from yuccatally.core.forwarding import served_marks
 from yuccatally.core.forwarding import suspicions
 
 FATAL = "fatal"
@@ -26,7 +29,7 @@
         is_slow: Whether evidence arrives one exchange late.
     """
 
-    instances: list[quarantine.PromptQuarantine]
+    instances: list[quarantine.RequestQuarantine]
     ended: set[suspicions.Incarnation]
     now: float = 100.0
     is_slow: bool = False
@@ -70,7 +73,7 @@
 
 @pytest.fixture
 def fleet() -> Fleet:
-    return Fleet([quarantine.PromptQuarantine() for _ in range(3)], set())
+    return Fleet([quarantine.RequestQuarantine() for _ in range(3)], set())
 
 
 def test_one_crash_each_is_evidence_together(fleet: Fleet) -> None:
@@ -207,7 +210,7 @@
         fleet.lose(0, f"e{number}", FATAL)
         fleet.pass_time(0.6)
     fleet.pass_time(30.0)
-    fleet.instances[0] = quarantine.PromptQuarantine()
+    fleet.instances[0] = quarantine.RequestQuarantine()
     fleet.pass_time(0.2)
     assert fleet.blocked(FATAL) == [True] * 3
 
@@ -220,7 +223,7 @@
     assert asked.judge_repeat(fatal, (FATAL,), fleet.now) is (
         quarantine.Verdict.WAIT
     )
-    fleet.pass_time(quarantine.FATE_TIMEOUT_S)
+    fleet.pass_time(lost_requests.FATE_TIMEOUT_S)
     assert asked.judge_repeat(fatal, (FATAL,), fleet.now) is (
         quarantine.Verdict.END
     )
@@ -255,7 +258,7 @@
 
     Engines end under the fatal part only; other requests are lost with them.
     """
-    fleet = Fleet([quarantine.PromptQuarantine() for _ in range(3)], set())
+    fleet = Fleet([quarantine.RequestQuarantine() for _ in range(3)], set())
     for number, (at, part, is_crash) in enumerate(events):
         if is_crash:
             fleet.lose(at, f"e{number}", CALLER, FATAL)
@@ -272,15 +275,15 @@
 def test_memory_is_limited(fleet: Fleet) -> None:
     """Guards against clients that fill memory and heartbeats with parts."""
     one = fleet.instances[0]
-    for number in range(quarantine.MAX_SERVED_COUNT + 100):
+    for number in range(served_marks.MAX_SERVED_COUNT + 100):
         one.record_served((f"p{number}",), fleet.now)
-    for number in range(quarantine.MAX_LOSS_COUNT + 100):
+    for number in range(lost_requests.MAX_LOSS_COUNT + 100):
         fleet.lose(0, f"e{number}", f"p{number}", has_ended=False)
-    assert len(one.served_at) <= quarantine.MAX_SERVED_COUNT
-    assert len(one.losses) <= quarantine.MAX_LOSS_COUNT
+    assert len(one.served) <= served_marks.MAX_SERVED_COUNT
+    assert len(one.lost.losses) <= lost_requests.MAX_LOSS_COUNT
     assert len(one.evidence(fleet.now).losses) <= quarantine.MAX_SENT_COUNT
-    fleet.pass_time(2 * quarantine.CONFIRM_S)
-    assert not one.losses
+    fleet.pass_time(2 * lost_requests.CONFIRM_S)
+    assert not one.lost.losses
 
 
 def test_part_lost_beside_many_others_is_not_blamed(fleet: Fleet) -> None:
@@ -324,3 +327,150 @@
     fleet.pass_time(3.0)
     assert fleet.blocked(FATAL) == [True] * 3
     assert fleet.blocked("popular") == [False] * 3
+
+
+def _request(number: int | str, *parts: str) -> tuple[str, ...]:
+    """Returns the marks of a request."""
+    body = str(number).encode()
+    return (*parts, marks.fingerprint("model", "POST", "/ask", "lab", body))
+
+
+def test_request_that_ends_two_engines_is_blamed_itself(fleet: Fleet) -> None:
+    """Guards against refusing what a fatal request shares with sound ones.
+
+    It comes at two instances. Its parts are sound, and one of them is rare.
+    """
+    fleet.serve(2, CALLER, "rare")
+    fleet.pass_time(1.0)
+    for number in range(2):
+        fleet.lose(number, f"e{number}", *_request("x", CALLER, "rare"))
+        fleet.pass_time(0.4)
+    assert fleet.blocked(*_request("x", CALLER, "rare")) == [True] * 3
+    fleet.pass_time(2.0)
+    assert fleet.blocked(*_request("y", CALLER, "rare")) == [False] * 3
+
+
+def test_part_is_blamed_once_different_requests_end_engines(
+    fleet: Fleet,
+) -> None:
+    """Guards against a fatal part that repeats of each request hide.
+
+    Each request is sent twice and then refused itself.
+    """
+    for number in range(3):
+        for repeat in range(2):
+            engine = f"e{number}-{repeat}"
+            fleet.lose(repeat, engine, *_request(number, CALLER, FATAL))
+            fleet.pass_time(0.4)
+            fleet.serve(2, *_request(f"s{number}-{repeat}", CALLER))
+    fleet.pass_time(1.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+    assert fleet.blocked(CALLER) == [False] * 3
+
+
+def test_several_fatal_requests_are_found_at_once(fleet: Fleet) -> None:
+    """Guards against a fatal request that another one explains away.
+
+    They share no engine, and one sound request was beside each of them.
+    """
+    for number in range(4):
+        for repeat in range(2):
+            engine = f"e{number}-{repeat}"
+            fleet.lose(repeat, engine, *_request(number))
+            fleet.lose(2, engine, *_request(f"beside{number}-{repeat}"))
+    fleet.pass_time(1.0)
+    for number in range(4):
+        assert fleet.blocked(*_request(number)) == [True] * 3
+        for repeat in range(2):
+            beside = _request(f"beside{number}-{repeat}")
+            assert fleet.blocked(*beside) == [False] * 3
+
+
+def test_request_beside_two_explained_crashes_is_not_blamed(
+    fleet: Fleet,
+) -> None:
+    """Guards against refusing a sound request that met a known fatal one."""
+    for number in range(2):
+        fleet.lose(number, f"e{number}", *_request("x"))
+        fleet.pass_time(0.4)
+    fleet.lose(2, "e1", *_request("beside"))
+    fleet.lose(2, "e0", *_request("beside"))
+    fleet.pass_time(1.0)
+    assert fleet.blocked(*_request("x")) == [True] * 3
+    assert fleet.blocked(*_request("beside")) == [False] * 3
+
+
+def test_request_that_is_served_is_released(fleet: Fleet) -> None:
+    """Guards against refusing a frequent request after unrelated crashes."""
+    for number in range(2):
+        fleet.lose(number, f"e{number}", *_request("frequent"))
+    fleet.pass_time(0.4)
+    assert fleet.blocked(*_request("frequent")) == [True] * 3
+    # It was under way on another engine all the while.
+    fleet.serve(2, *_request("frequent"))
+    fleet.pass_time(1.0)
+    assert fleet.blocked(*_request("frequent")) == [False] * 3
+
+
+def test_lost_request_with_sound_parts_is_tried_once_more(
+    fleet: Fleet,
+) -> None:
+    """Guards against losing the sound requests of each engine that ends."""
+    fleet.serve(0, CALLER)
+    fleet.pass_time(0.2)
+    asked = fleet.instances[0]
+    sound, unknown = _request(1, CALLER), _request(2, CALLER, FATAL)
+    engine = fleet.lose(0, "e1", *sound)
+    fleet.lose(0, "e1", *unknown)
+    verdict = asked.judge_repeat(engine, sound, fleet.now)
+    assert verdict is quarantine.Verdict.WAIT
+    asked.record_fate(engine, True, fleet.now)
+    verdict = asked.judge_repeat(engine, sound, fleet.now)
+    assert verdict is quarantine.Verdict.REPEAT
+    verdict = asked.judge_repeat(engine, unknown, fleet.now)
+    assert verdict is quarantine.Verdict.END
+    second = fleet.lose(0, "e2", *sound)
+    asked.record_fate(second, True, fleet.now)
+    verdict = asked.judge_repeat(second, sound, fleet.now)
+    assert verdict is quarantine.Verdict.END
+
+
+def test_request_is_repeated_at_once_if_its_engine_works(
+    fleet: Fleet,
+) -> None:
+    """Guards against waiting for the fate of an engine that is known to work.
+
+    It broke off one connection and ends for another reason later on.
+    """
+    asked = fleet.instances[0]
+    engine = fleet.lose(0, "e1", *_request(1), has_ended=False)
+    asked.record_fate(engine, False, fleet.now)
+    verdict = asked.judge_repeat(engine, _request(1), fleet.now)
+    assert verdict is quarantine.Verdict.REPEAT
+    fleet.ended.add(engine)
+    fleet.pass_time(1.0)
+    assert not asked.is_suspect(_request(1), fleet.now)
+
+
+def test_request_whose_engine_may_have_ended_is_suspect(fleet: Fleet) -> None:
+    """Guards against a repeat that arrives before the fate is known."""
+    asked = fleet.instances[0]
+    assert not asked.is_suspect(_request(1), fleet.now)
+    engine = fleet.lose(0, "e1", *_request(1), has_ended=False)
+    assert asked.is_suspect(_request(1), fleet.now)
+    fleet.now += lost_requests.FATE_TIMEOUT_S + 0.1
+    assert not asked.is_suspect(_request(1), fleet.now)
+    asked.record_fate(engine, True, fleet.now)
+    assert asked.is_suspect(_request(1), fleet.now)
+    asked.record_served(_request(1), fleet.now + 0.1)
+    assert not asked.is_suspect(_request(1), fleet.now + 0.1)
+
+
+def test_fingerprints_do_not_displace_served_parts(fleet: Fleet) -> None:
+    """Guards against rare parts that seem unserved beside many requests."""
+    one = fleet.instances[0]
+    one.record_served(("rare",), fleet.now)
+    for number in range(served_marks.MAX_SERVED_COUNT + 100):
+        one.record_served(_request(number), fleet.now)
+    assert "rare" in one.served
+    assert len(one.served) <= served_marks.MAX_SERVED_COUNT + 1
--- /dev/null
+++ b/tests/forwarding/test_crashing_requests.py
@@ -0,0 +1,157 @@
+"""Requests that crash each engine that begins to run them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+
+import pytest
+
+from yuccatally_standins import path_site
+
+if TYPE_CHECKING:
+    from yuccatally_standins import path_engine
+
+FATAL_BODY = b"fatal"
+# Part of the prompts of sound requests and of the fatal one.
+CALLER = "ca11e4"
+ENGINE_COUNT = 8
+# The rule allows three further arrivals after the third engine has ended.
+MAX_CRASHED_COUNT = 3
+# Time in which an engine begins to answer.
+PREFILL_S = 0.2
+_numbers = itertools.count()
+
+
+@pytest.fixture
+async def fragile(site: path_site.Site) -> path_site.Site:
+    """Adds engines that each serve alone, and as many plain services.
+
+    All of them crash under the fatal request. Two instances serve requests.
+    """
+    for number in range(ENGINE_COUNT):
+        engine = await site.add_engine(f"e{number}", data_centre=f"dc{number}")
+        service = await site.add_engine(f"d{number}", card="")
+        for each in (engine, service):
+            each.behaviour.fatal_body = FATAL_BODY
+    for name in ("n1", "n2"):
+        await _start(site, name)
+    return site
+
+
+async def _start(site: path_site.Site, name: str) -> None:
+    started = await site.start_instance(name)
+    model = started.state.rules.services["model"]
+    registry = started.state.registry
+    await path_site.until(
+        lambda: (
+            len(started.state.paths(model)) == ENGINE_COUNT
+            and len(registry.usable_of("desk")) == ENGINE_COUNT
+        )
+    )
+
+
+async def _send(
+    site: path_site.Site, target: str, body: bytes = b"", instance: int = 0
+) -> int:
+    """Sends a request, sound and unlike any other unless it has a body."""
+    number = next(_numbers)
+    headers = {}
+    if target.startswith("/ask"):
+        headers["Yuccatally-Prefix-Hash"] = f"{CALLER}:10,{number:x}:10"
+    status, _, _ = await site.send_request(
+        target,
+        f"q{number}",
+        headers=headers,
+        at=site.instances[instance],
+        sent_body=body or b"sound %d" % number,
+    )
+    return status
+
+
+def _crashed(site: path_site.Site) -> list[path_engine.PathEngine]:
+    return [e for e in site.engines.values() if e.has_crashed]
+
+
+@pytest.mark.parametrize("target", ["/book/x", "/stock/x", "/ask/x"])
+async def test_repeated_request_stops_crashing_engines(
+    fragile: path_site.Site, target: str
+) -> None:
+    """Guards against one request that crashes engine after engine.
+
+    It comes again at one instance after the other; other requests with the same
+    path, caller and part are served all the while.
+    """
+    for instance in (0, 1):
+        assert await _send(fragile, target, instance=instance) == 200
+    for number in range(8):
+        await _send(fragile, target, FATAL_BODY, instance=number % 2)
+        await asyncio.sleep(0.1)
+        assert await _send(fragile, target, instance=number % 2) == 200
+    assert 1 <= len(_crashed(fragile)) <= MAX_CRASHED_COUNT
+    crashed_count = len(_crashed(fragile))
+    for number in range(4):
+        status = await _send(fragile, target, FATAL_BODY, instance=number % 2)
+        assert status == 503
+    assert len(_crashed(fragile)) == crashed_count
+
+
+@pytest.mark.parametrize("target", ["/book/x", "/ask/x"])
+async def test_repeats_at_the_same_time_crash_few_engines(
+    fragile: path_site.Site, target: str
+) -> None:
+    """Guards against a crash for each of the repeats of an impatient client.
+
+    The instances know of the first crash, and not yet whether it has a cause.
+    """
+    await _send(fragile, target, FATAL_BODY)
+    await path_site.until(
+        lambda: all(
+            any(loss.ended for loss in i.state.quarantine.lost.losses.values())
+            for i in fragile.instances
+        )
+    )
+    for _ in range(3):
+        await asyncio.gather(
+            *(
+                _send(fragile, target, FATAL_BODY, instance=n % 2)
+                for n in range(4)
+            )
+        )
+    assert len(_crashed(fragile)) <= MAX_CRASHED_COUNT
+
+
+async def test_new_instance_refuses_a_known_fatal_request(
+    fragile: path_site.Site,
+) -> None:
+    """Guards against new crashes after the restart of an instance."""
+    for number in range(4):
+        await _send(fragile, "/book/x", FATAL_BODY, instance=number % 2)
+    crashed_count = len(_crashed(fragile))
+    started = await fragile.start_instance("n3")
+    await path_site.until(lambda: started.state.quarantine.quarantines)
+    for _ in range(4):
+        assert await _send(fragile, "/book/x", FATAL_BODY, instance=2) == 503
+    assert len(_crashed(fragile)) == crashed_count
+
+
+@pytest.mark.parametrize("target", ["/stock/x", "/ask/x"])
+async def test_sound_request_beside_a_fatal_one_is_served(
+    fragile: path_site.Site, target: str
+) -> None:
+    """Guards against refusing a request whose engine another one crashed."""
+    for engine in fragile.engines.values():
+        engine.delay_s = PREFILL_S
+    sound = [
+        asyncio.create_task(
+            _send(fragile, target, b"beside %d" % n, instance=n % 2)
+        )
+        for n in range(2 * ENGINE_COUNT)
+    ]
+    await asyncio.sleep(PREFILL_S / 2)
+    await _send(fragile, target, FATAL_BODY)
+    assert await asyncio.gather(*sound) == [200] * len(sound)
+    assert _crashed(fragile)
+    for number in range(2 * ENGINE_COUNT):
+        assert await _send(fragile, target, b"beside %d" % number) == 200
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -45,6 +45,7 @@
         f"q{number}",
         headers={"Yuccatally-Prefix-Hash": prompt},
         at=site.instances[instance],
+        sent_body=prompt.encode(),
     )
     return status
 
