Count the silence of engines as no evidence against requests

Callers saw: after a pause of all engines of two seconds, requests with a part that others share were refused for a minute (prompt-quarantined).

Cause: a request that timed out before its first event was recorded as lost; the leader's check of the engine fails as well during a pause, and two such engines put the parts of the requests in quarantine.

Change: only broken connections are evidence. A process that a request crashes breaks them; a host that falls silent is found by the checks as before.

--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -215,13 +215,14 @@
     A request whose connection broke may have crashed its engine. It waits until
     the engine or the request proves to be sound.
     """
-    if not isinstance(failure, attempts.NoResponse):
+    # A sound engine may be silent for a second, and a path also stalls when a
+    # later engine fails.
+    if not isinstance(failure, attempts.NoResponse) or failure.timed_out:
         return True
     engine = suspicions.Incarnation(path.hops[0].name, path.hops[0].born_ms)
     quarantined = instance_state.quarantine
     quarantined.record_loss(engine, context.marks, time.monotonic())
-    if failure.timed_out or not context.route.repeat.may_run_again:
-        # A path stalls when any of its engines fails, mostly a later one.
+    if not context.route.repeat.may_run_again:
         return True
     while True:
         verdict = quarantined.judge_repeat(
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -19,6 +19,8 @@
 ENGINE_COUNT = 8
 # The rule allows three further arrivals after the third engine has ended.
 MAX_CRASHED_COUNT = 3
+# Longer than the time-out of a stream and the checks after it.
+PAUSE_S = 2.0
 # Time in which an engine begins to answer.
 PREFILL_S = 0.2
 _numbers = itertools.count()
@@ -155,3 +157,23 @@
     assert _crashed(fragile)
     for number in range(2 * ENGINE_COUNT):
         assert await _send(fragile, target, b"beside %d" % number) == 200
+
+
+async def test_silence_of_engines_is_no_evidence(
+    fragile: path_site.Site,
+) -> None:
+    """Guards against refusing a part whose requests met a pause of engines.
+
+    All engines fall silent, so that their checks fail, and go on.
+    """
+    assert await _send(fragile, "/ask/x") == 200
+    for engine in fragile.engines.values():
+        engine.pause(PAUSE_S)
+    waiting = [
+        asyncio.create_task(_send(fragile, "/ask/x", instance=n % 2))
+        for n in range(4)
+    ]
+    await asyncio.wait(waiting)
+    await asyncio.sleep(PAUSE_S)
+    for instance in fragile.instances:
+        assert not instance.state.quarantine.quarantines
