Let a part rest that only a fatal request was seen with

Cause: the fingerprint explains both engines, although the part is as likely to have ended them if nobody was ever served with it. Ruled out: blaming such parts for a minute, as before; they may be sound, and all their requests would be refused.

Change: such a part rests for 6 s, in which the lost engines are replaced. If another request then ends an engine, the part is blamed at once.

--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -27,6 +27,10 @@
 # time, as the engines may be repaired or the mark may never be sound.
 FIRST_QUARANTINE_S = 60.0
 MAX_QUARANTINE_S = 3600.0
+# Duration of the first quarantine of a part that nobody was served with, and
+# under which only repeats of one request have ended engines. Lost engines are
+# replaced in half of that, so that one more end harms little.
+REST_S = 6.0
 # Losses are sent to other instances for this long, several times the time that
 # they take to arrive.
 SEND_LOSS_S = 10.0
@@ -186,6 +190,9 @@
         while (part := self._most_suspect_part(now)) is not None:
             self._quarantine(part, now)
             found.append(part)
+        for part in self._unproven_parts(now):
+            self._quarantine(part, now, REST_S)
+            found.append(part)
         return found
 
     def evidence(self, now: float) -> crash_evidence.Evidence | None:
@@ -345,13 +352,37 @@
             return None
         return best[-1]
 
-    def _quarantine(self, mark: str, now: float) -> None:
+    def _unproven_parts(self, now: float) -> set[str]:
+        """Returns parts that may explain the engines of a fatal request.
+
+        Nobody was ever served with them, so either may be fatal. A further
+        request with such a part tells, once the lost engines are replaced.
+        """
+        by_fingerprint = filter(marks_module.is_fingerprint, self.quarantines)
+        repeated = self._explained(by_fingerprint)
+        first_at: dict[str, float] = {}
+        engines: dict[str, set[suspicions.Incarnation]] = {}
+        for (engine, marks), loss in self.lost.losses.items():
+            if not loss.ended or engine not in repeated:
+                continue
+            for part in marks_module.parts_of(marks):
+                if part not in self.served and part not in self.quarantines:
+                    first_at.setdefault(part, loss.at)
+                    engines.setdefault(part, set()).add(engine)
+        return {
+            part
+            for part, ended in engines.items()
+            if len(ended) >= MIN_ENDED_COUNT
+            and now - first_at[part] >= ANSWER_S
+        }
+
+    def _quarantine(
+        self, mark: str, now: float, first_s: float = FIRST_QUARANTINE_S
+    ) -> None:
         known = self.quarantines.setdefault(
             mark, crash_evidence.Quarantine(now, 0)
         )
-        known.until = now + min(
-            FIRST_QUARANTINE_S * 2**known.count, MAX_QUARANTINE_S
-        )
+        known.until = now + min(first_s * 2**known.count, MAX_QUARANTINE_S)
         known.count += 1
         known.add_engines(self.lost.ended_under(mark))
         self.total_count += 1
--- a/tests/core/forwarding/test_quarantine.py
+++ b/tests/core/forwarding/test_quarantine.py
@@ -350,6 +350,43 @@
     assert fleet.blocked(*_request("y", CALLER, "rare")) == [False] * 3
 
 
+def test_unserved_part_of_a_fatal_request_rests(fleet: Fleet) -> None:
+    """Guards against a fatal part whose requests end all pipelines at once.
+
+    Only repeats of one request have ended engines so far. If another request
+    with the part ends one as well, the part is blamed.
+    """
+    fleet.serve(2, CALLER)
+    for number in range(2):
+        fleet.lose(number, f"e{number}", *_request("x", CALLER, FATAL))
+        fleet.pass_time(0.6)
+        fleet.serve(2, CALLER)
+    fleet.pass_time(0.4)
+    assert fleet.blocked(FATAL) == [True] * 3
+    assert fleet.blocked(CALLER) == [False] * 3
+    fleet.pass_time(quarantine.REST_S)
+    assert fleet.blocked(FATAL) == [False] * 3
+    fleet.lose(2, "e9", *_request("y", CALLER, FATAL))
+    fleet.pass_time(0.6)
+    assert fleet.blocked(FATAL) == [True] * 3
+    left_s = fleet.instances[0].remaining_s(FATAL, fleet.now)
+    assert left_s > quarantine.FIRST_QUARANTINE_S
+
+
+def test_sound_part_that_rested_is_served(fleet: Fleet) -> None:
+    """Guards against refusing a rare part for long that a fatal request has."""
+    for number in range(2):
+        fleet.lose(number, f"e{number}", *_request("x", "rare"))
+        fleet.pass_time(0.6)
+    fleet.pass_time(0.4)
+    assert fleet.blocked("rare") == [True] * 3
+    fleet.pass_time(quarantine.REST_S)
+    fleet.serve(1, *_request("y", "rare"))
+    fleet.pass_time(1.0)
+    assert fleet.blocked("rare") == [False] * 3
+    assert fleet.blocked(*_request("x", "rare")) == [True] * 3
+
+
 def test_part_is_blamed_once_different_requests_end_engines(
     fleet: Fleet,
 ) -> None:
