--- a/src/yuccatally/forwarding/calls.py
+++ b/src/yuccatally/forwarding/calls.py
@@ -125,7 +125,7 @@
                 case upstream_responses.CompleteResponse():
                     reader.close_all()
                     self.state.quarantine.record_served(
-                        context.prompt_parts, time.monotonic()
+                        context.marks, time.monotonic()
                     )
                     writer.last_upstream = run.path.name
                     await writer.send_response(
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -9,9 +9,11 @@
 
 from yuccatally.core.forwarding import attempts
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import marks
 from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import suspicions
+from yuccatally.core.forwarding import trials
 from yuccatally.forwarding import upstream_responses
 
 if TYPE_CHECKING:
@@ -245,19 +247,21 @@
     """Returns whether an attempt without an event may be followed by another.
 
     A request whose connection broke may have crashed its engine. It waits until
-    the engine or its prompt proves to be sound.
+    the engine or the request proves to be sound.
     """
-    parts = context.prompt_parts
-    if not parts or not isinstance(failure, attempts.NoResponse):
+    # A sound engine may be silent for a second, and a path also stalls when a
+    # later engine fails.
+    if not isinstance(failure, attempts.NoResponse) or failure.timed_out:
         return True
     engine = suspicions.Incarnation(path.hops[0].name, path.hops[0].born_ms)
-    prompts = instance_state.quarantine
-    prompts.record_loss(engine, parts, time.monotonic())
-    if failure.timed_out:
-        # A path stalls when any of its engines fails, mostly a later one.
+    quarantined = instance_state.quarantine
+    quarantined.record_loss(engine, context.marks, time.monotonic())
+    if not context.route.repeat.may_run_again:
         return True
     while True:
-        verdict = prompts.judge_repeat(engine, parts, time.monotonic())
+        verdict = quarantined.judge_repeat(
+            engine, context.marks, time.monotonic()
+        )
         if verdict is not quarantine.Verdict.WAIT:
             return verdict is quarantine.Verdict.REPEAT
         await asyncio.sleep(FATE_POLL_S)
@@ -267,10 +271,10 @@
     instance_state: state.InstanceState,
     context: request_context.RequestContext,
 ) -> bool:
-    part = instance_state.quarantine.find_quarantined(
-        context.prompt_parts, time.monotonic()
+    mark = instance_state.quarantine.find_quarantined(
+        context.marks, time.monotonic()
     )
-    return part is not None
+    return mark is not None
 
 
 async def _ended_by_quarantine(
@@ -279,15 +283,17 @@
     writer: request_context.ResponseWriter,
     progress: attempts.AttemptCounter,
 ) -> bool:
-    """Returns whether a request was ended, as a part is in quarantine."""
+    """Returns whether a request was ended, as a mark is in quarantine."""
     now = time.monotonic()
-    prompts = instance_state.quarantine
-    part = prompts.find_quarantined(context.prompt_parts, now)
-    if part is None:
+    quarantined = instance_state.quarantine
+    mark = quarantined.find_quarantined(context.marks, now)
+    if mark is None:
         return False
-    left_s = round(prompts.remaining_s(part, now), 1)
+    left_s = round(quarantined.remaining_s(mark, now), 1)
     step = attempts.refuse_or_give_up(progress, left_s)
-    await upstream_responses.end_request(writer, step, "prompt-quarantined")
+    is_request = marks.is_fingerprint(mark)
+    reason = "request-quarantined" if is_request else "prompt-quarantined"
+    await upstream_responses.end_request(writer, step, reason)
     return True
 
 
@@ -303,14 +309,22 @@
     now = time.monotonic()
     limits = instance_state.limits
     dispatcher = instance_state.dispatcher
+    is_suspect = instance_state.quarantine.is_suspect(context.marks, now)
+    trial = marks.fingerprint_of(context.marks) if is_suspect else ""
     if context.service.model is not None:
-        paths = instance_state.paths(context.service)
+        paths = trials.candidates(
+            trial, instance_state.paths(context.service), tried
+        )
         waits_s = {p.name: limits.wait_s(p.hops, now) for p in paths}
         find = functools.partial(
             dispatcher.choose_path, paths, memory_tokens(context)
         )
     else:
-        usable = instance_state.registry.usable_of(context.service.name)
+        usable = trials.candidates(
+            trial,
+            instance_state.registry.usable_of(context.service.name),
+            tried,
+        )
         waits_s = {u.name: limits.wait_s((u,), now) for u in usable}
         find = functools.partial(dispatcher.choose_upstream, usable)
     return rate_limits.choose_by_turn(
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -260,7 +260,7 @@
         self.state.dispatcher.record_event(run.path.name, now)
         if is_first:
             self.state.dispatcher.record_first_event(run.path.name)
-            self.state.quarantine.record_served(self.context.prompt_parts, now)
+            self.state.quarantine.record_served(self.context.marks, now)
         self.last_id = outcome.last_id
         self.writer.event_count += outcome.count
         await self._send_headers(outcome)
