Withdraw repeats that wait for their first event once their cause is found

Cause: a quarantine kept requests from being sent, but not from going on at engines that had them already. Ruled out: late evidence (the quarantine was known to its instance in time).

Change: streams without an event are ended when one of their marks is put in quarantine, and their connection is closed. The attempt counts as withdrawn, which says nothing against its path. Plain calls answer within some tens of milliseconds and are left alone.

test_repeats_in_flight_are_withdrawn failed without the call in node.py (two more engines crashed) and passes with it.

--- a/src/yuccatally/core/forwarding/attempts.py
+++ b/src/yuccatally/core/forwarding/attempts.py
@@ -54,7 +54,14 @@
     status: int
 
 
-Failure = NotSent | Refused | NoResponse | ErrorResponse
+@dataclasses.dataclass(frozen=True)
+class Withdrawn:
+    """This instance ended the attempt, which may have been executed."""
+
+    reason: str
+
+
+Failure = NotSent | Refused | NoResponse | ErrorResponse | Withdrawn
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,7 +124,7 @@
         match failure:
             case NotSent() | Refused():
                 self.run_count -= 1
-            case NoResponse() | ErrorResponse():
+            case NoResponse() | ErrorResponse() | Withdrawn():
                 pass
 
 
@@ -147,6 +154,8 @@
                 route.repeat.may_run_again
                 and counter.run_count < route.max_attempts
             )
+        case Withdrawn():
+            allowed = False
     if allowed and remaining_s > MIN_ATTEMPT_S and spend_retry():
         return SendAgain()
     return final_action(failure, counter)
@@ -164,7 +173,7 @@
             return PassOn()
         case NoResponse(timed_out=True):
             return GiveUp(504)
-        case NoResponse():
+        case NoResponse() | Withdrawn():
             return GiveUp(502)
         case _:
             return refuse_or_give_up(counter)
--- a/src/yuccatally/forwarding/crash_reports.py
+++ b/src/yuccatally/forwarding/crash_reports.py
@@ -42,6 +42,7 @@
     Attributes:
         examined: Engines that are being examined.
         is_spreading: Whether evidence is about to be sent.
+        on_quarantined: Called with each mark that is in quarantine from now on.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.send_heartbeats = send_heartbeats
         self.examined: set[suspicions.Incarnation] = set()
         self.is_spreading = False
+        self.on_quarantined: Callable[[str], None] = lambda mark: None
 
     def examine(self, engine: upstreams.Upstream) -> None:
         """Starts to find out whether an engine has ended."""
@@ -79,14 +81,14 @@
         """Merges the evidence of another instance."""
         now = time.monotonic()
         received = self.state.quarantine.merge(evidence, now)
-        self._log_quarantined(received, source)
+        self._apply_quarantined(received, source)
         if self.state.quarantine.has_news:
             self.update(now)
 
     def update(self, now: float) -> None:
         """Evaluates all evidence, and passes it on if there is news."""
         found = self.state.quarantine.update(self._has_ended, now)
-        self._log_quarantined(found, "evidence")
+        self._apply_quarantined(found, "evidence")
         if self.state.quarantine.take_news() and not self.is_spreading:
             self.is_spreading = True
             self.spawn(self._spread())
@@ -120,7 +122,7 @@
             or self.state.registry.has_left(engine.name, engine.born_ms)
         )
 
-    def _log_quarantined(self, found: list[str], source: str) -> None:
+    def _apply_quarantined(self, found: list[str], source: str) -> None:
         now = time.monotonic()
         for mark in found:
             is_request = marks.is_fingerprint(mark)
@@ -130,3 +132,4 @@
                 seconds=round(self.state.quarantine.remaining_s(mark, now)),
                 source=source,
             )
+            self.on_quarantined(mark)
--- a/src/yuccatally/forwarding/detection.py
+++ b/src/yuccatally/forwarding/detection.py
@@ -71,6 +71,8 @@
         self, path: dispatch.Path, result: upstream_responses.FailedAttempt
     ) -> None:
         """Records a failed attempt."""
+        if isinstance(result.failure, attempts.Withdrawn):
+            return  # the path has not failed
         now = time.monotonic()
         if _is_broken_off(result.failure):
             self.fleet.crash_reports.examine(path.hops[0])
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -185,6 +185,7 @@
             self.fleet.rate_limiter,
         )
         detector.abandon = forwarder.abandon
+        self.fleet.crash_reports.on_quarantined = forwarder.withdraw
         rerouter = rerouting.Rerouter(self.state, forwarder, session)
         detector.reroute = lambda path: self.fleet.spawn(rerouter.run(path))
         self.application = application.Application(
--- a/src/yuccatally/forwarding/open_runs.py
+++ b/src/yuccatally/forwarding/open_runs.py
@@ -165,8 +165,18 @@
     def move(self, run: runs.Run) -> None:
         """Tries another path beside a run."""
         run.is_moving = True
-        if self.timeout is not None and not self.timeout.expired():
-            self.timeout.reschedule(asyncio.get_running_loop().time())
+        self._wake()
+
+    def withdraw(self, run: runs.Run, reason: str) -> None:
+        """Lets a run fail at once.
+
+        Args:
+            run: An open run without an event.
+            reason: Reason for the client and the log.
+        """
+        failure = upstream_responses.FailedAttempt(attempts.Withdrawn(reason))
+        self.fetched.append((run, failure))
+        self._wake()
 
     async def first_of(self, search: Coroutine[None, None, T]) -> T | None:
         """Awaits a search; returns None if an open run goes on before."""
@@ -181,6 +191,11 @@
                 task.cancel()
             await asyncio.wait(tasks)
 
+    def _wake(self) -> None:
+        """Ends the wait for the next outcome."""
+        if self.timeout is not None and not self.timeout.expired():
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+
     async def _peek(self) -> None:
         """Waits until an open run has an outcome."""
         while not any(run in self.tasks for run, _ in self.fetched):
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -291,12 +291,16 @@
         return False
     left_s = round(quarantined.remaining_s(mark, now), 1)
     step = attempts.refuse_or_give_up(progress, left_s)
-    is_request = marks.is_fingerprint(mark)
-    reason = "request-quarantined" if is_request else "prompt-quarantined"
-    await upstream_responses.end_request(writer, step, reason)
+    await upstream_responses.end_request(writer, step, quarantine_reason(mark))
     return True
 
 
+def quarantine_reason(mark: str) -> str:
+    """Returns the reason of refusals while a mark is in quarantine."""
+    is_request = marks.is_fingerprint(mark)
+    return "request-quarantined" if is_request else "prompt-quarantined"
+
+
 def choose(
     instance_state: state.InstanceState,
     context: request_context.RequestContext,
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -128,6 +128,18 @@
             relay.reader.move(run)
         return len(movable)
 
+    def withdraw(self, mark: str) -> None:
+        """Ends the streams with a mark that have no event yet.
+
+        Load pattern: repeats of a fatal request wait at several engines when
+        it is found, each of which would end with its first event.
+        """
+        reason = retrying.quarantine_reason(mark)
+        for relay in self.running:
+            if mark in relay.context.marks and not relay.writer.started:
+                for run in relay.reader.open.runs:
+                    relay.reader.withdraw(run, reason)
+
     def staying_runs(self, path: str) -> dict[str, stream_runs.StreamRun]:
         """Returns the runs on a path that no other path is tried for, by id."""
         return {
--- a/src/yuccatally/forwarding/upstream_responses.py
+++ b/src/yuccatally/forwarding/upstream_responses.py
@@ -102,6 +102,8 @@
             return f"upstream-refused-{status}"
         case attempts.NoResponse(timed_out=True):
             return "upstream-silent"
+        case attempts.Withdrawn(reason=reason):
+            return reason
         case attempts.NoResponse():
             return "upstream-lost"
         case attempts.ErrorResponse(status=status):
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -124,6 +124,30 @@
     assert len(_crashed(fragile)) <= MAX_CRASHED_COUNT
 
 
+async def test_repeats_in_flight_are_withdrawn(
+    fragile: path_site.Site,
+) -> None:
+    """Guards against crashes under repeats that wait when the cause is found.
+
+    All are sent before the first crash. Two engines begin to answer early.
+    """
+    fast = {"e0", "e1"}
+    for number in range(ENGINE_COUNT):
+        name = f"e{number}"
+        is_fast = name in fast
+        fragile.engines[name].delay_s = PREFILL_S if is_fast else PAUSE_S
+    waiting = []
+    for number in range(40):
+        sent = _send(fragile, "/ask/x", FATAL_BODY, number % 2)
+        waiting.append(asyncio.create_task(sent))
+        if all(fragile.engines[n].arrivals for n in fast):
+            break
+        await asyncio.sleep(0.002)
+    assert set(await asyncio.gather(*waiting)) <= {502, 503}
+    await asyncio.sleep(PAUSE_S)
+    assert {e.name for e in _crashed(fragile)} == fast
+
+
 async def test_new_instance_refuses_a_known_fatal_request(
     fragile: path_site.Site,
 ) -> None:
