Take a stream that ends after its headers as broken off

Cause: such a response ends with its connection, and the end of a process closes it in order as well.

test_stream_that_ends_after_its_head_goes_on_elsewhere failed before, with an empty body.

--- a/src/yuccatally/forwarding/stream_runs.py
+++ b/src/yuccatally/forwarding/stream_runs.py
@@ -116,8 +116,25 @@
             return upstream_responses.FailedAttempt(
                 attempts.NoResponse("stream ended within an event")
             )
+        if self._lacks_first_event(response):
+            return upstream_responses.FailedAttempt(
+                attempts.NoResponse("stream ended before its first event")
+            )
         return open_runs.StreamEnd(rest, response.status, response.headers)
 
+    def _lacks_first_event(self, response: exchange.UpstreamResponse) -> bool:
+        """Returns whether the engine may have ended after its headers.
+
+        Its connection then ends in order as well. A stream that goes on after
+        the last event of the client may be complete without another one.
+        """
+        return (
+            self.splitter.checked
+            and response.ends_with_connection
+            and not self.splitter.events
+            and not self.splitter.last_id
+        )
+
     def _exchange(self) -> exchange.UpstreamRequest:
         context = self.context
         return exchange.UpstreamRequest(
--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -17,9 +17,10 @@
     from typing import Self
 
     from aiohttp import client_middlewares
-    from aiohttp import client_proto
     from aiohttp import connector
 
+    from yuccatally.store import response_protocol
+
 # A connection within a region takes milliseconds. A lost SYN packet is repeated
 # only after a second or more.
 CONNECT_TIMEOUT_S = 1.0
@@ -78,7 +79,7 @@
         protocol: Protocol of the connection.
     """
 
-    protocol: client_proto.ResponseHandler | None = None
+    protocol: response_protocol.CheckedProtocol | None = None
 
     async def start(self, connection: connector.Connection) -> Self:
         """Reads the headers."""
@@ -104,6 +105,12 @@
         """Returns the value of a header, empty if it is missing."""
         return self.response.headers.get(name, "")
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection marks the end of the body."""
+        protocol = self.response.protocol
+        return protocol is None or protocol.ends_with_connection
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
--- a/tests/forwarding/test_cut_heads.py
+++ b/tests/forwarding/test_cut_heads.py
@@ -72,3 +72,22 @@
         if any(e.executed_requests for e in cut):
             return
     pytest.fail("no request was sent to an upstream that cuts its head")
+
+
+async def test_stream_that_ends_after_its_head_goes_on_elsewhere(
+    served: path_site.Site,
+) -> None:
+    """Guards against an empty stream that looks complete.
+
+    The response has neither a length nor chunks, and the engine has ended in
+    order before its first event.
+    """
+    cut = served.engines["e1"]
+    cut.behaviour.unframed = "close"
+    cut.events = 0
+    for number in range(MAX_REQUEST_COUNT):
+        status, _, body = await served.send_request("/ask/x", f"a{number}")
+        assert (status, body) == (200, EVENTS)
+        if cut.executed_requests:
+            return
+    pytest.fail("no request was sent to the engine that ends")
