Try a part at one place after its quarantine

Cause: only repeats of one request were kept to one engine.

Change: requests with a mark whose quarantine is over, and that nobody was served with since, go to one path, chosen by the mark. The comparison of parts has a module of its own.

test_part_that_rested_is_tried_at_one_place fails without it (find_suspect knew fingerprints only).

--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import enum
 from typing import TYPE_CHECKING
 
@@ -10,6 +9,7 @@
 from yuccatally.core.forwarding import lost_requests
 from yuccatally.core.forwarding import marks as marks_module
 from yuccatally.core.forwarding import served_marks
+from yuccatally.core.forwarding import suspect_parts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,12 +17,6 @@
 
     from yuccatally.core.forwarding import suspicions
 
-# Time in which all instances have answered whether they served a part: a
-# question and its answer pass two relays each.
-ANSWER_S = 1.0
-# Engines that have to end under a mark. One may end at any time with all its
-# requests, but rarely two in a row under a mark that nobody is served with.
-MIN_ENDED_COUNT = 2
 # Duration of the first quarantine of a mark, and the longest; it doubles each
 # time, as the engines may be repaired or the mark may never be sound.
 FIRST_QUARANTINE_S = 60.0
@@ -125,13 +119,23 @@
         quarantine = self.quarantines.get(mark)
         return max(0.0, quarantine.until - now) if quarantine else 0.0
 
-    def is_suspect(self, marks: tuple[str, ...], now: float) -> bool:
-        """Returns whether an engine may have ended under the same request.
+    def find_suspect(self, marks: tuple[str, ...], now: float) -> str:
+        """Returns a mark that may be fatal and is not in quarantine.
 
-        The request was not served since, and may be sound all the same.
+        Engines have ended, or may have ended, under the same request, or the
+        quarantine of a part is over. Nobody was served with the mark since, and
+        it may be sound all the same.
+
+        Returns:
+            The mark; empty if there is none.
         """
-        found = marks_module.fingerprint_of(marks)
-        return bool(found) and self.lost.is_suspect(found, now)
+        for mark in marks:
+            is_released = mark in self.quarantines
+            if (
+                is_released or marks_module.is_fingerprint(mark)
+            ) and self.lost.is_suspect(mark, now):
+                return mark
+        return ""
 
     def judge_repeat(
         self,
@@ -303,78 +307,26 @@
         return [
             fingerprint
             for fingerprint, engines in suspects.items()
-            if len(engines - explained) >= MIN_ENDED_COUNT
+            if len(engines - explained) >= suspect_parts.MIN_ENDED_COUNT
         ]
 
     def _most_suspect_part(self, now: float) -> str | None:
-        """Returns the part under which most unexplained engines have ended.
-
-        Engines that a fingerprint explains count only beside others: requests
-        that differ have to end engines before their part is blamed.
-        """
-        by_part = [
+        explained = self._explained(
             m for m in self.quarantines if not marks_module.is_fingerprint(m)
-        ]
-        explained = self._explained(by_part)
-        repeated = self._explained(self.quarantines) - explained
-        ended: dict[str, set[suspicions.Incarnation]] = {}
-        first_at: dict[str, float] = {}
-        together: dict[str, set[str]] = {}
-        order: collections.Counter[str] = collections.Counter()
-        for (engine, marks), loss in self.lost.losses.items():
-            if not loss.ended:
-                continue
-            parts = marks_module.parts_of(
-                tuple(self.lost.candidates(marks, loss))
-            )
-            for part in parts:
-                first_at[part] = min(loss.at, first_at.get(part, loss.at))
-                if engine in explained:
-                    continue
-                ended.setdefault(part, set()).add(engine)
-                order[part] = max(order[part], marks.index(part))
-                together[part] = together.get(part, set(parts)) & set(parts)
-        ready = [
-            part
-            for part, engines in ended.items()
-            if now - first_at[part] >= ANSWER_S
-            and len(engines) >= MIN_ENDED_COUNT
-            and engines - repeated
-        ]
-        if not ready:
-            return None
-        most = max(len(ended[p]) for p in ready)
-        best = [p for p in ready if len(ended[p]) == most]
-        # Of parts that only occur together, the later one is in fewer requests.
-        best.sort(key=lambda p: (order[p], p))
-        unrelated = any(p not in together[best[-1]] for p in best)
-        if unrelated and most <= MIN_ENDED_COUNT:
-            return None
-        return best[-1]
+        )
+        return suspect_parts.most_suspect(
+            self.lost, explained, self._repeated() - explained, now
+        )
 
     def _unproven_parts(self, now: float) -> set[str]:
-        """Returns parts that may explain the engines of a fatal request.
+        found = suspect_parts.unproven(self.lost, self._repeated(), now)
+        return found - self.quarantines.keys()
 
-        Nobody was ever served with them, so either may be fatal. A further
-        request with such a part tells, once the lost engines are replaced.
-        """
-        by_fingerprint = filter(marks_module.is_fingerprint, self.quarantines)
-        repeated = self._explained(by_fingerprint)
-        first_at: dict[str, float] = {}
-        engines: dict[str, set[suspicions.Incarnation]] = {}
-        for (engine, marks), loss in self.lost.losses.items():
-            if not loss.ended or engine not in repeated:
-                continue
-            for part in marks_module.parts_of(marks):
-                if part not in self.served and part not in self.quarantines:
-                    first_at.setdefault(part, loss.at)
-                    engines.setdefault(part, set()).add(engine)
-        return {
-            part
-            for part, ended in engines.items()
-            if len(ended) >= MIN_ENDED_COUNT
-            and now - first_at[part] >= ANSWER_S
-        }
+    def _repeated(self) -> set[suspicions.Incarnation]:
+        """Returns the engines that have ended under repeats of one request."""
+        return self._explained(
+            filter(marks_module.is_fingerprint, self.quarantines)
+        )
 
     def _quarantine(
         self, mark: str, now: float, first_s: float = FIRST_QUARANTINE_S
--- /dev/null
+++ b/src/yuccatally/core/forwarding/suspect_parts.py
@@ -0,0 +1,100 @@
+"""Compares lost requests to find the parts of prompts that crash engines."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from yuccatally.core.forwarding import marks as marks_module
+
+if TYPE_CHECKING:
+    from yuccatally.core.forwarding import lost_requests
+    from yuccatally.core.forwarding import suspicions
+
+# Time in which all instances have answered whether they served a part: a
+# question and its answer pass two relays each.
+ANSWER_S = 1.0
+# Engines that have to end under a mark. One may end at any time with all its
+# requests, but rarely two in a row under a mark that nobody is served with.
+MIN_ENDED_COUNT = 2
+
+
+def most_suspect(
+    lost: lost_requests.LostRequests,
+    explained: set[suspicions.Incarnation],
+    repeated: set[suspicions.Incarnation],
+    now: float,
+) -> str | None:
+    """Returns the part under which most unexplained engines have ended.
+
+    Args:
+        lost: All lost requests.
+        explained: Engines that another part explains.
+        repeated: Engines that repeats of one request explain. They count only
+            beside others: requests that differ have to end engines before their
+            part is blamed.
+        now: Monotonic time in seconds.
+    """
+    ended: dict[str, set[suspicions.Incarnation]] = {}
+    first_at: dict[str, float] = {}
+    together: dict[str, set[str]] = {}
+    order: collections.Counter[str] = collections.Counter()
+    for (engine, marks), loss in lost.losses.items():
+        if not loss.ended:
+            continue
+        parts = marks_module.parts_of(tuple(lost.candidates(marks, loss)))
+        for part in parts:
+            first_at[part] = min(loss.at, first_at.get(part, loss.at))
+            if engine in explained:
+                continue
+            ended.setdefault(part, set()).add(engine)
+            order[part] = max(order[part], marks.index(part))
+            together[part] = together.get(part, set(parts)) & set(parts)
+    ready = [
+        part
+        for part, engines in ended.items()
+        if now - first_at[part] >= ANSWER_S
+        and len(engines) >= MIN_ENDED_COUNT
+        and engines - repeated
+    ]
+    if not ready:
+        return None
+    most = max(len(ended[p]) for p in ready)
+    best = [p for p in ready if len(ended[p]) == most]
+    # Of parts that only occur together, the later one is in fewer requests.
+    best.sort(key=lambda p: (order[p], p))
+    unrelated = any(p not in together[best[-1]] for p in best)
+    if unrelated and most <= MIN_ENDED_COUNT:
+        return None
+    return best[-1]
+
+
+def unproven(
+    lost: lost_requests.LostRequests,
+    repeated: set[suspicions.Incarnation],
+    now: float,
+) -> set[str]:
+    """Returns parts that may explain the engines of a fatal request.
+
+    Nobody was ever served with them, so either may be fatal. A further request
+    with such a part tells, once the lost engines are replaced.
+
+    Args:
+        lost: All lost requests.
+        repeated: Engines that repeats of one request explain.
+        now: Monotonic time in seconds.
+    """
+    first_at: dict[str, float] = {}
+    engines: dict[str, set[suspicions.Incarnation]] = {}
+    for (engine, marks), loss in lost.losses.items():
+        if not loss.ended or engine not in repeated:
+            continue
+        for part in marks_module.parts_of(marks):
+            if part not in lost.served:
+                first_at.setdefault(part, loss.at)
+                engines.setdefault(part, set()).add(engine)
+    return {
+        part
+        for part, ended in engines.items()
+        if len(ended) >= MIN_ENDED_COUNT and now - first_at[part] >= ANSWER_S
+    }
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -313,11 +313,10 @@
     now = time.monotonic()
     limits = instance_state.limits
     dispatcher = instance_state.dispatcher
-    is_suspect = instance_state.quarantine.is_suspect(context.marks, now)
-    trial = marks.fingerprint_of(context.marks) if is_suspect else ""
+    suspect = instance_state.quarantine.find_suspect(context.marks, now)
     if context.service.model is not None:
         paths = trials.candidates(
-            trial, instance_state.paths(context.service), tried
+            suspect, instance_state.paths(context.service), tried
         )
         waits_s = {p.name: limits.wait_s(p.hops, now) for p in paths}
         find = functools.partial(
@@ -325,7 +324,7 @@
         )
     else:
         usable = trials.candidates(
-            trial,
+            suspect,
             instance_state.registry.usable_of(context.service.name),
             tried,
         )
--- a/tests/core/forwarding/test_quarantine.py
+++ b/tests/core/forwarding/test_quarantine.py
@@ -373,6 +373,19 @@
     assert left_s > quarantine.FIRST_QUARANTINE_S
 
 
+def test_part_that_rested_is_tried_at_one_place(fleet: Fleet) -> None:
+    """Guards against callers that return at once and end several engines."""
+    for number in range(2):
+        fleet.lose(number, f"e{number}", *_request("x", FATAL))
+        fleet.pass_time(0.6)
+    fleet.pass_time(0.4 + quarantine.REST_S)
+    for instance in fleet.instances:
+        found = instance.find_suspect(_request("y", FATAL), fleet.now)
+        assert found == FATAL
+    fleet.serve(0, *_request("y", FATAL))
+    assert not fleet.instances[0].find_suspect(_request("z", FATAL), fleet.now)
+
+
 def test_sound_part_that_rested_is_served(fleet: Fleet) -> None:
     """Guards against refusing a rare part for long that a fatal request has."""
     for number in range(2):
@@ -486,21 +499,21 @@
     assert verdict is quarantine.Verdict.REPEAT
     fleet.ended.add(engine)
     fleet.pass_time(1.0)
-    assert not asked.is_suspect(_request(1), fleet.now)
+    assert not asked.find_suspect(_request(1), fleet.now)
 
 
 def test_request_whose_engine_may_have_ended_is_suspect(fleet: Fleet) -> None:
     """Guards against a repeat that arrives before the fate is known."""
     asked = fleet.instances[0]
-    assert not asked.is_suspect(_request(1), fleet.now)
+    assert not asked.find_suspect(_request(1), fleet.now)
     engine = fleet.lose(0, "e1", *_request(1), has_ended=False)
-    assert asked.is_suspect(_request(1), fleet.now)
+    assert asked.find_suspect(_request(1), fleet.now)
     fleet.now += lost_requests.FATE_TIMEOUT_S + 0.1
-    assert not asked.is_suspect(_request(1), fleet.now)
+    assert not asked.find_suspect(_request(1), fleet.now)
     asked.record_fate(engine, True, fleet.now)
-    assert asked.is_suspect(_request(1), fleet.now)
+    assert asked.find_suspect(_request(1), fleet.now)
     asked.record_served(_request(1), fleet.now + 0.1)
-    assert not asked.is_suspect(_request(1), fleet.now + 0.1)
+    assert not asked.find_suspect(_request(1), fleet.now + 0.1)
 
 
 def test_fingerprints_do_not_displace_served_parts(fleet: Fleet) -> None:
