Keep apart requests with equal bodies and different prompts

Cause: the fingerprint left out the parts of the prompt. Change: the digest holds them as well. The crash of the stand-in is a public method.

--- a/src/yuccatally/core/forwarding/marks.py
+++ b/src/yuccatally/core/forwarding/marks.py
@@ -19,7 +19,12 @@
 
 
 def fingerprint(
-    service: str, method: str, target: str, caller: str, body: bytes
+    service: str,
+    method: str,
+    target: str,
+    caller: str,
+    body: bytes,
+    parts: tuple[str, ...] = (),
 ) -> str:
     """Returns the mark that only repeats of a request share.
 
@@ -29,6 +34,7 @@
         target: Path and query, encoded as received.
         caller: Client account; empty for none.
         body: Complete body.
+        parts: Shared parts of its prompt, in order.
 
     >>> first = fingerprint("desk", "POST", "/book/1", "lab", b"jar 7")
     >>> first == fingerprint("desk", "POST", "/book/1", "lab", b"jar 7")
@@ -37,7 +43,7 @@
     False
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for value in (method, target, caller):
+    for value in (method, target, caller, *parts):
         # The length keeps apart values that are equal once joined.
         digest.update(f"{len(value)} {value}".encode())
     digest.update(body)
--- a/src/yuccatally/forwarding/request_context.py
+++ b/src/yuccatally/forwarding/request_context.py
@@ -71,7 +71,12 @@
         return (
             *(marks.part_mark(service, p) for p in self.request.shared_parts),
             marks.fingerprint(
-                service, self.method, self.target, self.account, self.body
+                service,
+                self.method,
+                self.target,
+                self.account,
+                self.body,
+                self.request.shared_parts,
             ),
         )
 
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -215,6 +215,19 @@
                 await runner.cleanup()
         self.runner = self.crashed_runner = None
 
+    async def crash(self) -> None:
+        """Ends all connections and stops listening, as a crash does."""
+        self.has_crashed = True
+        runner, self.runner = self.runner, None
+        if runner is None:
+            return
+        for listener in list(runner.sites):
+            await listener.stop()
+        for connection in list(runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self.crashed_runner = runner
+
     def pause(self, pause_s: float) -> None:
         """Stops all work for a time, in seconds; connections stay open.
 
@@ -349,7 +362,7 @@
             await asyncio.sleep(self.delay_s)
             await self.is_running.wait()
             if self._is_fatal(request, body):
-                await self._crash()
+                await self.crash()
                 await asyncio.sleep(3600)
             if self.behaviour.drops_answer:
                 await asyncio.sleep(3600)
@@ -403,19 +416,6 @@
         fatal = self.behaviour.fatal_part
         return bool(fatal) and fatal in (p.partition(":")[0] for p in parts)
 
-    async def _crash(self) -> None:
-        """Ends all connections and stops listening, as a crash does."""
-        self.has_crashed = True
-        runner, self.runner = self.runner, None
-        if runner is None:
-            return
-        for listener in list(runner.sites):
-            await listener.stop()
-        for connection in list(runner.server.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
-        self.crashed_runner = runner
-
     async def _stream(
         self, request: web.Request, path: str
     ) -> web.StreamResponse:
