Try another path again while a request waits for a silent engine

Cause: after one search without a result the request only waited. Ruled out: the retry budget, which a search spends only if a path has room now.

test_request_moves_once_another_path_has_room failed before with 504.

--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -157,6 +157,8 @@
         progress: Counter of its attempts.
         reader: Reads its runs.
         last_id: Id of the last event that was sent to the client.
+        forgets_tried: Whether paths are tried that failed before, as they were
+            full some time ago.
     """
 
     def __init__(
@@ -175,6 +177,7 @@
             instance_state.dispatcher, retrying.memory_tokens(context)
         )
         self.last_id = context.request.last_event_id
+        self.forgets_tried = False
 
     async def attempt(
         self, path: dispatch.Path | None
@@ -188,17 +191,27 @@
         Returns:
             The run that failed or fell silent; None if the stream is complete.
         """
+        until = self.context.deadline
         if path is None:
             self.reader.open.stay()
+            until = min(until, time.monotonic() + RESUME_TIMEOUT_S)
         else:
             self._start(path)
         while True:
             try:
-                run, outcome = await self.reader.next(self.context.deadline)
+                run, outcome = await self.reader.next(until)
             except TimeoutError:
-                silent = self.reader.open.fall_silent(time.monotonic())
+                now = time.monotonic()
+                silent = self.reader.open.fall_silent(now)
                 if silent is not None:
                     return open_runs.silent_run(silent, "no event in time")
+                if until <= now < self.context.deadline:
+                    if self._can_move():
+                        self.forgets_tried = True
+                        return open_runs.silent_run(
+                            self.reader.open.runs[0], "still no event"
+                        )
+                    until = min(self.context.deadline, now + RESUME_TIMEOUT_S)
                 continue
             match outcome:
                 case open_runs.Events():
@@ -225,6 +238,8 @@
         disconnect and may return to a path that it has tried.
         """
         started_at = time.monotonic()
+        if self.forgets_tried:
+            tried = frozenset()
         until = (
             started_at + CAPACITY_WAIT_RATIO * self.context.route.objective_s
         )
@@ -253,6 +268,14 @@
                 return choice
             tried |= {choice.name}
 
+    def _can_move(self) -> bool:
+        """Returns whether a path has room beside runs that are all silent."""
+        return (
+            self._may_move()
+            and not self.reader.open.any_active
+            and isinstance(self._choose(frozenset()), dispatch.Path)
+        )
+
     def _start(self, path: dispatch.Path) -> None:
         run = stream_runs.StreamRun(
             self.context,
