Raise an unexpected error of a run as such

A TimeoutError within the task that reads a run would have counted as its silence, and the request would have waited for a task that has ended until its deadline. No source of such an error is known; found by the review.

--- a/src/yuccatally/forwarding/open_runs.py
+++ b/src/yuccatally/forwarding/open_runs.py
@@ -23,6 +23,10 @@
 T = TypeVar("T")
 
 
+class RunError(Exception):
+    """An unexpected error has ended the reading of a run."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Events:
     """Complete events of a stream.
@@ -159,7 +163,8 @@
         finally:
             self.timeout = None
         if isinstance(outcome, Exception):
-            raise outcome
+            # A TimeoutError of the run would count as its silence.
+            raise RunError(type(outcome).__name__) from outcome
         return run, outcome
 
     def move(self, run: runs.Run) -> None:
--- a/tests/forwarding/test_open_runs.py
+++ b/tests/forwarding/test_open_runs.py
@@ -108,16 +108,18 @@
     assert not dispatcher.own_work
 
 
+@pytest.mark.parametrize("error", [KeyError("x"), TimeoutError()])
 async def test_error_within_a_run_is_raised(
-    reader: open_runs.RunReader,
+    reader: open_runs.RunReader, error: Exception
 ) -> None:
     """Guards against a request that waits for a run which has ended."""
 
     async def fail() -> AsyncGenerator[open_runs.Outcome, None]:
-        raise KeyError("x")
+        raise error
         yield
 
     reader.start(_run("p1"), fail())
-    with pytest.raises(KeyError):
+    with pytest.raises(open_runs.RunError) as raised:
         await reader.next(time.monotonic() + 1.0)
+    assert raised.value.__cause__ is error
     reader.close_all()
