Take planned ends and failures of engines for no crash of a request

Callers saw (three tests that failed before): a frequent call was refused for a minute after two engines had left the store and ended with it in flight; a call that was lost shortly before its deadline was answered 0.5 s after it; a request that an engine answers with 500 stayed suspect, so that all its repeats went to one engine.

Cause: evidence was taken of every broken connection, the wait for the fate of an engine had a limit of its own, and an error response did not count as the end of a run. Change: an engine that is known to leave gives no evidence, the wait ends with the deadline, and an error response clears the request.

--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -286,6 +286,10 @@
             return found.born_ms != born_ms
         return (name, born_ms) in self.leaving
 
+    def is_leaving(self, name: str, born_ms: int) -> bool:
+        """Returns whether an incarnation is known to leave or to have left."""
+        return (name, born_ms) in self.leaving
+
     def usable(self, name: str, born_ms: int) -> Upstream | None:
         """Returns an upstream if this incarnation accepts new requests."""
         found = self.incarnation(name, born_ms)
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -150,6 +150,11 @@
             reader.open.any_open,
         )
         error_response = failed.result.response or error_response
+        if isinstance(failure, attempts.ErrorResponse):
+            # The engine has run the request and goes on.
+            instance_state.quarantine.record_served(
+                context.marks, time.monotonic()
+            )
 
 
 def _record_attempt(
@@ -254,17 +259,20 @@
     if not isinstance(failure, attempts.NoResponse) or failure.timed_out:
         return True
     engine = suspicions.Incarnation(path.hops[0].name, path.hops[0].born_ms)
+    if instance_state.registry.is_leaving(engine.name, engine.born_ms):
+        return True  # it ends as planned
     quarantined = instance_state.quarantine
     quarantined.record_loss(engine, context.marks, time.monotonic())
     if not context.route.repeat.may_run_again:
         return True
-    while True:
+    while context.remaining_s() > attempts.MIN_ATTEMPT_S:
         verdict = quarantined.judge_repeat(
             engine, context.marks, time.monotonic()
         )
         if verdict is not quarantine.Verdict.WAIT:
             return verdict is quarantine.Verdict.REPEAT
         await asyncio.sleep(FATE_POLL_S)
+    return False
 
 
 def _is_quarantined(
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import itertools
+import time
 from typing import TYPE_CHECKING
 
 import pytest
 
+from yuccatally.upstreams import reachability
 from yuccatally_standins import path_site
 
 if TYPE_CHECKING:
@@ -21,6 +23,9 @@
 MAX_CRASHED_COUNT = 3
 # Longer than the time-out of a stream and the checks after it.
 PAUSE_S = 2.0
+DEADLINE_S = 1.0
+# Time for a response that is due.
+LATENESS_S = 0.25
 # Time in which an engine begins to answer.
 PREFILL_S = 0.2
 _numbers = itertools.count()
@@ -183,6 +188,69 @@
         assert await _send(fragile, target, b"beside %d" % number) == 200
 
 
+async def test_planned_ends_of_engines_are_no_evidence(
+    fragile: path_site.Site,
+) -> None:
+    """Guards against refusing a frequent call after a scale-in.
+
+    The engines have left the store and end with the call in flight.
+    """
+    services = [e for n, e in fragile.engines.items() if n.startswith("d")]
+    for engine in services:
+        engine.delay_s = PREFILL_S
+    registry = fragile.instances[0].state.registry
+    call = asyncio.create_task(_send(fragile, "/stock/x", b"frequent"))
+    for _ in range(2):
+        await path_site.until(
+            lambda: any(e.arrivals and not e.has_crashed for e in services)
+        )
+        leaving = next(e for e in services if e.arrivals and not e.has_crashed)
+        await fragile.store.remove("servers", leaving.name)
+        await path_site.until(lambda e=leaving: e.name not in registry.entries)
+        await leaving.crash()
+    await call
+    assert not fragile.instances[0].state.quarantine.quarantines
+    assert await _send(fragile, "/stock/x", b"frequent") == 200
+
+
+async def test_lost_call_is_answered_by_its_deadline(
+    fragile: path_site.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against waiting for the fate of an engine beyond the deadline."""
+
+    async def find_nothing(address: str) -> None:
+        await asyncio.sleep(reachability.CONNECT_TIMEOUT_S)
+
+    monkeypatch.setattr(reachability, "has_ended", find_nothing)
+    services = [e for n, e in fragile.engines.items() if n.startswith("d")]
+    for engine in services:
+        engine.delay_s = 2 * DEADLINE_S
+    started_at = time.monotonic()
+    call = asyncio.create_task(
+        fragile.send_request("/stock/x", deadline_ms=round(1e3 * DEADLINE_S))
+    )
+    await asyncio.sleep(0.8 * DEADLINE_S)
+    for engine in services:
+        await engine.crash()
+    await call
+    assert time.monotonic() - started_at < DEADLINE_S + LATENESS_S
+
+
+async def test_request_that_fails_at_its_engine_is_no_suspect(
+    fragile: path_site.Site,
+) -> None:
+    """Guards against one engine for all repeats of a failing request."""
+    await _send(fragile, "/book/x", FATAL_BODY)
+    state = fragile.instances[0].state
+    await path_site.until(lambda: state.quarantine.lost.ended_at)
+    for engine in fragile.engines.values():
+        engine.behaviour.fatal_body = b""
+        engine.behaviour.failure_status = 500
+    assert await _send(fragile, "/book/x", FATAL_BODY) == 500
+    lost = state.quarantine.lost
+    assert not lost.suspect_fingerprints()
+
+
 async def test_silence_of_engines_is_no_evidence(
     fragile: path_site.Site,
 ) -> None:
