Refuse a request for a short time only if it may be sound

Cause: all fingerprints under which two engines had ended were treated alike; the relapse rule did not know of a release; served marks were told only with recent losses; and one accepted connection deleted all evidence. Change: a fingerprint that shares its engines with others, or that was served before, is refused for 6 s and then tried at one place; a released mark needs two new ends; served times of quarantined marks are told; an engine that accepts a connection is asked once more 0.1 s later.

--- a/src/yuccatally/core/forwarding/crash_evidence.py
+++ b/src/yuccatally/core/forwarding/crash_evidence.py
@@ -40,6 +40,8 @@
         count: Number of quarantines of the mark so far.
         engines: Engines that have ended under the mark, in the order in which
             this became known.
+        is_released: Whether a request was served with the mark since, so that
+            new evidence is needed.
     """
 
     until: float
@@ -47,6 +49,7 @@
     engines: dict[suspicions.Incarnation, None] = dataclasses.field(
         default_factory=dict
     )
+    is_released: bool = False
 
     def add_engines(self, engines: Iterable[suspicions.Incarnation]) -> None:
         """Adds engines that have ended under the mark."""
--- a/src/yuccatally/core/forwarding/lost_requests.py
+++ b/src/yuccatally/core/forwarding/lost_requests.py
@@ -35,13 +35,16 @@
         losses: Losses by first engine and marks, the oldest first.
         ended_at: Time at which this instance found out that an engine has
             ended, by engine.
-        has_news: Whether evidence was added since this was last set to False.
+        working: Engines that accepted a connection after a loss and are checked
+            once more.
+        has_news: Whether evidence was added since this was last cleared.
     """
 
     def __init__(self, served: served_marks.ServedMarks) -> None:
         self.served = served
         self.losses: dict[Key, crash_evidence.Loss] = {}
         self.ended_at: dict[suspicions.Incarnation, float] = {}
+        self.working: set[suspicions.Incarnation] = set()
         self.has_news = False
 
     def record(self, key: Key, at: float, ended: bool) -> None:
@@ -63,6 +66,7 @@
 
         Requests that were lost with an engine that works are no evidence.
         """
+        self.working.discard(engine)
         if not has_ended:
             self.losses = {
                 key: loss
--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 from typing import TYPE_CHECKING
 
@@ -21,10 +22,10 @@
 # time, as the engines may be repaired or the mark may never be sound.
 FIRST_QUARANTINE_S = 60.0
 MAX_QUARANTINE_S = 3600.0
-# Duration of the first quarantine of a part that nobody was served with, and
-# under which only repeats of one request have ended engines. Lost engines are
+# Duration of the first quarantine of a fingerprint that may be sound: others
+# were lost with the same engines, or it was served before. Lost engines are
 # replaced in half of that, so that one more end harms little.
-REST_S = 6.0
+DOUBTFUL_QUARANTINE_S = 6.0
 # Losses are sent to other instances for this long, several times the time that
 # they take to arrive.
 SEND_LOSS_S = 10.0
@@ -93,6 +94,13 @@
         """Records whether an engine that lost requests has ended."""
         self.lost.record_fate(engine, has_ended, now)
 
+    def record_working(self, engine: suspicions.Incarnation) -> None:
+        """Records that an engine seems to work.
+
+        Its requests are sent again, and remain evidence until ``record_fate``.
+        """
+        self.lost.working.add(engine)
+
     @property
     def has_news(self) -> bool:
         """Whether evidence was added that ``take_news`` has not returned."""
@@ -154,7 +162,7 @@
             return Verdict.END
         unsound = [m for m in marks if not self.lost.is_sound(m, engine)]
         loss = self.lost.losses.get((engine, marks))
-        if not unsound or loss is None:
+        if not unsound or loss is None or engine in self.lost.working:
             return Verdict.REPEAT
         if not loss.ended:
             is_recent = now - loss.at < lost_requests.FATE_TIMEOUT_S
@@ -181,6 +189,7 @@
         for mark, quarantine in self.quarantines.items():
             if self.lost.is_exonerated(mark):
                 quarantine.until = min(quarantine.until, now)
+                quarantine.is_released = True
         # A mark explains the end of its engines, so that requests which were
         # lost beside it need other evidence.
         for mark, quarantine in self.quarantines.items():
@@ -188,15 +197,12 @@
         found = [m for m in self.quarantines if self._has_relapsed(m, now)]
         for mark in found:
             self._quarantine(mark, now)
-        for fingerprint in self._fatal_fingerprints():
-            self._quarantine(fingerprint, now)
+        for fingerprint, first_s in self._fatal_fingerprints().items():
+            self._quarantine(fingerprint, now, first_s)
             found.append(fingerprint)
         while (part := self._most_suspect_part(now)) is not None:
             self._quarantine(part, now)
             found.append(part)
-        for part in self._unproven_parts(now):
-            self._quarantine(part, now, REST_S)
-            found.append(part)
         return found
 
     def evidence(self, now: float) -> crash_evidence.Evidence | None:
@@ -216,8 +222,7 @@
             ),
             {
                 mark: round(now - self.served.at(mark), 3)
-                for (_, marks), _ in recent
-                for mark in marks
+                for mark in self._told_marks(recent, active)
                 if mark in self.served
             },
             tuple(
@@ -255,6 +260,17 @@
         self.total_count += len(added)
         return added
 
+    def _told_marks(
+        self,
+        losses: list[tuple[lost_requests.Key, crash_evidence.Loss]],
+        quarantines: list[tuple[str, crash_evidence.Quarantine]],
+    ) -> set[str]:
+        """Returns the marks that a message is about."""
+        return {
+            *(mark for (_, marks), _ in losses for mark in marks),
+            *(mark for mark, _ in quarantines),
+        }
+
     def _telling_losses(
         self, now: float
     ) -> list[tuple[lost_requests.Key, crash_evidence.Loss]]:
@@ -288,7 +304,10 @@
 
     def _has_relapsed(self, mark: str, now: float) -> bool:
         """Returns whether an engine ended after the quarantine of a mark."""
-        until = self.quarantines[mark].until
+        quarantine = self.quarantines[mark]
+        if quarantine.is_released:
+            return False
+        until = quarantine.until
         return until <= now and any(
             loss.ended
             and loss.at > until
@@ -296,19 +315,34 @@
             for (_, marks), loss in self.lost.losses.items()
         )
 
-    def _fatal_fingerprints(self) -> list[str]:
+    def _fatal_fingerprints(self) -> dict[str, float]:
         """Returns the fingerprints under which enough engines have ended.
 
         They need no answers of other instances: a fingerprint concerns repeats
         of one request only, and is released as soon as one of them is served.
+
+        Load pattern: a fatal request ends two engines, each with several sound
+        requests. Some of these were tried again at the same engine and were
+        lost twice as well.
+
+        Returns:
+            Duration of the first quarantine in seconds, by fingerprint.
         """
         explained = self._explained(self.quarantines)
-        suspects = self.lost.suspect_fingerprints()
-        return [
-            fingerprint
+        suspects = {
+            fingerprint: frozenset(engines - explained)
+            for fingerprint, engines in self.lost.suspect_fingerprints().items()
+        }
+        equal_count = collections.Counter(suspects.values())
+        return {
+            fingerprint: (
+                FIRST_QUARANTINE_S
+                if equal_count[engines] == 1 and fingerprint not in self.served
+                else DOUBTFUL_QUARANTINE_S
+            )
             for fingerprint, engines in suspects.items()
-            if len(engines - explained) >= suspect_parts.MIN_ENDED_COUNT
-        ]
+            if len(engines) >= suspect_parts.MIN_ENDED_COUNT
+        }
 
     def _most_suspect_part(self, now: float) -> str | None:
         explained = self._explained(
@@ -318,10 +352,6 @@
             self.lost, explained, self._repeated() - explained, now
         )
 
-    def _unproven_parts(self, now: float) -> set[str]:
-        found = suspect_parts.unproven(self.lost, self._repeated(), now)
-        return found - self.quarantines.keys()
-
     def _repeated(self) -> set[suspicions.Incarnation]:
         """Returns the engines that have ended under repeats of one request."""
         return self._explained(
@@ -336,6 +366,7 @@
         )
         known.until = now + min(first_s * 2**known.count, MAX_QUARANTINE_S)
         known.count += 1
+        known.is_released = False
         known.add_engines(self.lost.ended_under(mark))
         self.total_count += 1
 
--- a/src/yuccatally/core/forwarding/suspect_parts.py
+++ b/src/yuccatally/core/forwarding/suspect_parts.py
@@ -31,8 +31,8 @@
         lost: All lost requests.
         explained: Engines that another part explains.
         repeated: Engines that repeats of one request explain. They count only
-            beside others: requests that differ have to end engines before their
-            part is blamed.
+            beside others, unless nobody was ever served with the part: it is
+            then as likely to be fatal as the request.
         now: Monotonic time in seconds.
     """
     ended: dict[str, set[suspicions.Incarnation]] = {}
@@ -55,7 +55,7 @@
         for part, engines in ended.items()
         if now - first_at[part] >= ANSWER_S
         and len(engines) >= MIN_ENDED_COUNT
-        and engines - repeated
+        and (engines - repeated or part not in lost.served)
     ]
     if not ready:
         return None
@@ -67,34 +67,3 @@
     if unrelated and most <= MIN_ENDED_COUNT:
         return None
     return best[-1]
-
-
-def unproven(
-    lost: lost_requests.LostRequests,
-    repeated: set[suspicions.Incarnation],
-    now: float,
-) -> set[str]:
-    """Returns parts that may explain the engines of a fatal request.
-
-    Nobody was ever served with them, so either may be fatal. A further request
-    with such a part tells, once the lost engines are replaced.
-
-    Args:
-        lost: All lost requests.
-        repeated: Engines that repeats of one request explain.
-        now: Monotonic time in seconds.
-    """
-    first_at: dict[str, float] = {}
-    engines: dict[str, set[suspicions.Incarnation]] = {}
-    for (engine, marks), loss in lost.losses.items():
-        if not loss.ended or engine not in repeated:
-            continue
-        for part in marks_module.parts_of(marks):
-            if part not in lost.served:
-                first_at.setdefault(part, loss.at)
-                engines.setdefault(part, set()).add(engine)
-    return {
-        part
-        for part, ended in engines.items()
-        if len(ended) >= MIN_ENDED_COUNT and now - first_at[part] >= ANSWER_S
-    }
--- a/src/yuccatally/forwarding/crash_reports.py
+++ b/src/yuccatally/forwarding/crash_reports.py
@@ -23,6 +23,9 @@
     from yuccatally.forwarding import leader_state
     from yuccatally.forwarding import state
 
+# A process may close its connections before it stops listening. An engine that
+# has accepted a connection is asked again after this time.
+SECOND_CHECK_DELAY_S = 0.1
 # An engine that refuses connections is not used for this long. A restart takes
 # about as long, and the leader's check confirms the loss meanwhile.
 AVOID_S = 1.0
@@ -98,6 +101,10 @@
     ) -> None:
         try:
             has_ended = await reachability.has_ended(engine.address)
+            if has_ended is False:
+                self.state.quarantine.record_working(key)
+                await asyncio.sleep(SECOND_CHECK_DELAY_S)
+                has_ended = await reachability.has_ended(engine.address)
         finally:
             self.examined.discard(key)
         _log.info("engine_examined", engine=engine.name, ended=has_ended)
