Find requests that crash engines just after their first event

Cause: the first event counted as proof that a request is sound, and requests with an event were repeated without a look at their engine. Change: a run shows its request to be sound after three events or a whole answer. Before that, a lost run is examined like one without an event.

--- a/src/yuccatally/core/forwarding/runs.py
+++ b/src/yuccatally/core/forwarding/runs.py
@@ -11,6 +11,11 @@
     from yuccatally.core.forwarding import rules
 
 
+# Events of a run that show its request to be sound. An engine that a request
+# ends as it begins to answer gives one event at most, or two in one read.
+SOUND_EVENT_COUNT = 3
+
+
 @dataclasses.dataclass(eq=False)
 class Run:
     """A request on one path, from its sending to its end.
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -12,6 +12,7 @@
 from yuccatally.core.forwarding import marks
 from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import rate_limits
+from yuccatally.core.forwarding import runs
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import trials
 from yuccatally.forwarding import upstream_responses
@@ -125,7 +126,8 @@
         failure = failed.result.failure
         progress.record_failure(failure)
         on_failure(failed.path, failed.result)
-        may_repeat = failed.event_count > 0 or await reader.first_of(
+        is_sound = failed.event_count >= runs.SOUND_EVENT_COUNT
+        may_repeat = is_sound or await reader.first_of(
             _may_repeat(instance_state, context, failed.path, failure)
         )
         if may_repeat and not reader.open.any_active:
@@ -249,7 +251,7 @@
     path: dispatch.Path,
     failure: attempts.Failure,
 ) -> bool:
-    """Returns whether an attempt without an event may be followed by another.
+    """Returns whether an attempt that has hardly begun may be repeated.
 
     A request whose connection broke may have crashed its engine. It waits until
     the engine or the request proves to be sound.
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -219,6 +219,9 @@
                 case open_runs.StreamEnd():
                     self._select(run, 0)
                     self.reader.close(run)
+                    self.state.quarantine.record_served(
+                        self.context.marks, time.monotonic()
+                    )
                     await self._send_headers(outcome)
                     await self.writer.end(outcome.rest)
                     return None
@@ -290,11 +293,13 @@
 
     async def _relay(self, run: runs.Run, outcome: open_runs.Events) -> None:
         is_first = run.event_count == 0
+        was_sound = run.event_count >= runs.SOUND_EVENT_COUNT
         self._select(run, outcome.count)
         now = time.monotonic()
         self.state.dispatcher.record_event(run.path.name, now)
         if is_first:
             self.state.dispatcher.record_first_event(run.path.name)
+        if run.event_count >= runs.SOUND_EVENT_COUNT and not was_sound:
             self.state.quarantine.record_served(self.context.marks, now)
         self.last_id = outcome.last_id
         self.writer.event_count += outcome.count
--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -60,6 +60,7 @@
             to answer; empty for none.
         fatal_body: Body of a request under which the process ends in the same
             way; empty for none.
+        fatal_after: Number of events that a stream gives before that.
         announces_leaving: Whether all responses state that the engine leaves,
             while it serves as before.
         rate_limit: Rate in requests a second that all responses name; empty for
@@ -89,6 +90,7 @@
     leaving: bool = False
     fatal_part: str = ""
     fatal_body: bytes = b""
+    fatal_after: int = 0
     announces_leaving: bool = False
     rate_limit: str = ""
     report_lag_s: float = 0.0
@@ -361,7 +363,7 @@
         try:
             await asyncio.sleep(self.delay_s)
             await self.is_running.wait()
-            if self._is_fatal(request, body):
+            if self._is_fatal(request, body) and not self.behaviour.fatal_after:
                 await self.crash()
                 await asyncio.sleep(3600)
             if self.behaviour.drops_answer:
@@ -450,6 +452,10 @@
             while self._is_stalled(attempt):  # noqa: ASYNC110
                 await asyncio.sleep(EVENT_INTERVAL_S)
             await self.is_running.wait()
+            is_fatal = self._is_fatal(request, await request.read())
+            if is_fatal and number - first == self.behaviour.fatal_after:
+                await self.crash()
+                await asyncio.sleep(3600)
             if self.behaviour.break_after == number - first:
                 await response.write(HALF_EVENT % number)
                 if self.behaviour.ends_within_event:
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -153,6 +153,18 @@
     assert {e.name for e in _crashed(fragile)} == fast
 
 
+async def test_request_that_crashes_engines_after_an_event_is_found(
+    fragile: path_site.Site,
+) -> None:
+    """Guards against a fatal request that its first event clears."""
+    for engine in fragile.engines.values():
+        engine.behaviour.fatal_after = 1
+    for number in range(6):
+        await _send(fragile, "/ask/x", FATAL_BODY, number % 2)
+        await asyncio.sleep(PREFILL_S)
+    assert 1 <= len(_crashed(fragile)) <= MAX_CRASHED_COUNT
+
+
 async def test_new_instance_refuses_a_known_fatal_request(
     fragile: path_site.Site,
 ) -> None:
