Prepare evidence once for messages that follow each other

Messages within 20 ms now share it, unless there is news.

test_messages_share_evidence_until_there_is_news fails without the change: the second message held another object.

--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -32,6 +32,9 @@
 # Ages are too low by the time that their message takes, at most this long.
 # Served marks are newer only beyond it, or messages would renew them.
 MAX_DELAY_S = 0.5
+# Messages share the same evidence for this long, far below MAX_DELAY_S.
+PREPARED_TTL_S = 0.02
+NEVER_PREPARED = float("-inf")
 # Limit of losses and of quarantines in a message.
 MAX_SENT_COUNT = 24
 
@@ -66,6 +69,8 @@
         quarantines: Present and past quarantines by mark.
         total_count: Number of quarantines that this instance has begun or
             received.
+        prepared: Evidence as last returned by ``evidence``.
+        prepared_at: Time at which it was prepared.
     """
 
     def __init__(self) -> None:
@@ -73,6 +78,8 @@
         self.lost = lost_requests.LostRequests(self.served)
         self.quarantines: dict[str, crash_evidence.Quarantine] = {}
         self.total_count = 0
+        self.prepared: crash_evidence.Evidence | None = None
+        self.prepared_at = NEVER_PREPARED
 
     def record_served(self, marks: Iterable[str], now: float) -> None:
         """Records that an engine has begun to answer a request."""
@@ -109,6 +116,8 @@
     def take_news(self) -> bool:
         """Returns whether there is evidence to be passed on at once."""
         had_news, self.lost.has_news = self.lost.has_news, False
+        if had_news:
+            self.prepared_at = NEVER_PREPARED
         return had_news
 
     def has_ended(self, engine: suspicions.Incarnation) -> bool:
@@ -206,7 +215,16 @@
         return found
 
     def evidence(self, now: float) -> crash_evidence.Evidence | None:
-        """Returns the evidence for other instances; None without any."""
+        """Returns the evidence for other instances; None without any.
+
+        Load pattern: a relay sends and answers hundreds of messages a second
+        while it knows hundreds of losses. They share what it has prepared.
+        """
+        if self.has_news or now - self.prepared_at >= PREPARED_TTL_S:
+            self.prepared, self.prepared_at = self._prepare_evidence(now), now
+        return self.prepared
+
+    def _prepare_evidence(self, now: float) -> crash_evidence.Evidence | None:
         recent = self._telling_losses(now)
         active = [(m, q) for m, q in self.quarantines.items() if q.until > now][
             -MAX_SENT_COUNT:
@@ -367,6 +385,7 @@
         known.until = now + min(first_s * 2**known.count, MAX_QUARANTINE_S)
         known.count += 1
         known.is_released = False
+        self.prepared_at = NEVER_PREPARED
         known.add_engines(self.lost.ended_under(mark))
         self.total_count += 1
 
--- a/tests/core/forwarding/test_quarantine.py
+++ b/tests/core/forwarding/test_quarantine.py
@@ -562,3 +562,15 @@
         one.record_served(_request(number), fleet.now)
     assert "rare" in one.served
     assert len(one.served) <= served_marks.MAX_SERVED_COUNT + 1
+
+
+def test_messages_share_evidence_until_there_is_news(fleet: Fleet) -> None:
+    """Guards against a relay that prepares evidence for each message."""
+    one = fleet.instances[0]
+    fleet.lose(0, "e1", *_request(1))
+    first = one.evidence(fleet.now)
+    assert one.evidence(fleet.now + quarantine.PREPARED_TTL_S / 2) is first
+    engine = fleet.lose(0, "e2", *_request(1))
+    one.record_fate(engine, True, fleet.now)
+    told = one.evidence(fleet.now + quarantine.PREPARED_TTL_S / 2)
+    assert {loss.engine.name for loss in told.losses} == {"e1", "e2"}
