Answer within 0.6 s whether a part was served

Cause: the wait for answers was sized for questions that travel with heartbeats; they are sent at once now. Change: 0.6 s, three heartbeats for the answer. A part that was served after all is released by the answer, as before.

--- a/src/yuccatally/core/forwarding/suspect_parts.py
+++ b/src/yuccatally/core/forwarding/suspect_parts.py
@@ -11,9 +11,9 @@
     from yuccatally.core.forwarding import lost_requests
     from yuccatally.core.forwarding import suspicions
 
-# Time in which all instances have answered whether they served a part: a
-# question and its answer pass two relays each.
-ANSWER_S = 1.0
+# Time in which all instances have answered whether they served a part. The
+# question is sent at once, and the answer takes three heartbeats.
+ANSWER_S = 0.6
 # Engines that have to end under a mark. One may end at any time with all its
 # requests, but rarely two in a row under a mark that nobody is served with.
 MIN_ENDED_COUNT = 2
