Let a begun stream go on at once when its engine is lost

Cause: streams with fewer than three events on their present engine waited for its fate like requests without an event, and were ended if they might have caused it. Streams that had moved were among them. Change: the events that the client has count, not those of one run, and a stream whose client has events goes on at once; its loss remains evidence.

test_begun_stream_goes_on_after_the_end_of_its_engine failed before. The limit for unreachable upstreams is one constant again, and a docstring of the heartbeat names what the field holds.

--- a/src/yuccatally/core/forwarding/runs.py
+++ b/src/yuccatally/core/forwarding/runs.py
@@ -11,8 +11,8 @@
     from yuccatally.core.forwarding import rules
 
 
-# Events of a run that show its request to be sound. An engine that a request
-# ends as it begins to answer gives one event at most, or two in one read.
+# Events that show a request to be sound. An engine that a request ends as it
+# begins to answer gives one event at most, or two in one read.
 SOUND_EVENT_COUNT = 3
 
 
--- a/src/yuccatally/forwarding/crash_reports.py
+++ b/src/yuccatally/forwarding/crash_reports.py
@@ -10,6 +10,7 @@
 
 from yuccatally.core.forwarding import marks
 from yuccatally.core.forwarding import suspicions
+from yuccatally.forwarding import detection
 from yuccatally.upstreams import reachability
 
 if TYPE_CHECKING:
@@ -26,9 +27,6 @@
 # A process may close its connections before it stops listening. An engine that
 # has accepted a connection is asked again after this time.
 SECOND_CHECK_DELAY_S = 0.1
-# An engine that refuses connections is not used for this long. A restart takes
-# about as long, and the leader's check confirms the loss meanwhile.
-AVOID_S = 1.0
 # Evidence of a crash is sent to all instances after this time, in which the
 # connections to the engine break one after the other.
 SPREAD_DELAY_S = 0.005
@@ -111,7 +109,9 @@
         if has_ended is None:
             return  # the leader's check decides
         if has_ended:
-            self.state.suspect_upstream(engine, AVOID_S, "connection refused")
+            self.state.suspect_upstream(
+                engine, detection.UPSTREAM_AVOID_S, "connection refused"
+            )
         now = time.monotonic()
         self.state.quarantine.record_fate(key, has_ended, now)
         if self.state.quarantine.has_news:
--- a/src/yuccatally/forwarding/detection.py
+++ b/src/yuccatally/forwarding/detection.py
@@ -21,9 +21,8 @@
 # A path is not chosen for new requests for this long after an attempt on it
 # failed. The leader takes about as long to identify the failed engine.
 PATH_AVOID_S = 1.0
-# An unreachable upstream of a plain service is not used for this long. A
-# restart takes about as long, and the other upstreams serve its requests
-# meanwhile.
+# An unreachable upstream is not used for this long. A restart takes about as
+# long, and the other upstreams serve its requests meanwhile.
 UPSTREAM_AVOID_S = 1.0
 # Interval at which a stall that persists is handled again.
 STALL_REPEAT_S = 0.4
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -126,9 +126,11 @@
         failure = failed.result.failure
         progress.record_failure(failure)
         on_failure(failed.path, failed.result)
-        is_sound = failed.event_count >= runs.SOUND_EVENT_COUNT
+        is_sound = writer.event_count >= runs.SOUND_EVENT_COUNT
         may_repeat = is_sound or await reader.first_of(
-            _may_repeat(instance_state, context, failed.path, failure)
+            _may_repeat(
+                instance_state, context, failed.path, failure, writer.started
+            )
         )
         if may_repeat and not reader.open.any_active:
             step = attempts.next_action(
@@ -250,11 +252,13 @@
     context: request_context.RequestContext,
     path: dispatch.Path,
     failure: attempts.Failure,
+    has_begun: bool,
 ) -> bool:
     """Returns whether an attempt that has hardly begun may be repeated.
 
     A request whose connection broke may have crashed its engine. It waits until
-    the engine or the request proves to be sound.
+    the engine or the request proves to be sound, unless its client has events,
+    which then goes on at once.
     """
     # A sound engine may be silent for a second, and a path also stalls when a
     # later engine fails.
@@ -265,7 +269,7 @@
         return True  # it ends as planned
     quarantined = instance_state.quarantine
     quarantined.record_loss(engine, context.marks, time.monotonic())
-    if not context.route.repeat.may_run_again:
+    if has_begun or not context.route.repeat.may_run_again:
         return True
     while context.remaining_s() > attempts.MIN_ATTEMPT_S:
         verdict = quarantined.judge_repeat(
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -293,16 +293,17 @@
 
     async def _relay(self, run: runs.Run, outcome: open_runs.Events) -> None:
         is_first = run.event_count == 0
-        was_sound = run.event_count >= runs.SOUND_EVENT_COUNT
+        was_sound = self.writer.event_count >= runs.SOUND_EVENT_COUNT
         self._select(run, outcome.count)
         now = time.monotonic()
         self.state.dispatcher.record_event(run.path.name, now)
         if is_first:
             self.state.dispatcher.record_first_event(run.path.name)
-        if run.event_count >= runs.SOUND_EVENT_COUNT and not was_sound:
-            self.state.quarantine.record_served(self.context.marks, now)
         self.last_id = outcome.last_id
         self.writer.event_count += outcome.count
+        is_sound = self.writer.event_count >= runs.SOUND_EVENT_COUNT
+        if is_sound and (is_first or not was_sound):
+            self.state.quarantine.record_served(self.context.marks, now)
         await self._send_headers(outcome)
         await self.writer.write(outcome.data)
         # The time to write to the client does not count as silence.
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -86,7 +86,7 @@
             knows, milliseconds since 1970; 0 for none.
         leaving: Upstreams that have stated in a response that they leave, as
             far as the sender learned of it in the last seconds.
-        prompts: Evidence on prompts that crash engines; None without any.
+        prompts: Evidence on requests that crash engines; None without any.
         limits: Request rates that upstreams accept, or some of them.
         store_epoch: Latest epoch of the store that the sender knows; 0 for
             none.
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -165,6 +165,32 @@
     assert 1 <= len(_crashed(fragile)) <= MAX_CRASHED_COUNT
 
 
+async def test_begun_stream_goes_on_after_the_end_of_its_engine(
+    fragile: path_site.Site,
+) -> None:
+    """Guards against cutting a stream because it might have ended its engine.
+
+    Nobody was served with its part, and it has one event.
+    """
+    for name, engine in fragile.engines.items():
+        engine.behaviour.fatal_body = FATAL_BODY if name == "e0" else b""
+        engine.behaviour.fatal_after = 1
+    whole = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 7))
+    for number in range(40):
+        status, _, body = await fragile.send_request(
+            "/ask/x",
+            f"b{number}",
+            headers={
+                "Yuccatally-Prefix-Hash": f"f00d{number:x}:10,{number:x}:9"
+            },
+            sent_body=FATAL_BODY,
+        )
+        assert (status, body) == (200, whole)
+        if _crashed(fragile):
+            return
+    pytest.fail("no request was sent to the engine that ends")
+
+
 async def test_new_instance_refuses_a_known_fatal_request(
     fragile: path_site.Site,
 ) -> None:
