Review case 3: SIGHUP ends a router that has just been started

The settings of a machine change 0.3 s after each start of its process, and the platform says so by SIGHUP. The process ends, as its handler is not installed yet, is started again and ends again.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -18,10 +18,14 @@
 import tempfile
 import time
 import tomllib
+from typing import TYPE_CHECKING
 from typing import Any
 
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # Where the build of deploy/system.toml has put the program, or a copy of that.
 DEPS = os.environ.get("DEPS", str(ROOT / "target" / "deps"))
@@ -33,6 +37,10 @@
 GRACE_S = 8.0
 HEARTBEAT_S = 1.2
 RESTART_DELAY_S = 0.5
+# Parts in which a slow client sends a body.
+UPLOAD_STEPS = 32
+# Long bodies are not kept whole.
+MAX_KEPT_BYTES = 1024
 # A process that ends sooner could not start.
 MIN_LIFE_S = 1.0
 
@@ -206,7 +214,7 @@
         at: Monotonic time in seconds.
         engine: Name of the engine.
         request: Attempt id of the client.
-        body: Body of the request.
+        body: Start of the body of the request.
     """
 
     at: float
@@ -427,7 +435,7 @@
             return web.Response(status=503, headers=headers)
         body = await request.read()
         self.arrivals.append(
-            Arrival(time.monotonic(), self.name, attempt, body)
+            Arrival(time.monotonic(), self.name, attempt, body[:MAX_KEPT_BYTES])
         )
         headers["Yuccatally-Server-Signature"] = f"{self.name}.{attempt}"
         self.running += 1
@@ -599,18 +607,29 @@
         self.ready = f"127.0.0.1:{free_port()}"
         self.directory = f"127.0.0.1:{free_port()}"
         self.peers = peers or f"127.0.0.1:{free_port()}"
+        self.internal = free_port()
         self.file = site.folder / f"{name}.toml"
         self.log = (site.folder / f"{name}.log").open("ab")
         self.process: asyncio.subprocess.Process | None = None
         # Monotonic times at which the process has ended by itself.
         self.own_ends: list[float] = []
         self.could_not_start = False
+        # Exit status of each end that was not asked for.
+        self.statuses: list[int] = []
+        # Set before the platform asks the process to end.
+        self.end_is_planned = False
+        # Called after each start of the process.
+        self.on_start: Callable[[Router], None] = lambda router: None
         self.is_stopping = False
         self.keeper: asyncio.Task[None] | None = None
 
+    def write_settings(self, seeds: list[str]) -> None:
+        """Writes the settings file."""
+        self.file.write_text(self._settings(seeds))
+
     def start(self, seeds: list[str]) -> None:
         """Writes the settings and keeps the process running."""
-        self.file.write_text(self._settings(seeds))
+        self.write_settings(seeds)
         self.keeper = asyncio.create_task(self._keep())
 
     async def _keep(self) -> None:
@@ -628,9 +647,15 @@
                 stdout=self.log,
                 stderr=self.log,
             )
+            self.on_start(self)
             status = await self.process.wait()
             if self.is_stopping:
                 return
+            if self.end_is_planned:
+                self.end_is_planned = False
+                await asyncio.sleep(RESTART_DELAY_S)
+                continue
+            self.statuses.append(status)
             self.site.record.line(f"{self.name} ended by itself ({status})")
             if time.monotonic() - started_at < MIN_LIFE_S:
                 self.could_not_start = True
@@ -658,7 +683,7 @@
         return (self.site.folder / f"{self.name}.log").read_text()
 
     def _settings(self, seeds: list[str]) -> str:
-        internal = free_port()
+        internal = self.internal
         listed = ", ".join(f'"{s}"' for s in seeds)
         zones = "\n".join(f'{z} = "region"' for z in self.site.zones)
         return f"""nodeName = "{self.name}"
@@ -777,6 +802,7 @@
         headers: dict[str, str] | None = None,
         attempt: str = "",
         method: str = "POST",
+        upload_s: float = 0.0,
     ) -> Answer:
         """Sends a request on a connection of its own."""
         attempt = attempt or self.next_id()
@@ -792,7 +818,7 @@
         head = "\r\n".join([*lines, "", ""]).encode()
         try:
             async with asyncio.timeout(deadline_ms / 1e3):
-                return await _exchange(router.frontend, head + body)
+                return await _exchange(router.frontend, head, body, upload_s)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             return Answer(0)
 
@@ -810,11 +836,21 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-async def _exchange(address: str, sent: bytes) -> Answer:
+async def _exchange(
+    address: str, sent: bytes, body: bytes, upload_s: float
+) -> Answer:
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
         writer.write(sent)
+        if not upload_s:
+            writer.write(body)
+        else:
+            size = max(1, len(body) // UPLOAD_STEPS)
+            for start in range(0, len(body), size):
+                writer.write(body[start : start + size])
+                await writer.drain()
+                await asyncio.sleep(upload_s / UPLOAD_STEPS)
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         status = int(head.split(" ", 2)[1])
         fields = {
