Review case 5: silent connections to the store hide an engine that leaves

All open connections of the machines to the store fall silent, and new ones work. 3.1 s later, when all machines are in touch again, an engine leaves. 4 s after the store has accepted that, two machines still send bookings to it.

The stand-ins take ports outside of the kernel's range now: one earlier run could not start for a port that was taken.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -46,10 +47,26 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free on the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port of the loopback interface that nothing else will take.
+
+    It is outside the range from which the kernel takes ports of its own, and
+    each is given out once.
+    """
+    while True:
+        port = random.randrange(18000, 32000)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
+
+
+_given_ports: set[int] = set()
 
 
 class Record:
@@ -503,6 +520,8 @@
         self.fillers: list[socket.socket] = []
         self.acceptor: asyncio.Task[None] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        # Connections of earlier rounds are silent.
+        self.round = 0
 
     @property
     def address(self) -> str:
@@ -529,6 +548,10 @@
             filler.connect_ex(("127.0.0.1", self.port))
             self.fillers.append(filler)
 
+    def silence(self) -> None:
+        """Lets all open connections fall silent for good; new ones work."""
+        self.round += 1
+
     def heal(self) -> None:
         """Ends the partition."""
         for filler in self.fillers:
@@ -559,30 +582,43 @@
 
     async def _forward(self, connection: socket.socket) -> None:
         reader, writer = await asyncio.open_connection(sock=connection)
+        writers = [writer]
         try:
             host, _, port = self.target.rpartition(":")
             far_reader, far_writer = await asyncio.open_connection(
                 host, int(port)
             )
+            writers.append(far_writer)
+            opened_in = self.round
             await asyncio.gather(
-                self._copy(reader, far_writer), self._copy(far_reader, writer)
+                self._copy(reader, far_writer, opened_in),
+                self._copy(far_reader, writer, opened_in),
             )
         except OSError:
             pass
         finally:
-            writer.close()
+            for each in writers:
+                each.close()
 
     async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        opened_in: int,
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                await self.is_whole.wait()
+                await self._wait_for_path(opened_in)
                 writer.write(data)
                 await writer.drain()
-            await self.is_whole.wait()
+            await self._wait_for_path(opened_in)
         writer.close()
 
+    async def _wait_for_path(self, opened_in: int) -> None:
+        await self.is_whole.wait()
+        if opened_in != self.round:
+            await asyncio.Event().wait()
+
 
 class Router:
     """One machine with the project's program as a process.
