Review case 3: a part that ends the last engine of a path is not found

A part of a prompt ends the last engine of each path that begins to answer it. Nothing is recorded against the part, as losses are recorded for the first engine only, and the requests are sent to further paths.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -1,7 +1,8 @@
 """A small deployment: routers as processes, the platform and engines here.
 
 The store, the engines and the clients run in this process and speak what
-PROTOCOL.md says. The routers are started with the command of deploy/system.toml.
+PROTOCOL.md says. The routers are started with the command of
+deploy/system.toml.
 """
 
 from __future__ import annotations
@@ -9,7 +10,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
 import os
 import pathlib
 import random
@@ -38,6 +38,9 @@
 GRACE_S = 8.0
 HEARTBEAT_S = 1.2
 RESTART_DELAY_S = 0.5
+# Time for which a crashed engine is away, and for which work waits for one.
+DOWN_S = 4.0
+STALL_S = 2.0
 # Parts in which a slow client sends a body.
 UPLOAD_STEPS = 32
 # Long bodies are not kept whole.
@@ -284,8 +287,15 @@
         self.first_s = 0.05
         self.events = 8
         self.gap_s = 0.02
-        # Part of a prompt under which the process ends.
+        # Part of a prompt under which an engine ends that begins to write an
+        # answer: the last one of the path, which returns the tokens, or all.
         self.fatal_part = ""
+        self.fatal_for_last = False
+        # All engines by address, to check the parts of a path.
+        self.others: dict[str, Engine] = {}
+        # Engine that an open request waits for, by its id.
+        self.stalled: dict[str, str] = {}
+        self.paths: dict[str, str] = {}
         self.layers: tuple[int, int] | None = None
         self.sequence = 0
         self.fence = 0
@@ -395,7 +405,9 @@
                 "pace": 1.0,
                 "layers": self._layers(),
                 "routeKind": self.card,
-                "stalled": [],
+                "stalled": [
+                    {"id": i, "address": a} for i, a in self.stalled.items()
+                ],
             }
         )
 
@@ -425,8 +437,10 @@
         expected = request.headers.get("Yuccatally-Expect-Instance", self.name)
         if expected != self.name:
             return 421
+        if body["operation"] == "repath":
+            return self._change_path(body["id"], body["path"])
         if body["operation"] != "place":
-            return 404
+            return 400
         fence = body.get("fencingToken", 0)
         if fence < self.fence:
             return 412
@@ -444,9 +458,15 @@
         attempt = request.headers.get("Yuccatally-Attempt-Id", "")
         headers = {"Yuccatally-Attempt-Id": attempt}
         expected = request.headers.get("Yuccatally-Expect-Instance", self.name)
-        if expected != self.name or not self._holds_path(request):
+        path = request.headers.get("Yuccatally-Hop-Count", "")
+        if expected != self.name:
             headers["At-Server"] = self.address
             return web.Response(status=421, headers=headers)
+        status, faulty = self._find_missing(path)
+        if status:
+            headers["At-Server"] = faulty
+            headers["Yuccatally-Not-Executed"] = "1"
+            return web.Response(status=status, headers=headers)
         if self.running >= self.slots:
             headers["Yuccatally-Not-Executed"] = "1"
             return web.Response(status=503, headers=headers)
@@ -468,33 +488,103 @@
     async def _stream(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
+        attempt = headers["Yuccatally-Attempt-Id"]
+        self.paths[attempt] = request.headers.get("Yuccatally-Hop-Count", "")
+        try:
+            return await self._write(request, headers, attempt)
+        finally:
+            del self.paths[attempt]
+            self.stalled.pop(attempt, None)
+
+    async def _write(
+        self, request: web.Request, headers: dict[str, str], attempt: str
+    ) -> web.StreamResponse:
+        hops = self._hops(attempt)
         await asyncio.sleep(self.first_s)
         if self.fatal_part and self.fatal_part in _parts(request):
-            crash = asyncio.create_task(self.crash(4.0))
-            await asyncio.shield(asyncio.wait((crash,)))
+            fatal_for = hops[-1:] if self.fatal_for_last else hops
+            crashes = [
+                asyncio.create_task(e.crash(DOWN_S)) for e, _ in fatal_for
+            ]
+            if not self.fatal_for_last:
+                await asyncio.shield(asyncio.wait(crashes))
+            await asyncio.sleep(0)
+        faulty = await self._wait_for_path(attempt, hops)
+        if faulty:
+            del headers["Yuccatally-Server-Signature"]
+            headers["Yuccatally-Not-Executed"] = "1"
+            headers["At-Server"] = faulty
+            return web.Response(status=503, headers=headers)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.events + 1):
+            if await self._wait_for_path(attempt, hops):
+                request.transport.abort()
+                return response
             await response.write(b"id: %d\ndata: e%d\n\n" % (number, number))
             await asyncio.sleep(self.gap_s)
         await response.write_eof()
         return response
 
-    def _holds_path(self, request: web.Request) -> bool:
+    def _hops(self, attempt: str) -> list[tuple[Engine, int]]:
+        """Returns the engines of a path with their present starts."""
+        path = self.paths[attempt]
+        if not path:
+            return [(self, self.born)]
+        addresses = [h.partition("=")[0] for h in path.split(",")]
+        return [(self.others[a], self.others[a].born) for a in addresses]
+
+    async def _wait_for_path(
+        self, attempt: str, hops: list[tuple[Engine, int]]
+    ) -> str:
+        """Waits while an engine is dead; returns its address if it stays so.
+
+        Another path that an order names meanwhile takes the place of the old.
+        """
+        path = self.paths[attempt]
+        until = time.monotonic() + STALL_S
+        while True:
+            if self.paths[attempt] != path:
+                path = self.paths[attempt]
+                hops[:] = self._hops(attempt)
+            dead = [
+                e.address
+                for e, born in hops
+                if e.runner is None or e.born != born
+            ]
+            if not dead:
+                self.stalled.pop(attempt, None)
+                return ""
+            self.stalled[attempt] = dead[0]
+            if time.monotonic() >= until:
+                return dead[0]
+            await asyncio.sleep(0.01)
+
+    def _change_path(self, attempt: str, path: str) -> int:
+        if attempt not in self.paths:
+            return 404
+        if self._find_missing(path)[0]:
+            return 409
+        self.paths[attempt] = path
+        return 200
+
+    def _find_missing(self, path: str) -> tuple[int, str]:
+        """Returns the status of a path and the engine at fault; 0 for none."""
         if not self.card:
-            return True
-        path = request.headers.get("Yuccatally-Hop-Count", "")
-        address, _, layers = path.partition(",")[0].partition("=")
-        first, _, last = layers.partition("-")
-        return (
-            address == self.address
-            and self.layers is not None
-            and self.layers[0] <= int(first)
-            and int(last) <= self.layers[1]
-        )
+            return 0, ""
+        for hop in path.split(","):
+            address, _, layers = hop.partition("=")
+            first, _, last = layers.partition("-")
+            engine = self.others.get(address)
+            if engine is None or engine.runner is None:
+                return 503, address
+            held = engine.layers
+            if held is None or held[0] > int(first) or held[1] < int(last):
+                return 421, address
+        return 0, ""
 
 
 def _parts(request: web.Request) -> list[str]:
@@ -804,6 +894,7 @@
         self.record = Record(folder)
         self.store = Store()
         self.engines: list[Engine] = []
+        self.engines_by_address: dict[str, Engine] = {}
         self.routers: list[Router] = []
         self.proxies: list[Proxy] = []
         deploy = (ROOT / "deploy" / "system.toml").read_text()
@@ -813,8 +904,10 @@
     async def add_engine(self, *args: Any, **options: Any) -> Engine:
         """Starts an engine."""
         engine = Engine(self.store, *args, **options)
+        engine.others = self.engines_by_address
         await engine.start()
         self.engines.append(engine)
+        self.engines_by_address[engine.address] = engine
         return engine
 
     async def add_proxy(self, target: str) -> Proxy:
@@ -839,6 +932,7 @@
         attempt: str = "",
         method: str = "POST",
         upload_s: float = 0.0,
+        patience_s: float = 0.0,
     ) -> Answer:
         """Sends a request on a connection of its own."""
         attempt = attempt or self.next_id()
@@ -854,7 +948,9 @@
         head = "\r\n".join([*lines, "", ""]).encode()
         try:
             async with asyncio.timeout(deadline_ms / 1e3):
-                return await _exchange(router.frontend, head, body, upload_s)
+                return await _exchange(
+                    router.frontend, head, body, upload_s, patience_s
+                )
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             return Answer(0)
 
@@ -873,7 +969,7 @@
 
 
 async def _exchange(
-    address: str, sent: bytes, body: bytes, upload_s: float
+    address: str, sent: bytes, body: bytes, upload_s: float, patience_s: float
 ) -> Answer:
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
@@ -887,7 +983,9 @@
                 writer.write(body[start : start + size])
                 await writer.drain()
                 await asyncio.sleep(upload_s / UPLOAD_STEPS)
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        async with asyncio.timeout(patience_s or None):
+            received = await reader.readuntil(b"\r\n\r\n")
+        head = received.decode("latin-1")
         status = int(head.split(" ", 2)[1])
         fields = {
             n.strip().lower(): v.strip()
@@ -909,7 +1007,10 @@
 
 
 def configuration(
-    layers: int = 4, slots: int = 8, header_bytes: int = 16384
+    layers: int = 4,
+    slots: int = 8,
+    size_mb: float = 36000.0,
+    kv_bytes: float = 426000.0,
 ) -> dict[str, Any]:
     """Returns the configuration of the operator."""
     common = {"host": HOST, "anonymous": False}
@@ -963,7 +1064,7 @@
                     "slots": slots,
                     "layers": layers,
                     "layerMb": 1750.0,
-                    "kvBytes": 426000.0,
+                    "kvBytes": kv_bytes,
                     "step_ms": 0.85,
                     "per_seq_ms": 0.00276,
                     "context_per_k": 0.0037,
@@ -981,7 +1082,7 @@
                     "kinds": [
                         {
                             "name": "a100s",
-                            "sizeMb": 36000.0,
+                            "sizeMb": size_mb,
                             "pace": 3.1,
                             "readFactor": 3.2,
                         }
@@ -990,7 +1091,7 @@
             },
         ],
         "limits": {
-            "maxHeaderBytes": header_bytes,
+            "maxHeaderBytes": 16384,
             "maxBodyBytes": 4194304,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
