--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -251,7 +251,7 @@
         return router
 
     async def start(self, router: Router) -> None:
-        """Starts the process of a router with the command of the deploy file."""
+        """Starts the process of a router as the deploy file says."""
         with router.log.open("ab") as log:
             router.process = await asyncio.create_subprocess_exec(
                 "python3",
@@ -314,8 +314,12 @@
         body: bytes = b"prompt",
         deadline_ms: int = 3000,
         timeout_s: float = 8.0,
+        session: aiohttp.ClientSession | None = None,
     ) -> Answer:
-        """Sends a request on a new connection and reads its answer."""
+        """Sends a request and reads its answer.
+
+        Without a session of its own it is sent on a new connection.
+        """
         sent = {
             "Host": path_site.HOST,
             "Api-Key": path_site.API_KEY,
@@ -326,7 +330,7 @@
         answer = Answer()
         started_at = time.monotonic()
         try:
-            async with self.session.request(
+            async with (session or self.session).request(
                 method,
                 f"http://{router.callers}{target}",
                 headers=sent,
