--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -350,18 +350,18 @@
         return answer
 
 
-def run(folder: pathlib.Path, main) -> None:
+def run(folder: pathlib.Path, main, trouble: bool) -> None:
     """Runs a case and exits with its verdict.
 
     Args:
         folder: Folder of the case.
         main: Coroutine function that gets the record, the deployment and
             whether the disruption is to happen; returns whether the rule held.
+        trouble: Whether the disruption is to happen.
     """
     # Ends the routers as well if the case itself is ended.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble={int(trouble)}")
 
     async def guarded() -> bool:
