End no instance when many engines end under one part

Cause: RequestQuarantine.update quarantined a part again as long as it was the most suspect one. A quarantine remembered 32 engines, so with 33 or more the part stayed the most suspect, until 2**count did not fit a float. The OverflowError ended Fleet.run and with it the process, on all instances that share the evidence.

Ruled out: load. The core alone raises the error.

--- a/src/yuccatally/core/forwarding/crash_evidence.py
+++ b/src/yuccatally/core/forwarding/crash_evidence.py
@@ -12,10 +12,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Engines that are remembered for each quarantined mark.
-MAX_EXPLAINED_COUNT = 32
-# Of these, the latest are sent, some 24 bytes each.
-MAX_SENT_ENGINE_COUNT = 16
+# A crash loses a few requests that have no event yet.
+MAX_LOSS_COUNT = 512
+# Engines that are remembered for each quarantined mark. A loss names one
+# engine, so a mark explains all engines that were lost under it.
+MAX_EXPLAINED_COUNT = MAX_LOSS_COUNT
 
 
 @dataclasses.dataclass
@@ -38,8 +39,7 @@
     Attributes:
         until: Monotonic time of its end, in seconds.
         count: Number of quarantines of the mark so far.
-        engines: Engines that have ended under the mark, in the order in which
-            this became known.
+        engines: Engines that have ended under the mark, the latest last.
         is_released: Whether a request was served with the mark since, so that
             new evidence is needed.
     """
@@ -52,15 +52,24 @@
     is_released: bool = False
 
     def add_engines(self, engines: Iterable[suspicions.Incarnation]) -> None:
-        """Adds engines that have ended under the mark."""
-        self.engines.update(dict.fromkeys(engines))
+        """Adds engines that have ended under the mark, the latest last."""
+        for engine in engines:
+            # Reinserted, so that engines of older losses are forgotten first.
+            self.engines.pop(engine, None)
+            self.engines[engine] = None
         while len(self.engines) > MAX_EXPLAINED_COUNT:
             del self.engines[next(iter(self.engines))]
 
-    @property
-    def latest_engines(self) -> tuple[suspicions.Incarnation, ...]:
-        """The engines to tell other instances, as many as fit."""
-        return tuple(self.engines)[-MAX_SENT_ENGINE_COUNT:]
+    def latest_engines(self, count: int) -> tuple[suspicions.Incarnation, ...]:
+        """Returns the latest engines, up to a number."""
+        return tuple(self.engines)[-count:]
+
+
+def explained(
+    quarantines: Iterable[Quarantine],
+) -> set[suspicions.Incarnation]:
+    """Returns the engines that have ended under quarantined marks."""
+    return {engine for q in quarantines for engine in q.engines}
 
 
 class LostRequest(msgspec.Struct, array_like=True, frozen=True):
--- a/src/yuccatally/core/forwarding/lost_requests.py
+++ b/src/yuccatally/core/forwarding/lost_requests.py
@@ -24,8 +24,6 @@
 # Longest wait of a lost request for the fate of its engine. The leader's check
 # and three heartbeats take half of it.
 FATE_TIMEOUT_S = 0.6
-# A crash loses a few requests that have no event yet.
-MAX_LOSS_COUNT = 512
 
 
 class LostRequests:
@@ -53,7 +51,7 @@
         known = self.losses.get(key)
         if known is None:
             known = self.losses[key] = crash_evidence.Loss(at, False)
-            if len(self.losses) > MAX_LOSS_COUNT:
+            if len(self.losses) > crash_evidence.MAX_LOSS_COUNT:
                 del self.losses[next(iter(self.losses))]
         if ended and not known.ended:
             known.ended = True
@@ -85,13 +83,17 @@
             if not loss.ended and is_ended(engine):
                 loss.ended = self.has_news = True
 
-    def ended_under(self, mark: str) -> set[suspicions.Incarnation]:
-        """Returns the engines that have ended with requests of a mark."""
-        return {
+    def ended_under(self, mark: str) -> list[suspicions.Incarnation]:
+        """Returns the engines that have ended with requests of a mark.
+
+        Those of the latest losses are last.
+        """
+        ended = (
             engine
             for (engine, marks), loss in self.losses.items()
             if loss.ended and mark in marks
-        }
+        )
+        return list(dict.fromkeys(ended))
 
     def ended_since_served(self, mark: str) -> set[suspicions.Incarnation]:
         """Returns those that ended after a request was last served with it."""
--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from yuccatally.core.forwarding import crash_evidence
+from yuccatally.core.forwarding import evidence_messages
 from yuccatally.core.forwarding import lost_requests
 from yuccatally.core.forwarding import marks as marks_module
 from yuccatally.core.forwarding import served_marks
@@ -22,21 +23,19 @@
 # time, as the engines may be repaired or the mark may never be sound.
 FIRST_QUARANTINE_S = 60.0
 MAX_QUARANTINE_S = 3600.0
+# Enough for any first duration. Other instances send the count of a mark, and a
+# large power of two has no float.
+MAX_DOUBLING_COUNT = 16
 # Duration of the first quarantine of a fingerprint that may be sound: others
 # were lost with the same engines, or it was served before. Lost engines are
 # replaced in half of that, so that one more end harms little.
 DOUBTFUL_QUARANTINE_S = 6.0
-# Losses are sent to other instances for this long, several times the time that
-# they take to arrive.
-SEND_LOSS_S = 10.0
 # Ages are too low by the time that their message takes, at most this long.
 # Served marks are newer only beyond it, or messages would renew them.
 MAX_DELAY_S = 0.5
 # Messages share the same evidence for this long, far below MAX_DELAY_S.
 PREPARED_TTL_S = 0.02
 NEVER_PREPARED = float("-inf")
-# Limit of losses and of quarantines in a message.
-MAX_SENT_COUNT = 24
 
 
 class Verdict(enum.Enum):
@@ -210,10 +209,17 @@
             self._quarantine(fingerprint, now, first_s)
             found.append(fingerprint)
         while (part := self._most_suspect_part(now)) is not None:
+            if part in found:
+                break  # its quarantine explains nothing more
             self._quarantine(part, now)
             found.append(part)
         return found
 
+    def discard_losses(self) -> None:
+        """Discards all evidence; quarantines remain."""
+        self.lost = lost_requests.LostRequests(self.served)
+        self.prepared_at = NEVER_PREPARED
+
     def evidence(self, now: float) -> crash_evidence.Evidence | None:
         """Returns the evidence for other instances; None without any.
 
@@ -221,36 +227,12 @@
         while it knows hundreds of losses. They share what it has prepared.
         """
         if self.has_news or now - self.prepared_at >= PREPARED_TTL_S:
-            self.prepared, self.prepared_at = self._prepare_evidence(now), now
+            self.prepared = evidence_messages.prepare(
+                self.lost, self.quarantines, now
+            )
+            self.prepared_at = now
         return self.prepared
 
-    def _prepare_evidence(self, now: float) -> crash_evidence.Evidence | None:
-        recent = self._telling_losses(now)
-        active = [(m, q) for m, q in self.quarantines.items() if q.until > now][
-            -MAX_SENT_COUNT:
-        ]
-        if not recent and not active:
-            return None
-        return crash_evidence.Evidence(
-            tuple(
-                crash_evidence.LostRequest(
-                    engine, marks, round(now - loss.at, 3), loss.ended
-                )
-                for (engine, marks), loss in recent
-            ),
-            {
-                mark: round(now - self.served.at(mark), 3)
-                for mark in self._told_marks(recent, active)
-                if mark in self.served
-            },
-            tuple(
-                crash_evidence.QuarantinedMark(
-                    m, round(q.until - now, 3), q.count, q.latest_engines
-                )
-                for m, q in active
-            ),
-        )
-
     def merge(self, evidence: crash_evidence.Evidence, now: float) -> list[str]:
         """Merges the evidence of another instance.
 
@@ -278,48 +260,6 @@
         self.total_count += len(added)
         return added
 
-    def _told_marks(
-        self,
-        losses: list[tuple[lost_requests.Key, crash_evidence.Loss]],
-        quarantines: list[tuple[str, crash_evidence.Quarantine]],
-    ) -> set[str]:
-        """Returns the marks that a message is about."""
-        return {
-            *(mark for (_, marks), _ in losses for mark in marks),
-            *(mark for mark, _ in quarantines),
-        }
-
-    def _telling_losses(
-        self, now: float
-    ) -> list[tuple[lost_requests.Key, crash_evidence.Loss]]:
-        """Returns the recent losses that tell others most, as many as fit.
-
-        Load pattern: an engine ends and loses more requests than fit, of which
-        one is fatal. Its marks are lost with one engine after the other, unlike
-        the rare marks beside it. Losses that a quarantined mark explains are
-        told by the quarantine itself and come last.
-        """
-        explained = self._explained(self.quarantines)
-        recent = [
-            (key, loss)
-            for key, loss in self.lost.losses.items()
-            if now - loss.at < SEND_LOSS_S
-        ]
-        engines: dict[str, set[suspicions.Incarnation]] = {}
-        for (engine, marks), loss in recent:
-            if engine not in explained:
-                for mark in self.lost.candidates(marks, loss):
-                    engines.setdefault(mark, set()).add(engine)
-        # Stable, so that of equal ones the later losses are sent.
-        recent.sort(
-            key=lambda item: max(len(engines.get(m, ())) for m in item[0][1])
-        )
-        return recent[-MAX_SENT_COUNT:]
-
-    def _explained(self, marks: Iterable[str]) -> set[suspicions.Incarnation]:
-        """Returns the engines that have ended under quarantined marks."""
-        return {e for m in marks for e in self.quarantines[m].engines}
-
     def _has_relapsed(self, mark: str, now: float) -> bool:
         """Returns whether an engine ended after the quarantine of a mark."""
         quarantine = self.quarantines[mark]
@@ -346,7 +286,7 @@
         Returns:
             Duration of the first quarantine in seconds, by fingerprint.
         """
-        explained = self._explained(self.quarantines)
+        explained = crash_evidence.explained(self.quarantines.values())
         suspects = {
             fingerprint: frozenset(engines - explained)
             for fingerprint, engines in self.lost.suspect_fingerprints().items()
@@ -363,17 +303,19 @@
         }
 
     def _most_suspect_part(self, now: float) -> str | None:
-        explained = self._explained(
-            m for m in self.quarantines if not marks_module.is_fingerprint(m)
-        )
+        explained = self._explained(of_fingerprints=False)
+        # Engines that have ended under repeats of one request.
+        repeated = self._explained(of_fingerprints=True)
         return suspect_parts.most_suspect(
-            self.lost, explained, self._repeated() - explained, now
+            self.lost, explained, repeated - explained, now
         )
 
-    def _repeated(self) -> set[suspicions.Incarnation]:
-        """Returns the engines that have ended under repeats of one request."""
-        return self._explained(
-            filter(marks_module.is_fingerprint, self.quarantines)
+    def _explained(self, of_fingerprints: bool) -> set[suspicions.Incarnation]:
+        """Returns the engines that fingerprints explain, or that parts do."""
+        return crash_evidence.explained(
+            q
+            for m, q in self.quarantines.items()
+            if marks_module.is_fingerprint(m) == of_fingerprints
         )
 
     def _quarantine(
@@ -382,7 +324,8 @@
         known = self.quarantines.setdefault(
             mark, crash_evidence.Quarantine(now, 0)
         )
-        known.until = now + min(first_s * 2**known.count, MAX_QUARANTINE_S)
+        doublings = min(known.count, MAX_DOUBLING_COUNT)
+        known.until = now + min(first_s * 2**doublings, MAX_QUARANTINE_S)
         known.count += 1
         known.is_released = False
         self.prepared_at = NEVER_PREPARED
--- a/src/yuccatally/forwarding/crash_reports.py
+++ b/src/yuccatally/forwarding/crash_reports.py
@@ -43,6 +43,7 @@
     Attributes:
         examined: Engines that are being examined.
         is_spreading: Whether evidence is about to be sent.
+        has_failed: Whether the last evaluation of the evidence has failed.
         on_quarantined: Called with each mark that is in quarantine from now on.
     """
 
@@ -68,6 +69,7 @@
         self.send_heartbeats = send_heartbeats
         self.examined: set[suspicions.Incarnation] = set()
         self.is_spreading = False
+        self.has_failed = False
         self.on_quarantined: Callable[[str], None] = lambda mark: None
 
     def examine(self, engine: upstreams.Upstream) -> None:
@@ -87,8 +89,21 @@
             self.update(now)
 
     def update(self, now: float) -> None:
-        """Evaluates all evidence, and passes it on if there is news."""
-        found = self.state.quarantine.update(self._has_ended, now)
+        """Evaluates all evidence, and passes it on if there is news.
+
+        Evidence that cannot be evaluated is discarded, and logged once. All
+        instances share it and would otherwise end at the same moment, with
+        the requests that they serve.
+        """
+        try:
+            found = self.state.quarantine.update(self._has_ended, now)
+        except Exception:
+            if not self.has_failed:
+                _log.exception("evidence_discarded")
+            self.has_failed = True
+            self.state.quarantine.discard_losses()
+            return
+        self.has_failed = False
         self._apply_quarantined(found, "evidence")
         if self.state.quarantine.take_news() and not self.is_spreading:
             self.is_spreading = True
--- a/tests/core/forwarding/test_quarantine.py
+++ b/tests/core/forwarding/test_quarantine.py
@@ -8,6 +8,8 @@
 from hypothesis import strategies
 import pytest
 
+from yuccatally.core.forwarding import crash_evidence
+from yuccatally.core.forwarding import evidence_messages
 from yuccatally.core.forwarding import lost_requests
 from yuccatally.core.forwarding import marks
 from yuccatally.core.forwarding import quarantine
@@ -277,11 +279,13 @@
     one = fleet.instances[0]
     for number in range(served_marks.MAX_SERVED_COUNT + 100):
         one.record_served((f"p{number}",), fleet.now)
-    for number in range(lost_requests.MAX_LOSS_COUNT + 100):
+    for number in range(crash_evidence.MAX_LOSS_COUNT + 100):
         fleet.lose(0, f"e{number}", f"p{number}", has_ended=False)
     assert len(one.served) <= served_marks.MAX_SERVED_COUNT
-    assert len(one.lost.losses) <= lost_requests.MAX_LOSS_COUNT
-    assert len(one.evidence(fleet.now).losses) <= quarantine.MAX_SENT_COUNT
+    assert len(one.lost.losses) <= crash_evidence.MAX_LOSS_COUNT
+    assert (
+        len(one.evidence(fleet.now).losses) <= evidence_messages.MAX_SENT_COUNT
+    )
     fleet.pass_time(2 * lost_requests.CONFIRM_S)
     assert not one.lost.losses
 
@@ -297,7 +301,7 @@
     for number in range(5):
         engine = f"e{number}"
         fleet.lose(0, engine, CALLER, FATAL)
-        for other in range(2 * quarantine.MAX_SENT_COUNT):
+        for other in range(2 * evidence_messages.MAX_SENT_COUNT):
             fleet.lose(0, engine, CALLER, f"rare{number}-{other}")
         fleet.lose(0, engine, CALLER, "popular")
         fleet.pass_time(0.4)
@@ -318,7 +322,7 @@
     for number in range(6):
         engine = f"e{number}"
         fleet.lose(0, engine, CALLER, FATAL)
-        for other in range(quarantine.MAX_SENT_COUNT):
+        for other in range(evidence_messages.MAX_SENT_COUNT):
             fleet.lose(1, engine, CALLER, f"rare{number}-{other}")
         fleet.lose(1, engine, CALLER, "popular")
         fleet.is_slow = number % 2 == 0
@@ -329,6 +333,59 @@
     assert fleet.blocked("popular") == [False] * 3
 
 
+@pytest.mark.parametrize("engine_count", [33, 38, 100, 700])
+@pytest.mark.parametrize("at", [(0,), (0, 1, 2)])
+def test_end_of_many_engines_at_once_ends_no_instance(
+    fleet: Fleet, engine_count: int, at: tuple[int, ...]
+) -> None:
+    """Guards against an evaluation that does not end.
+
+    All engines of a model ended with requests that shared a part. A quarantine
+    remembered fewer engines than had ended, so that the part was quarantined
+    again until its duration no longer fitted a float, on all instances at the
+    same moment.
+    """
+    fleet.serve(0, CALLER)
+    fleet.pass_time(1.0)
+    for number in range(engine_count):
+        sender = at[number % len(at)]
+        fleet.lose(sender, f"e{number}", *_request(number, CALLER))
+    fleet.pass_time(3.0)
+    assert fleet.blocked(CALLER) == [True] * 3
+    assert [q.quarantines[CALLER].count for q in fleet.instances] == [1] * 3
+
+
+def test_many_ended_engines_are_explained_on_all_instances(
+    fleet: Fleet,
+) -> None:
+    """Guards against refusing sound parts lost beside a fatal one.
+
+    An instance that has the quarantine from another one learned of 16 engines
+    only, and blamed the parts that were lost with the others.
+    """
+    fleet.serve(2, "popular")
+    for number in range(38):
+        fleet.lose(0, f"e{number}", FATAL)
+    fleet.pass_time(1.0)
+    for number in range(38):
+        fleet.lose(2, f"e{number}", "popular")
+    fleet.pass_time(3.0)
+    assert fleet.blocked(FATAL) == [True] * 3
+    assert fleet.blocked("popular") == [False] * 3
+
+
+def test_any_count_of_quarantines_has_a_duration(fleet: Fleet) -> None:
+    """Guards against a count of another instance that ends this one."""
+    one = fleet.instances[0]
+    received = crash_evidence.QuarantinedMark(FATAL, 0.1, 2**62)
+    one.merge(crash_evidence.Evidence(quarantined=(received,)), fleet.now)
+    fleet.pass_time(1.0)
+    fleet.lose(0, "e1", FATAL)
+    fleet.pass_time(1.0)
+    left_s = one.remaining_s(FATAL, fleet.now)
+    assert 0 < left_s <= quarantine.MAX_QUARANTINE_S
+
+
 def _request(number: int | str, *parts: str) -> tuple[str, ...]:
     """Returns the marks of a request."""
     body = str(number).encode()
@@ -421,7 +478,7 @@
     """
     for number in range(2):
         fleet.lose(number, f"e{number}", *_request("x"))
-    fleet.pass_time(quarantine.SEND_LOSS_S + 1.0)
+    fleet.pass_time(evidence_messages.SEND_LOSS_S + 1.0)
     fleet.serve(1, *_request("x"))
     fleet.pass_time(1.0)
     assert fleet.blocked(*_request("x")) == [False] * 3
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from yuccatally.core.forwarding import suspect_parts
 from yuccatally.upstreams import reachability
 from yuccatally_standins import path_site
 
@@ -307,3 +308,28 @@
     await asyncio.sleep(PAUSE_S)
     for instance in fragile.instances:
         assert not instance.state.quarantine.quarantines
+
+
+async def test_evidence_that_cannot_be_evaluated_ends_no_instance(
+    fragile: path_site.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one error that ends all instances at the same moment.
+
+    They share the evidence, and each ended with the streams that it served.
+    """
+    failed = []
+
+    def fail(*_args: object) -> None:
+        failed.append(True)
+        raise ValueError("this evidence cannot be evaluated")
+
+    monkeypatch.setattr(suspect_parts, "most_suspect", fail)
+    await asyncio.gather(
+        *(_send(fragile, "/ask/x", FATAL_BODY, n) for n in (0, 1))
+    )
+    await asyncio.sleep(PAUSE_S)
+    assert failed
+    for number, started in enumerate(fragile.instances):
+        assert not started.stopping.is_set()
+        assert not started.state.quarantine.lost.losses
+        assert await _send(fragile, "/ask/x", instance=number) == 200
