Try a part that was served before again after 6 s

Cause: a part was quarantined for 60 s even if requests had been served with it, unlike a fingerprint. Ruled out: missing releases. The part is released as soon as a request is served with it, but none was tried for 60 s.

Change: the first quarantine of a part that was served before lasts 6 s. Then one request is tried at one place, and a second crash leads to 120 s. Parts that were never served stay at 60 s, as all fatal parts seen so far.

Tests: test_part_that_was_served_before_is_soon_tried_again and test_fatal_part_that_was_served_before_returns_to_quarantine failed before.

--- a/src/yuccatally/core/forwarding/quarantine.py
+++ b/src/yuccatally/core/forwarding/quarantine.py
@@ -26,9 +26,9 @@
 # Enough for any first duration. Other instances send the count of a mark, and a
 # large power of two has no float.
 MAX_DOUBLING_COUNT = 16
-# Duration of the first quarantine of a fingerprint that may be sound: others
-# were lost with the same engines, or it was served before. Lost engines are
-# replaced in half of that, so that one more end harms little.
+# Duration of the first quarantine of a mark that may be sound, as it was served
+# before, or as other fingerprints were lost with the same engines. Lost engines
+# are replaced in half of that, so that one more end harms little.
 DOUBTFUL_QUARANTINE_S = 6.0
 # Ages are too low by the time that their message takes, at most this long.
 # Served marks are newer only beyond it, or messages would renew them.
@@ -188,6 +188,10 @@
     ) -> list[str]:
         """Evaluates all evidence; returns the marks that are quarantined anew.
 
+        Load pattern: all engines of a model lose power while they read prompts
+        that share a part, and are back within seconds. Requests with that part
+        are refused until one of them is tried again and served.
+
         Args:
             is_ended: Returns whether an engine is known to have ended.
             now: Monotonic time in seconds.
@@ -211,7 +215,12 @@
         while (part := self._most_suspect_part(now)) is not None:
             if part in found:
                 break  # its quarantine explains nothing more
-            self._quarantine(part, now)
+            is_doubtful = part in self.served
+            self._quarantine(
+                part,
+                now,
+                DOUBTFUL_QUARANTINE_S if is_doubtful else FIRST_QUARANTINE_S,
+            )
             found.append(part)
         return found
 
--- a/tests/core/forwarding/test_quarantine.py
+++ b/tests/core/forwarding/test_quarantine.py
@@ -355,6 +355,44 @@
     assert [q.quarantines[CALLER].count for q in fleet.instances] == [1] * 3
 
 
+def test_part_that_was_served_before_is_soon_tried_again(fleet: Fleet) -> None:
+    """Guards against refusing sound requests long after their engines are back.
+
+    All engines of a model ended at the same moment for another reason.
+    """
+    fleet.serve(0, CALLER)
+    fleet.pass_time(1.0)
+    for number in range(38):
+        fleet.lose(0, f"e{number}", *_request(number, CALLER))
+    fleet.pass_time(1.0)
+    assert fleet.blocked(CALLER) == [True] * 3
+    fleet.pass_time(quarantine.DOUBTFUL_QUARANTINE_S)
+    assert fleet.blocked(CALLER) == [False] * 3
+    retried = _request("retried", CALLER)
+    assert {i.find_suspect(retried, fleet.now) for i in fleet.instances} == {
+        CALLER
+    }
+    fleet.serve(1, *retried)
+    fleet.pass_time(1.0)
+    assert {i.find_suspect(retried, fleet.now) for i in fleet.instances} == {""}
+
+
+def test_fatal_part_that_was_served_before_returns_to_quarantine(
+    fleet: Fleet,
+) -> None:
+    """Guards against a series of short quarantines of a fatal part."""
+    fleet.serve(0, CALLER)
+    fleet.pass_time(1.0)
+    for number in range(2):
+        fleet.lose(0, f"e{number}", *_request(number, CALLER))
+        fleet.pass_time(1.0)
+    fleet.pass_time(quarantine.DOUBTFUL_QUARANTINE_S)
+    fleet.lose(1, "e2", *_request(2, CALLER))
+    fleet.pass_time(1.0)
+    left_s = fleet.instances[0].remaining_s(CALLER, fleet.now)
+    assert left_s > quarantine.FIRST_QUARANTINE_S
+
+
 def test_many_ended_engines_are_explained_on_all_instances(
     fleet: Fleet,
 ) -> None:
