Let no follower hide that its relay is cut off from the store

Cause: a relay takes its connection for lost when a peer has had a newer revision for 0.6 s. Each heartbeat of a peer that is not newer set that time back, and the followers of the relay send one every 0.15 s. After it, the relay still counted as connected until its list timed out, and took no list of a peer. Plans were not compared at all.

Ruled out: lost heartbeats; the unit test shows the reset without a network.

Change: only the awaited revision ends the wait for it; an instance that is behind treats the connection as lost at once and takes the lists of peers; configuration, upstreams and plans are compared and reconnect together.

--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -109,7 +109,9 @@
         self.store_epoch = 0
         self.on_store_epoch: Callable[[int], None] = lambda epoch: None
         self.on_relay_status: Callable[[bool], None] = lambda has_relay: None
+        self.configuration_watch: watches.KindWatch | None = None
         self.upstream_watch: watches.KindWatch | None = None
+        self.plans_watch: watches.KindWatch | None = None
         self.peer_sync = peer_sync.PeerSync(
             instance_state, self.transport, self.spawn, self.peers_kept_store
         )
@@ -333,11 +335,7 @@
             sender=self.own_contact,
             rules_version=current_rules.version if current_rules else 0,
             store_connected=self.state.store_connected,
-            upstreams_revision=(
-                self.upstream_watch.newest_revision
-                if self.upstream_watch
-                else 0
-            ),
+            upstreams_revision=_newest_revision(self.upstream_watch),
             list_generation=self.state.list_generation,
             follows_receiver=follows_receiver,
             is_relay=self.relay is None,
@@ -364,6 +362,8 @@
             prompts=self.state.quarantine.evidence(now),
             limits=self.state.limits.share(now),
             store_epoch=self.store_epoch,
+            configuration_revision=_newest_revision(self.configuration_watch),
+            plans_revision=_newest_revision(self.plans_watch),
         )
 
     def _answer_heartbeat(
@@ -425,8 +425,13 @@
             # An idle watch does not detect that the store stopped responding.
             self.store_checked_at = now
             self.on_peer_store_loss()
-        if self.upstream_watch is not None:
-            self.upstream_watch.compare_with_peer(heartbeat.upstreams_revision)
+        for watch, revision in (
+            (self.configuration_watch, heartbeat.configuration_revision),
+            (self.upstream_watch, heartbeat.upstreams_revision),
+            (self.plans_watch, heartbeat.plans_revision),
+        ):
+            if watch is not None:
+                watch.compare_with_peer(revision)
 
     def _apply_outstanding_work(
         self, heartbeat: heartbeats.Heartbeat, now: float
@@ -521,6 +526,10 @@
             _log.error("background_failed", exc_info=task.exception())
 
 
+def _newest_revision(watch: watches.KindWatch | None) -> int:
+    return watch.newest_revision if watch is not None else 0
+
+
 def _encode_work(
     work: dict[str, dispatch.OutstandingWork],
 ) -> dict[str, heartbeats.OutstandingWork]:
--- a/src/yuccatally/forwarding/store_sync.py
+++ b/src/yuccatally/forwarding/store_sync.py
@@ -88,7 +88,9 @@
             self.control.apply_stored_plan,
             rng,
         )
+        self.fleet.configuration_watch = configuration
         self.fleet.upstream_watch = upstreams
+        self.fleet.plans_watch = plans
         self.fleet.peer_sync.upstream_watch = upstreams
         self.fleet.peer_sync.on_restored = self._handle_restore
         self.control.on_store_failure = self._restart_watches
@@ -97,6 +99,8 @@
         self.fleet.on_peer_store_loss = lambda: configuration.restart(
             "a peer lost the store"
         )
+        for watch in (configuration, upstreams, plans):
+            watch.on_behind = self._reconnect
         for watch in (upstreams, plans):
             watch.primary = configuration
 
@@ -183,6 +187,11 @@
         for watch in self.watches:
             watch.restart_before(epoch)
 
+    def _reconnect(self) -> None:
+        """Treats the store as lost: what one watch lacks, others may lack."""
+        for watch in self.watches:
+            watch.reconnect("a peer is ahead")
+
     def _restart_watches(self) -> None:
         for watch in self.watches:
             watch.restart("another call failed")
--- a/src/yuccatally/forwarding/watches.py
+++ b/src/yuccatally/forwarding/watches.py
@@ -39,9 +39,9 @@
 # Expired entries may return for this long after a call has succeeded: the two
 # seconds of the platform and the duration of two calls.
 REJOIN_PERIOD_S = 2.2
-# A peer may have a newer revision for this long before the own watch is treated
-# as not responding: twice the sum of the pause between two calls and a
-# heartbeat interval.
+# A peer may have a newer revision for this long before the own connection is
+# treated as lost: twice the sum of the pause between two calls and a heartbeat
+# interval.
 MAX_LAG_S = 0.6
 
 _log = structlog.get_logger()
@@ -71,7 +71,10 @@
         first_listed_at: Monotonic time of the first complete list; None before.
         down_since: Start of the current outage; None without one.
         last_outage: The last outage that has ended.
-        behind_since: Time since which a peer has a newer revision.
+        awaited_revision: Revision that a peer has and this watch does not;
+            0 for none.
+        behind_since: Time at which a peer first reported that revision.
+        on_behind: Called when the revision did not arrive in time.
         logged_error: Last failure that was logged; empty while connected.
         pending_call: The call that waits for changes; None without one.
         primary: The watch that reconnects to an unreachable store on behalf of
@@ -121,7 +124,9 @@
         self.first_listed_at: float | None = None
         self.down_since: float | None = None
         self.last_outage: Outage | None = None
-        self.behind_since: float | None = None
+        self.awaited_revision = 0
+        self.behind_since = 0.0
+        self.on_behind: Callable[[], None] = lambda: None
         self.logged_error = ""
         self.pending_call: asyncio.Task[client.Listing] | None = None
         self.primary: KindWatch | None = None
@@ -135,11 +140,12 @@
         while True:
             await self.enabled.wait()
             try:
-                if self.listed:
-                    await self._watch()
-                else:
+                if not self.listed:
                     await self._list()
-                if self.enabled.is_set():
+                    has_answer = True
+                else:
+                    has_answer = await self._watch()
+                if has_answer and self.enabled.is_set():
                     self._record_success()
                 retry.failures = 0
                 await asyncio.sleep(self.batch_delay_s)
@@ -151,22 +157,38 @@
                 await asyncio.sleep(retry.delay(self.rng.random()))
                 await self._wait_for_primary()
 
-    def compare_with_peer(self, newest_revision: int) -> None:
-        """Restarts the watch if a peer has had a newer revision for too long.
+    def compare_with_peer(self, peer_revision: int) -> None:
+        """Reports that a peer has had a newer revision for too long.
+
+        A connection can stop responding without being closed. Peers that follow
+        this instance are as old as it is: only the revision itself shows that
+        this watch works, and no other peer does.
 
-        A connection can stop responding without being closed. The pending call
-        is cancelled when a peer has received a change that this watch has not
-        received within ``MAX_LAG_S``.
+        Args:
+            peer_revision: Revision of the newest change that a peer received.
         """
-        if newest_revision <= self.newest_revision:
-            self.behind_since = None
+        if self.cursor >= self.awaited_revision:
+            self.awaited_revision = 0
+        if not self.connected or peer_revision <= self.cursor:
             return
         now = time.monotonic()
-        if self.behind_since is None:
-            self.behind_since = now
+        if not self.awaited_revision:
+            self.awaited_revision, self.behind_since = peer_revision, now
         elif now - self.behind_since > MAX_LAG_S:
-            self.behind_since = None
-            self.restart("peer is ahead")
+            self.awaited_revision = 0
+            self.on_behind()
+
+    def reconnect(self, reason: str) -> None:
+        """Treats the connection as lost, and requests a complete list.
+
+        Until the list arrives, peers with the store provide the changes.
+        """
+        if self.connected:
+            _log.warning("store_lost", kind=self.kind, error=reason)
+            self.connected = False
+            self.connected_event.clear()
+            self.on_connected(False)
+        self.restart(reason)
 
     def restart(self, reason: str) -> None:
         """Cancels the pending call and requests a complete list again."""
@@ -249,7 +271,8 @@
         self.on_list(listing.items, self.outage)
         self._update_newest_revision(listing)
 
-    async def _watch(self) -> None:
+    async def _watch(self) -> bool:
+        """Waits for changes; returns whether the store has answered."""
         self.pending_call = asyncio.create_task(
             self.store.watch(
                 self.cursor,
@@ -263,15 +286,16 @@
             pending_call, self.pending_call = self.pending_call, None
             pending_call.cancel()
         if pending_call.cancelled():
-            return
+            return False
         listing = pending_call.result()
         self._end_outage()
         if listing.revision < self.cursor:
-            return
+            return True
         self.cursor = listing.revision
         for item in listing.items:
             self.on_change(item, self.outage)
         self._update_newest_revision(listing)
+        return True
 
     def _update_newest_revision(self, listing: client.Listing) -> None:
         revisions = (i.revision for i in listing.items)
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -90,6 +90,10 @@
         limits: Request rates that upstreams accept, or some of them.
         store_epoch: Latest epoch of the store that the sender knows; 0 for
             none.
+        configuration_revision: Revision of the latest change of the
+            configuration that its watch received.
+        plans_revision: Revision of the latest change of a plan that its watch
+            received.
     """
 
     reply: ClassVar[type]
@@ -113,6 +117,8 @@
     prompts: crash_evidence.Evidence | None = None
     limits: tuple[rate_limits.SharedLimit, ...] = ()
     store_epoch: int = 0
+    configuration_revision: int = 0
+    plans_revision: int = 0
 
 
 Heartbeat.reply = Heartbeat
--- a/src/yuccatally_standins/path_site.py
+++ b/src/yuccatally_standins/path_site.py
@@ -82,15 +82,17 @@
         spec = {**configuration(version), **changes}
         await self.store.set("config", "main", spec)
 
-    async def start_instance(self, name: str = "n1") -> node.Node:
+    async def start_instance(
+        self, name: str = "n1", data_centre: str = "north"
+    ) -> node.Node:
         """Starts an instance and waits until it has applied its rules."""
         seeds = tuple(i.settings.listen.peers for i in self.instances)
         started = node.Node.from_config(
             instance_settings.InstanceSettings(
                 name=name,
-                data_centre="north",
+                data_centre=data_centre,
                 region="r",
-                regions={"north": "r"},
+                regions={data_centre: "r"},
                 listen=instance_settings.ListenAddresses(
                     *(_free_address() for _ in range(4))
                 ),
