Limit the bytes that a process holds of incomplete responses

Cause: each body was limited to 16 MiB and each partial event to 1 MiB, but nothing limited them together. Heads could have a megabyte on each connection, and the import of KV state had no limit.

Ruled out: the buffers of sockets and of the client library, which stop reading beyond 128 KB for a response.

Change: held_bytes counts what is held of all incomplete responses and ends the largest one of an upstream beyond 16 MiB. Heads are limited to 64 KiB, imported states to 64 MiB.

Tests: test_endless_answers.py (three kinds of bodies) and test_long_heads_are_not_held failed before; test_held_bytes.py is new.

--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -11,6 +11,7 @@
 import aiohttp
 import structlog
 
+from yuccatally.core import held_bytes
 from yuccatally.core.forwarding import draining
 from yuccatally.forwarding import application
 from yuccatally.forwarding import calls
@@ -304,6 +305,9 @@
             key = ("retries_refused", service)
             self.metrics.counters[key] = budget.refused_count
         self.metrics.counters[("store_calls", "")] = self.store.call_count
+        self.metrics.counters[("responses_discarded", "")] = (
+            held_bytes.PROCESS.discarded_count
+        )
         self.metrics.counters[("prompts_quarantined", "")] = (
             self.state.quarantine.total_count
         )
--- a/src/yuccatally/forwarding/stream_runs.py
+++ b/src/yuccatally/forwarding/stream_runs.py
@@ -61,17 +61,19 @@
             if failed is not None:
                 yield failed
                 return
-            async for chunk in response.chunks():
-                count_before = self.splitter.events
-                complete_events = self.splitter.feed(chunk)
-                if complete_events:
-                    yield open_runs.Events(
-                        complete_events,
-                        self.splitter.events - count_before,
-                        self.splitter.last_id,
-                        response.status,
-                        response.headers,
-                    )
+            with response.hold() as partial_event:
+                async for chunk in response.chunks():
+                    count_before = self.splitter.events
+                    complete_events = self.splitter.feed(chunk)
+                    partial_event.resize(len(self.splitter.pending))
+                    if complete_events:
+                        yield open_runs.Events(
+                            complete_events,
+                            self.splitter.events - count_before,
+                            self.splitter.last_id,
+                            response.status,
+                            response.headers,
+                        )
             yield self._end(response)
         except services.NotSentError as error:
             yield upstream_responses.FailedAttempt(attempts.NotSent(str(error)))
--- a/src/yuccatally/store/bodies.py
+++ b/src/yuccatally/store/bodies.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from yuccatally.core import held_bytes
+
 
 class BodyTooLongError(aiohttp.ClientPayloadError):
     """A body exceeds its limit; the connection has been closed."""
@@ -19,9 +21,11 @@
         BodyTooLongError: The body is longer than ``max_bytes``.
     """
     body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > max_bytes:
-            response.close()
-            raise BodyTooLongError(f"body is longer than {max_bytes} bytes")
+    with held_bytes.PROCESS.hold() as holding:
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > max_bytes:
+                response.close()
+                raise BodyTooLongError(f"body is longer than {max_bytes} bytes")
+            holding.resize(len(body))
     return bytes(body)
--- a/src/yuccatally/store/response_protocol.py
+++ b/src/yuccatally/store/response_protocol.py
@@ -14,8 +14,13 @@
     from aiohttp import streams
 
 
+# Heads of sound responses have some hundred bytes. The limits of aiohttp for
+# their lines add up to a megabyte.
+MAX_HEAD_BYTES = 64 * 1024
+
+
 class CheckedProtocol(client_proto.ResponseHandler):
-    """Fails a body that is cut off by a reset or by bytes that are no body.
+    """Fails heads that do not end, and bodies that are cut off or no body.
 
     aiohttp reports the reset of a connection as the end of a body that has
     neither a length nor chunks. After an invalid chunk it closes the connection
@@ -25,10 +30,12 @@
         ends_with_connection: Whether only the end of the connection marks the
             end of the body of the latest response.
         idle: Whether the connection is kept and no request is open on it.
+        head_bytes: Bytes received since the last complete head or body.
     """
 
     ends_with_connection = False
     idle = False
+    head_bytes = 0
 
     def data_received(self, data: bytes) -> None:
         """Called with bytes of the connection."""
@@ -37,7 +44,17 @@
             # response that nothing shows.
             self.force_close()
             return
+        has_body = self._payload is not None and not self._payload.is_eof()
+        if not has_body and not self._upgraded:
+            self.head_bytes += len(data)
         super().data_received(data)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.head_bytes = 0
+            if self.transport is not None:
+                self.transport.close()
+            self.set_exception(
+                http_exceptions.HttpProcessingError(message="head too long")
+            )
 
     def feed_data(
         self,
@@ -46,6 +63,7 @@
     ) -> None:
         """Called with each response whose headers are complete."""
         message = data[0]
+        self.head_bytes = 0
         self.ends_with_connection = (
             not message.chunked and hdrs.CONTENT_LENGTH not in message.headers
         )
--- a/src/yuccatally/upstreams/exchange.py
+++ b/src/yuccatally/upstreams/exchange.py
@@ -8,12 +8,15 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+import structlog
 import yarl
 
+from yuccatally.core import held_bytes
 from yuccatally.upstreams import services
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Iterator
     from typing import Self
 
     from aiohttp import client_middlewares
@@ -31,6 +34,8 @@
 # another protocol.
 SWITCHING_PROTOCOLS = 101
 
+_log = structlog.get_logger()
+
 RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
 
 
@@ -132,12 +137,35 @@
             NoResponseError: The body is not complete or too long.
         """
         parts = bytearray()
-        async for chunk in self.chunks():
-            parts += chunk
-            if len(parts) > max_body_bytes:
-                raise NoResponseError("body too long")
+        with self.hold() as holding:
+            async for chunk in self.chunks():
+                parts += chunk
+                if len(parts) > max_body_bytes:
+                    raise NoResponseError("body too long")
+                holding.resize(len(parts))
         return bytes(parts)
 
+    @contextlib.contextmanager
+    def hold(self) -> Iterator[held_bytes.Holding]:
+        """Counts the bytes that are held of the body.
+
+        Raises:
+            NoResponseError: The response was discarded.
+        """
+        try:
+            with held_bytes.PROCESS.hold(self._discard) as holding:
+                yield holding
+        except held_bytes.DiscardedError as error:
+            raise NoResponseError(str(error)) from error
+
+    def _discard(self) -> None:
+        _log.warning(
+            "response_discarded",
+            address=self.response.url.authority,
+            held=held_bytes.PROCESS.total_bytes,
+        )
+        self.response.close()
+
     def close(self) -> None:
         """Ends the exchange; closes the connection unless it is complete."""
         self.response.close()
--- a/src/yuccatally/upstreams/kv.py
+++ b/src/yuccatally/upstreams/kv.py
@@ -8,6 +8,8 @@
 import aiohttp
 import structlog
 
+from yuccatally.store import bodies
+
 if TYPE_CHECKING:
     from yuccatally.core.generation import actions
 
@@ -15,6 +17,9 @@
 # of the stage is faster than waiting.
 COPY_TIMEOUT_S = 0.3
 TRANSFER_TIMEOUT_S = 2.0
+# A quarter of the memory of an instance. A longer state is computed again by a
+# prefill, as after any other failed import.
+MAX_STATE_BYTES = 64 * 1024 * 1024
 
 _log = structlog.get_logger()
 
@@ -70,4 +75,4 @@
     path = f"/v1/kv/{state_import.request}/{state_import.source_attempt}"
     async with session.get(f"http://{source_address}{path}") as response:
         response.raise_for_status()
-        return await response.read()
+        return await bodies.read(response, MAX_STATE_BYTES)
--- a/src/yuccatally_standins/endless.py
+++ b/src/yuccatally_standins/endless.py
@@ -21,6 +21,7 @@
     HEADER_LINE = enum.auto()
     BODY = enum.auto()
     CHUNKED_BODY = enum.auto()
+    LENGTH_BODY = enum.auto()
 
 
 _STARTS = {
@@ -31,12 +32,14 @@
     Place.CHUNKED_BODY: (
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     ),
+    Place.LENGTH_BODY: b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % 2**60,
 }
 _PARTS = {
     Place.BEFORE_STATUS: b"\r\n" * (PART_BYTES // 2),
     Place.HEADERS: b"X-Endless: yes\r\n" * (PART_BYTES // 16),
     Place.HEADER_LINE: b"x" * PART_BYTES,
     Place.BODY: b"x" * PART_BYTES,
+    Place.LENGTH_BODY: b"x" * PART_BYTES,
     Place.CHUNKED_BODY: b"%x\r\n%s\r\n" % (PART_BYTES, b"x" * PART_BYTES),
 }
 
