--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -109,23 +109,30 @@
 LONG_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + b"".join(
     b"X-%d: %s\r\n" % (n, b"x" * 8000) for n in range(100)
 )
+LONG_BODY = b"y" * 100_000
+LONG_RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Long: %s\r\n\r\n%s"
+    % (
+        len(LONG_BODY),
+        b"x" * 7000,
+        LONG_BODY,
+    )
+)
 
 
-@pytest.fixture
-async def long_head_address() -> AsyncIterator[str]:
-    """Address of a server whose heads have 800 KB."""
+@contextlib.asynccontextmanager
+async def _run_server(response: bytes) -> AsyncIterator[str]:
+    """Runs a server with the same response to each request on a connection."""
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            for start in range(0, len(LONG_HEAD), endless.PART_BYTES):
-                writer.write(LONG_HEAD[start : start + endless.PART_BYTES])
-                await writer.drain()
-            writer.write(b"\r\n{}")
-            await writer.drain()
-            await reader.read()
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                for start in range(0, len(response), endless.PART_BYTES):
+                    writer.write(response[start : start + endless.PART_BYTES])
+                    await writer.drain()
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -134,65 +141,43 @@
     server.close()
 
 
-async def test_long_heads_are_not_held(long_head_address: str) -> None:
+async def test_long_heads_are_not_held() -> None:
     """Guards against heads that take the memory of a process together.
 
     Each connection held up to a megabyte of headers, and a process has
     hundreds of connections to engines in trouble.
     """
-    engine = upstreams.Upstream("e", 1, "s", long_head_address, "a", 8, False)
     upstream_client = exchange.UpstreamClient()
-    request = exchange.UpstreamRequest(
-        "POST", long_head_address, "/x", (), b"", 3.0, True
-    )
-    with pytest.raises(exchange.NoResponseError):
-        await upstream_client.open(request)
-    await upstream_client.close()
-    async with aiohttp.ClientSession(
-        connector=connectors.UnusedDataConnector()
-    ) as session:
+    async with (
+        _run_server(LONG_HEAD + b"\r\n{}") as address,
+        aiohttp.ClientSession(
+            connector=connectors.UnusedDataConnector()
+        ) as session,
+    ):
+        request = exchange.UpstreamRequest(
+            "POST", address, "/x", (), b"", 3.0, True
+        )
+        with pytest.raises(exchange.NoResponseError):
+            await upstream_client.open(request)
+        await upstream_client.close()
+        engine = upstreams.Upstream("e", 1, "s", address, "a", 8, False)
         with pytest.raises(engines.ReportError):
             await engines.is_healthy(session, engine, "/healthz")
-    store = platform_store.PlatformStore(long_head_address)
-    with pytest.raises(client.StoreError):
-        await store.list_objects("k")
-    await store.close()
-
-
-@pytest.fixture
-async def kept_server_address() -> AsyncIterator[str]:
-    """Address of a server that keeps connections open."""
+        store = platform_store.PlatformStore(address)
+        with pytest.raises(client.StoreError):
+            await store.list_objects("k")
+        await store.close()
 
-    async def serve(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n"
-                    b"X-Long: %s\r\n\r\n" % (b"x" * 7000)
-                )
-                writer.write(b"y" * 100_000)
-                await writer.drain()
-        writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    yield f"{host}:{port}"
-    server.close()
 
-
-async def test_long_series_of_sound_heads_is_read(
-    kept_server_address: str,
-) -> None:
-    """Guards against counting heads of a kept connection together."""
+async def test_heads_of_a_kept_connection_are_counted_one_by_one() -> None:
+    """Guards against ending a connection for the sum of its sound responses."""
     upstream_client = exchange.UpstreamClient()
-    for number in range(20):
-        request = exchange.UpstreamRequest(
-            "POST", kept_server_address, f"/{number}", (), b"", 3.0, False
-        )
-        response = await upstream_client.open(request)
-        assert await response.body(1 << 20) == b"y" * 100_000
-        response.close()
+    async with _run_server(LONG_RESPONSE) as address:
+        for number in range(20):
+            request = exchange.UpstreamRequest(
+                "POST", address, f"/{number}", (), b"", 3.0, False
+            )
+            response = await upstream_client.open(request)
+            assert await response.body(len(LONG_BODY)) == LONG_BODY
+            response.close()
     await upstream_client.close()
