Leave engines without a known card out of paths

Cause: the engine still held its layers, so its path was built, and the lookup of its card raised KeyError in FaultDetector.run.

Ruled out: the planner, which leaves unknown cards out.

Change: such an engine is no part of a path or a reroute until its own entry is back.

Tests: test_planned_engine_without_a_known_card_costs_its_path_only raised KeyError before, for a missing card and an unknown one.

--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -161,7 +161,7 @@
         complete = composition.compose(
             service.model.layers,
             [p for p in plan.pipelines if p.layers == service.model.layers],
-            self._planned_holdings(plan),
+            self._planned_holdings(plan, service.model),
         )
         paths = dispatch.build_paths(service.model, complete)
         self._paths[service.name] = (key, paths)
@@ -200,8 +200,14 @@
             excluded: Addresses of engines to leave out.
         """
         holdings: list[composition.Holding] = []
+        known = self.rules.services.get(service) if self.rules else None
+        cards = known.model.cards if known and known.model else {}
         for engine in self.registry.usable_of(service):
-            if engine.address in excluded or self.limits.limited((engine,)):
+            if (
+                engine.card not in cards
+                or engine.address in excluded
+                or self.limits.limited((engine,))
+            ):
                 continue
             layers = self._held(engine)
             if layers is not None:
@@ -325,17 +331,18 @@
                 )
 
     def _planned_holdings(
-        self, plan: pipelines.Plan
+        self, plan: pipelines.Plan, model: rules.Model
     ) -> dict[str, composition.Holding]:
         """Returns the planned layers that usable engines hold, by engine.
 
         Layers that an engine holds outside its planned range are about to be
-        unloaded.
+        unloaded. An entry without a known card, which another writer may have
+        left in place of the engine's own, names no engine to use.
         """
         holdings = {}
         for stage in plan.stages.values():
             engine = self.registry.usable(stage.engine, stage.born_ms)
-            if engine is None:
+            if engine is None or engine.card not in model.cards:
                 continue
             held = (
                 stage.layers if self.holds_stage(stage) else self._held(engine)
--- a/tests/forwarding/test_odd_entries.py
+++ b/tests/forwarding/test_odd_entries.py
@@ -123,3 +123,30 @@
 def _is_serving(instance: node.Node) -> bool:
     service = instance.state.rules.services["model"]
     return bool(instance.state.paths(service))
+
+
+@pytest.mark.parametrize("card", ["", "unknown"])
+async def test_planned_engine_without_a_known_card_costs_its_path_only(
+    served: path_site.Site, card: str
+) -> None:
+    """Guards against an entry that ends all instances that plan with it.
+
+    Another writer replaced the entry of an engine that holds its layers. Each
+    instance looked the card up and ended, with the requests that it served.
+    """
+    instance = served.instances[0]
+    service = instance.state.rules.services["model"]
+    entry = {**served.engines["e1"].entry("ready"), "routeKind": card}
+    await served.store.set("servers", "e1", entry)
+    registry = instance.state.registry
+    await path_site.until(lambda: registry.entries["e1"].card == card)
+    # The plan in force still has the engine.
+    assert [p.hops[0].name for p in instance.state.paths(service)] == ["e2"]
+    held = instance.state.holdings("model", frozenset())
+    assert [h.engine.name for h in held] == ["e2"]
+    for number in range(4):
+        status, _, _ = await served.send_request("/ask/x", f"a{number}")
+        assert status == 200
+    assert instance.failure is None
+    await served.publish_entry(served.engines["e1"])
+    await path_site.until(lambda: len(instance.state.paths(service)) == 2)
