Repair documents by coroutines instead of stepping generators

Cause: the slices of decoding.repair were a generator that a loop stepped through, which a reader has to follow twice.

Change: the two functions are coroutines and let other tasks run by themselves. No behaviour changes.

Ruled out: a thread; the interpreter would still hold up the loop.

--- a/src/yuccatally/store/decoding.py
+++ b/src/yuccatally/store/decoding.py
@@ -4,15 +4,11 @@
 
 import asyncio
 import re
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from yuccatally.core.objects import content
 
-if TYPE_CHECKING:
-    from collections.abc import Generator
-
 # Takes the place of a part that cannot be decoded. It is skipped like any other
 # value, and wherever it is decoded, the number is out of range. Null would pass
 # for an optional field.
@@ -51,14 +47,7 @@
     """
     if _is_well_formed(document):
         return document
-    work = _repair(document, member_nesting)
-    while True:
-        try:
-            next(work)
-        except StopIteration as end:
-            repaired = end.value
-            break
-        await asyncio.sleep(0)
+    repaired = await _replace_parts(document, member_nesting)
     if not _is_well_formed(repaired):
         raise msgspec.DecodeError("the document is not JSON")
     return repaired
@@ -73,10 +62,8 @@
     return True
 
 
-def _repair(
-    document: bytes, member_nesting: int
-) -> Generator[None, None, bytes]:
-    """Copies a document and replaces malformed parts; yields after each slice.
+async def _replace_parts(document: bytes, member_nesting: int) -> bytes:
+    """Returns a copy of a document in which malformed parts are replaced.
 
     Kinds of brackets are not compared: a part with a wrong one is malformed.
 
@@ -90,13 +77,13 @@
     while (found := _MARK.search(document, position)) is not None:
         match_count += 1
         if match_count % SLICE_MATCH_COUNT == 0:
-            yield
+            await asyncio.sleep(0)
         mark = found[0]
         copied += document[position : found.start()]
         position = found.end()
         if mark in b"[{":
             if len(starts) > member_nesting:
-                end = yield from _find_end(document, position)
+                end = await _find_end(document, position)
                 copied += document[found.start() : end]
                 position = end
                 continue
@@ -105,7 +92,7 @@
         elif mark in b",:]}":
             start = starts.pop()
             may_be_empty = mark in b"]}" and copied[start - 1 : start] in b"[{"
-            _replace_malformed(copied, start, may_be_empty)
+            _check_part(copied, start, may_be_empty)
             copied += mark
             if mark in b",:":
                 starts.append(len(copied))
@@ -119,10 +106,8 @@
     return bytes(copied)
 
 
-def _replace_malformed(
-    copied: bytearray, start: int, may_be_empty: bool
-) -> None:
-    """Replaces the part at the end of a copy unless it is well-formed."""
+def _check_part(copied: bytearray, start: int, may_be_empty: bool) -> None:
+    """Replaces the part at the end of a copy if it is malformed."""
     part = copied[start:]
     if may_be_empty and not part.strip():
         return
@@ -130,11 +115,9 @@
         copied[start:] = UNREADABLE
 
 
-def _find_end(document: bytes, position: int) -> Generator[None, None, int]:
+async def _find_end(document: bytes, position: int) -> int:
     """Returns the end of the part whose opening bracket precedes a position.
 
-    Yields after each slice.
-
     Raises:
         msgspec.DecodeError: The document is cut off.
     """
@@ -142,7 +125,7 @@
     while True:
         match_count += 1
         if match_count % SLICE_MATCH_COUNT == 0:
-            yield
+            await asyncio.sleep(0)
         found = _BRACKETS.match(document, position)
         if found is None or found.end() == position:
             raise msgspec.DecodeError("the document is cut off")
