Decode whether a deployment shares the load of its instances

Cause: decisions under load are to be made by the whole fleet on deployments that ask for it, and the others must be served as before.

Ruled out: a switch by the number of instances or by name, which says nothing about what operators ask for.

Change: InstanceSettings.shares_load, true where the platform lists the shared pools of engines among its contracts. Nothing reads it yet.

--- a/src/yuccatally/core/forwarding/instance_settings.py
+++ b/src/yuccatally/core/forwarding/instance_settings.py
@@ -58,6 +58,9 @@
         store: ``IP:PORT`` of the platform's store.
         bounds: Limits set by the operators.
         metrics: ``IP:PORT`` of the metrics listener; empty to disable it.
+        shares_load: Whether the fleet decides together which requests wait,
+            are refused and use which capacity. Otherwise each instance decides
+            for itself, which suffices for a few instances.
     """
 
     name: str
@@ -69,3 +72,4 @@
     store: str
     bounds: Bounds
     metrics: str = ""
+    shares_load: bool = False
--- a/src/yuccatally/platform/settings.py
+++ b/src/yuccatally/platform/settings.py
@@ -14,6 +14,8 @@
 
 PATH_VARIABLE = "YUCCATALLY_NODE_FILE"
 DEFAULT_PATH = "/etc/yuccatally/local.toml"
+# The platform's name for engines and services that a whole fleet uses.
+SHARED_POOL_CONTRACT = "pool"
 
 
 def file_path() -> pathlib.Path:
@@ -80,6 +82,7 @@
         store=reader.address("platform.address"),
         bounds=_read_bounds(reader),
         metrics=_read_metrics_address(reader),
+        shares_load=_has_contract(reader, SHARED_POOL_CONTRACT),
     )
     if reader.problems:
         return expression.Error(tuple(reader.problems))
@@ -106,6 +109,15 @@
     )
 
 
+def _has_contract(reader: lenient.LenientReader, name: str) -> bool:
+    """Returns whether the platform lists a part of its rules as in force."""
+    contracts = reader.value("contracts")
+    if contracts is not None and not isinstance(contracts, list):
+        reader.ignore("contracts", "expected a list of names")
+        return False
+    return name in (contracts or ())
+
+
 def _read_metrics_address(reader: lenient.LenientReader) -> str:
     """Returns the first internal address of the instance; empty for none."""
     ports = reader.value("internalPorts")
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -224,3 +224,21 @@
     del raw["nodeName"]
     loaded = settings.decode(raw)
     assert {p.key for p in loaded.error} == {"listen.frontend", "nodeName"}
+
+
+@pytest.mark.parametrize(
+    ("contracts", "shares_load"),
+    [
+        ('contracts = ["base", "pool"]', True),
+        ('contracts = ["base"]', False),
+        ('contracts = "pool"', False),
+        ("contracts = [1, {}]", False),
+        ("", False),
+    ],
+)
+def test_load_is_shared_only_where_the_settings_ask_for_it(
+    contracts: str, shares_load: bool
+) -> None:
+    """Guards deployments that do not ask for it, and against bad lists."""
+    decoded = settings.decode(tomllib.loads(contracts + SETTINGS))
+    assert decoded.ok.shares_load is shares_load
