Do not take engines for failed while no engine answers in time

Plans fell from 11 pipelines to 2, twice. The leader was the relay of 29 instances, each of which pulled lists and plans up to 5 times a second.

Change: five timeouts of checks within a second are compared with up to three engines that have not timed out. If none of them answers either, the checks are discarded. Timeouts of orders count as well. Only where load is shared.

The test of six silent engines fails without the switch: six are marked.

--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -94,7 +94,7 @@
         self.inspection = inspection.EngineInspector(
             instance_state, peers, session, self.orders
         )
-        self.orders.on_failed = self.inspection.mark_failed
+        self.orders.on_failed = self.inspection.handle_no_answer
         self.lease_valid_at: float | None = None
         self.created_at = time.monotonic()
         self.failed_services: set[str] = set()
--- a/src/yuccatally/forwarding/inspection.py
+++ b/src/yuccatally/forwarding/inspection.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
 import structlog
 
+from yuccatally.core.forwarding import checks
 from yuccatally.core.forwarding import suspicions
 from yuccatally.platform import engines
 
@@ -26,6 +28,8 @@
 # Failed engines whose exclusion ends within this time are checked again. The
 # margin leaves time for a request that is not answered.
 RECHECK_MARGIN_S = 1.2
+# Checks that were sent together time out within this time.
+TIMEOUT_SPREAD_S = 0.05
 
 _log = structlog.get_logger()
 
@@ -35,6 +39,8 @@
 
     Attributes:
         checked_at: Time of the last check, by kind of check and engine.
+        timeouts: Latest checks that timed out.
+        comparison: Running check of engines that are expected to answer.
     """
 
     def __init__(
@@ -49,6 +55,8 @@
         self.session = session
         self.orders = order_tracker
         self.checked_at: dict[tuple[str, suspicions.Incarnation], float] = {}
+        self.timeouts = checks.TimeoutHistory()
+        self.comparison: asyncio.Task[bool] | None = None
 
     def check(self) -> None:
         """Starts the checks of suspected engines that are due."""
@@ -106,7 +114,7 @@
             if healthy or report.running + report.waiting >= engine.slots:
                 return
         except engines.ReportError as error:
-            self.mark_failed(engine, str(error))
+            await self._handle_no_report(engine, error)
             return
         self.mark_failed(engine, "refuses requests and health checks")
 
@@ -122,7 +130,7 @@
         try:
             await engines.fetch_report(self.session, engine)
         except engines.ReportError as error:
-            self.mark_failed(engine, str(error))
+            await self._handle_no_report(engine, error)
 
     async def _check_silent(self, suspected: suspicions.Incarnation) -> None:
         """Requests a report from an engine; marks it as failed without one."""
@@ -135,7 +143,7 @@
         try:
             report = await engines.fetch_report(self.session, engine)
         except engines.ReportError as error:
-            self.mark_failed(engine, str(error))
+            await self._handle_no_report(engine, error)
             return
         for address in set(report.stalled_on.values()):
             # An engine can answer report requests while its neighbours cannot
@@ -149,6 +157,68 @@
             self.state.set_confirmed_layers(key, None)
         self.fleet.leader_state.failed_until.pop(suspected, None)
 
+    def handle_no_answer(self, engine: upstreams.Upstream, reason: str) -> None:
+        """Handles an engine that did not answer several orders."""
+        error = engines.ReportTimeoutError(reason)
+        self.fleet.spawn(self._handle_no_report(engine, error))
+
+    async def _handle_no_report(
+        self, engine: upstreams.Upstream, error: engines.ReportError
+    ) -> None:
+        """Marks an engine as failed, unless this instance may be at fault."""
+        if self.state.settings.shares_load and isinstance(
+            error, engines.ReportTimeoutError
+        ):
+            key = suspicions.Incarnation(engine.name, engine.born_ms)
+            self.timeouts.record(key, time.monotonic())
+            await asyncio.sleep(TIMEOUT_SPREAD_S)
+            if (
+                self.timeouts.needs_comparison(time.monotonic())
+                and not await self._has_connectivity()
+            ):
+                _log.warning(
+                    "check_discarded",
+                    engine=engine.name,
+                    timeouts=len(self.timeouts.timed_out_at),
+                    reason="no other engine answers in time either",
+                )
+                return
+        self.mark_failed(engine, str(error))
+
+    async def _has_connectivity(self) -> bool:
+        """Returns whether another engine answers a check in time."""
+        if self.comparison is None or self.comparison.done():
+            self.comparison = asyncio.create_task(self._compare())
+        return await asyncio.shield(self.comparison)
+
+    async def _compare(self) -> bool:
+        registry = self.state.registry
+        usable = [
+            suspicions.Incarnation(u.name, u.born_ms)
+            for u in registry.entries.values()
+            if u.card and not u.draining
+        ]
+        chosen = checks.comparison_engines(
+            str(time.monotonic()),
+            usable,
+            (
+                *self.timeouts.timed_out_at,
+                *self.fleet.leader_state.failed_until,
+            ),
+        )
+        found = [registry.incarnation(e.name, e.born_ms) for e in chosen]
+        results = await asyncio.gather(
+            *(
+                engines.fetch_report(self.session, engine)
+                for engine in found
+                if engine is not None
+            ),
+            return_exceptions=True,
+        )
+        return any(
+            not isinstance(r, engines.ReportTimeoutError) for r in results
+        )
+
     def mark_failed(self, engine: upstreams.Upstream, reason: str) -> None:
         """Excludes an engine from plans and requests for ``FAILED_TTL_S``."""
         key = suspicions.Incarnation(engine.name, engine.born_ms)
--- a/src/yuccatally/platform/engines.py
+++ b/src/yuccatally/platform/engines.py
@@ -29,6 +29,10 @@
     """An engine did not return a valid report."""
 
 
+class ReportTimeoutError(ReportError):
+    """An engine did not respond in time; the cause may be on this side."""
+
+
 _OUTCOME_BY_STATUS = {
     200: reports.Outcome.HOLDS_ALREADY,
     202: reports.Outcome.BEGUN,
@@ -43,8 +47,9 @@
     """Fetches the load report of an engine.
 
     Raises:
-        ReportError: The engine did not respond in time or the response is
-            not a valid report.
+        ReportTimeoutError: The engine did not respond in time.
+        ReportError: The response is not a valid report, or the connection
+            failed.
     """
     try:
         async with session.get(
@@ -56,6 +61,8 @@
             if response.status != 200:
                 raise ReportError(f"unexpected HTTP status {response.status}")
         return documents.decode_report(body)
+    except TimeoutError as error:
+        raise ReportTimeoutError(_timeout_text()) from error
     except (*_HTTP_ERRORS, documents.FormatError) as error:
         raise ReportError(f"{type(error).__name__}: {error}") from error
 
@@ -71,7 +78,8 @@
         path: Path of the health check.
 
     Raises:
-        ReportError: The engine did not respond in time.
+        ReportTimeoutError: The engine did not respond in time.
+        ReportError: The connection failed.
     """
     try:
         async with session.get(
@@ -81,10 +89,16 @@
         ) as response:
             await bodies.read(response, MAX_RESPONSE_BYTES)
             return response.status == 200
+    except TimeoutError as error:
+        raise ReportTimeoutError(_timeout_text()) from error
     except _HTTP_ERRORS as error:
         raise ReportError(f"{type(error).__name__}: {error}") from error
 
 
+def _timeout_text() -> str:
+    return f"no response within {REPORT_TIMEOUT_S:g} s"
+
+
 async def send_reroute_order(
     session: aiohttp.ClientSession, request: str, path: dispatch.Path
 ) -> reports.Rerouted | reports.NotRerouted:
--- a/tests/forwarding/test_inspection.py
+++ b/tests/forwarding/test_inspection.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
+import pytest
+
 from yuccatally.core.forwarding import suspicions
 from yuccatally.forwarding import inspection
+from yuccatally.platform import engines
 from yuccatally_standins import path_site
 
 if TYPE_CHECKING:
-    import pytest
+    from typing import Any
 
     from yuccatally.forwarding import node
 
@@ -92,3 +96,39 @@
     await path_site.until(
         lambda: _key(served, "e3") in second.fleet.leader_state.failed_until
     )
+
+
+@pytest.mark.parametrize("own_link_is_slow", [True, False])
+async def test_checks_that_all_time_out_do_not_mark_all_engines(
+    served: path_site.Site,
+    monkeypatch: pytest.MonkeyPatch,
+    own_link_is_slow: bool,
+) -> None:
+    """Guards against a leader with a slow link that plans without engines.
+
+    On a fleet of 88 instances, the checks of 62 engines timed out within half a
+    second, and ten of eleven pipelines were given up. If other engines answer,
+    those that do not have failed.
+    """
+    for name in ("e3", "e4", "e5", "e6", "e7"):
+        await served.add_engine(name, data_centre="dc-e1")
+    instance = served.instances[0]
+    registry = instance.state.registry
+    await path_site.until(lambda: "e7" in registry.entries)
+    instance.state.settings = dataclasses.replace(
+        instance.state.settings, shares_load=True
+    )
+    answering = set() if own_link_is_slow else {"e7"}
+    fetch_report = engines.fetch_report
+
+    async def fetch(session: Any, engine: Any) -> Any:
+        if engine.name not in answering:
+            raise engines.ReportTimeoutError("no response")
+        return await fetch_report(session, engine)
+
+    monkeypatch.setattr(engines, "fetch_report", fetch)
+    silent = [_key(served, f"e{n}") for n in range(1, 7)]
+    inspector = instance.control.inspection
+    await asyncio.gather(*(inspector._check_silent(key) for key in silent))
+    marked = set(instance.fleet.leader_state.failed_until) & set(silent)
+    assert marked == (set() if own_link_is_slow else set(silent))
