Bound what clients make a process hold

Cause: uvicorn parses each block that it receives as a whole and queues all requests in it, and every response lets it read one more block. A block of 64 KiB becomes up to 2,700 requests of some kilobytes each. The sum of bodies had no limit, nor had the connections of all listeners together, and all listeners but one had more than the descriptors. Ruled out: unread responses: their writers wait for the client to read. A limit of the queue alone: the block is still parsed as a whole. Change: SequentialProtocol parses one request at a time and keeps the rest as received; reading pauses beyond 16 KiB. Clients counts the bytes of all connections in a held_bytes account that discards the largest item of the address that holds most. Gate limits connections by the descriptors of the machine and closes those that wait longest for their client. Two rows of test_senders_are_limited expected less than now holds: a malformed request sent ahead closed the connection without the response to the request in progress, now both are answered in order; long headers behind a request were counted from the next block on, so that they got 408 instead of 431; a row with short headers still expects 408.

--- a/src/yuccatally/core/forwarding/instance_settings.py
+++ b/src/yuccatally/core/forwarding/instance_settings.py
@@ -4,6 +4,10 @@
 
 import dataclasses
 
+# The smallest machines of the deployments.
+DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
+DEFAULT_DESCRIPTOR_COUNT = 4100
+
 
 @dataclasses.dataclass(frozen=True)
 class ListenAddresses:
@@ -61,6 +65,8 @@
         shares_load: Whether the fleet decides together which requests wait,
             are refused and use which capacity. Otherwise each instance decides
             for itself, which suffices for a few instances.
+        memory_bytes: Memory of the machine for the process, in bytes.
+        descriptor_count: Number of descriptors that the process may open.
     """
 
     name: str
@@ -73,3 +79,5 @@
     bounds: Bounds
     metrics: str = ""
     shares_load: bool = False
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    descriptor_count: int = DEFAULT_DESCRIPTOR_COUNT
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -24,6 +24,7 @@
 from yuccatally.forwarding import state
 from yuccatally.forwarding import store_sync
 from yuccatally.forwarding import streams
+from yuccatally.instance import clients as clients_module
 from yuccatally.instance import protocol
 from yuccatally.instance import servers
 from yuccatally.platform import endpoints
@@ -85,6 +86,11 @@
         self.registration = registration.Registration(self.fleet, self.store)
         self.fleet.on_removed = self.registration.remove
         self.metrics = metrics.Metrics()
+        self.clients = clients_module.Clients(
+            clients_module.MachineLimits(
+                settings.memory_bytes, settings.descriptor_count
+            )
+        )
         self.stopping = asyncio.Event()
         self.leaving_at = 0.0
         self.failure: BaseException | None = None
@@ -255,7 +261,9 @@
 
     def _listeners(self) -> list[servers.Listener]:
         listen = self.settings.listen
-        callers = self._listener(self.application, listen.callers)
+        callers = self._listener(
+            self.application, listen.callers, clients_module.CALLERS_SHARE
+        )
 
         def apply_limits(new_rules: rules.Rules) -> None:
             callers.apply_limits(
@@ -273,7 +281,9 @@
         )
         listeners = [
             callers,
-            self._listener(directory, listen.directory),
+            self._listener(
+                directory, listen.directory, clients_module.DIRECTORY_SHARE
+            ),
             self._listener(readiness, listen.readiness),
         ]
         if self.settings.metrics:
@@ -289,7 +299,10 @@
         return listeners
 
     def _listener(
-        self, app: Callable[..., Any], address: str
+        self,
+        app: Callable[..., Any],
+        address: str,
+        share: float = clients_module.INTERNAL_SHARE,
     ) -> servers.Listener:
         return servers.Listener(
             app,
@@ -297,6 +310,8 @@
             settings_module.LimitsSettings(),
             settings_module.LimitsSettings().body_bytes,
             self._count_refused_connection,
+            self.clients,
+            share,
         )
 
     def metrics_text(self) -> str:
--- a/src/yuccatally/instance/instance.py
+++ b/src/yuccatally/instance/instance.py
@@ -23,6 +23,7 @@
 from yuccatally.core.routing import router
 from yuccatally.instance import admissions
 from yuccatally.instance import claims
+from yuccatally.instance import clients as clients_module
 from yuccatally.instance import control
 from yuccatally.instance import drain
 from yuccatally.instance import fleet
@@ -134,6 +135,9 @@
         async with aiohttp.ClientSession(
             connector=connector, middlewares=(middlewares.send_at_most_once,)
         ) as self.session:
+            clients = clients_module.Clients(
+                clients_module.MachineLimits(self.settings.limits.memory_bytes)
+            )
             listeners = [
                 servers.Listener(
                     availability.AvailabilityMiddleware(
@@ -143,6 +147,7 @@
                     self.settings.limits,
                     self.settings.limits.body_bytes,
                     self._on_connection_refused,
+                    clients,
                 ),
                 servers.Listener(
                     operators_application.create_application(self),
@@ -150,6 +155,8 @@
                     self.settings.limits,
                     operators_application.MAX_BODY_BYTES,
                     self._on_connection_refused,
+                    clients,
+                    clients_module.DIRECTORY_SHARE,
                 ),
             ]
             self.spawn(self.watch.run())
--- a/src/yuccatally/instance/protocol.py
+++ b/src/yuccatally/instance/protocol.py
@@ -6,13 +6,12 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import msgspec
-import structlog
-from uvicorn.protocols.http import httptools_impl
+from yuccatally.instance import clients as clients_module
+from yuccatally.instance import refusals
+from yuccatally.instance import sequential
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Callable
 
 # A body in chunks of one byte needs six bytes for each. Chunk extensions and
 # trailers, which the parser does not limit, must fit into the rest.
@@ -22,15 +21,8 @@
 # the connection while the sender still sends, and the refusal would be lost.
 LINGER_TIMEOUT_S = 2.0
 
-_log = structlog.get_logger()
-
-_PHRASES = {
-    400: b"Bad Request",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    431: b"Request Header Fields Too Large",
-    503: b"Service Unavailable",
-}
+# Bytes of answers that wait for the client beside those in the system's buffer.
+UNSENT_BYTES = 16 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,76 +54,92 @@
         return self.header_bytes + WIRE_BYTES_FACTOR * self.body_bytes
 
 
-class LimitedProtocol(httptools_impl.HttpToolsProtocol):
+class LimitedProtocol(sequential.SequentialProtocol):
     """Refuses requests that are too long or arrive too slowly.
 
-    The subclass that ``limited_protocol`` returns sets ``limits`` and
-    ``on_refused``.
+    The bytes of all connections of the process count in one account.
+
+    The subclass that ``limited_protocol`` returns sets ``limits``, ``clients``,
+    ``gate`` and ``refusal_log``.
 
     Attributes:
         limits: Limits of the connection.
-        on_refused: Called with the reason of each refusal.
-        request_started: Whether the first bytes of a request were parsed.
-        in_headers: Whether the headers are not complete yet.
-        in_body: Whether the body is being received.
+        clients: Limits of all connections of the process.
+        gate: Limit of the number of connections of the listener.
+        refusal_log: Counts and logs refusals.
         wire_bytes: Bytes received for the current request.
         header_bytes: Parsed length of the request line and headers.
-        closing: Whether a refusal was sent or the connection aborted.
         idle_since: Time of the event loop at which the latest answer ended.
+        waits_since: Time of the event loop at which the connection, the
+            current request or the wait for the client to read began.
+        body_bytes: Bytes of the body of the current request.
+        unread_bytes: Bytes that the client has not read; 0 if they are few.
     """
 
     limits: ConnectionLimits
-    on_refused: Callable[[str], None]
+    clients: clients_module.Clients
+    gate: clients_module.Gate
+    refusal_log: refusals.RefusalLog
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.request_started = False
-        self.in_headers = True
-        self.in_body = False
         self.wire_bytes = 0
         self.header_bytes = 0
-        self.closing = False
-        self.idle_since = 0.0
+        self.idle_since = self.waits_since = 0.0
+        self.body_bytes = self.unread_bytes = 0
         self.read_timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Starts the time limit for the first headers."""
         super().connection_made(transport)
-        if len(self.connections) > self.limits.max_connections:
-            self._refuse(503, "too-many-connections", "try another instance")
-            return
-        self._start_header_timer()
+        transport.set_write_buffer_limits(UNSENT_BYTES)
+        address = self.client[0] if self.client else ""
+        self.waits_since = self.loop.time()
+        holdings = self.clients.holdings
+        self.body_holding = holdings.add(None, address)
+        self.buffer_holding = holdings.add(self._drop_buffers, address)
+        admission = self.gate.admit(
+            self.connections, self.limits.max_connections, self.loop.time()
+        )
+        match admission:
+            case clients_module.Admission.ACCEPTED:
+                self._start_header_timer()
+            case clients_module.Admission.REFUSED:
+                text = "try another instance"
+                self._refuse(503, "too-many-connections", text)
+            case clients_module.Admission.DROPPED:
+                self._abort("too-many-connections")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops the time limits."""
         self._stop_read_timer()
         self.resume_writing()
+        for holding in (self.body_holding, self.buffer_holding):
+            self.clients.holdings.drop(holding)
         super().connection_lost(exc)
 
-    def data_received(self, data: bytes) -> None:
-        """Passes data to the parser and enforces the length limits."""
-        if self.closing:
-            return
+    def parse_part(self, part: bytes) -> None:
+        """Enforces the length limits."""
         if self.in_headers and self.read_timer is None:
             self._start_header_timer()
-        self.wire_bytes += len(data)
-        super().data_received(data)
-        if self.closing or self.transport.is_closing():
-            return
-        if self.request_started and self.in_headers and self.read_timer is None:
-            # The request follows another one in the same data.
-            self._start_header_timer()
-        if self.in_headers and self.wire_bytes > self.limits.header_bytes:
-            self._refuse_headers()
-        elif self.in_body and self.wire_bytes > self.limits.wire_bytes:
-            text = f"the request is longer than {self.limits.wire_bytes} bytes"
-            self._refuse(413, "body-too-long", text)
-
-    def on_message_begin(self) -> None:
-        """Records the start of a request."""
-        self.request_started = True
-        super().on_message_begin()
+        self.wire_bytes += len(part)
+        super().parse_part(part)
+        if not self.is_ending:
+            self._check_lengths()
+
+    def input_changed(self) -> None:
+        """Counts what is held of the request and around it."""
+        holdings = self.clients.holdings
+        if self.body_bytes != self.body_holding.size:
+            self.body_holding.on_discard = (
+                self._refuse_body if self.in_body else None
+            )
+            holdings.resize(self.body_holding, self.body_bytes)
+        buffered = self.ahead.held_bytes + self.unread_bytes
+        if buffered != self.buffer_holding.size:
+            holdings.resize(self.buffer_holding, buffered)
+        super().input_changed()
 
     def on_url(self, url: bytes) -> None:
         """Adds the request target to the header length."""
@@ -140,9 +148,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header to the header length; drops trailers (unused)."""
-        if not self.in_headers:
-            return
-        self.header_bytes += len(name) + len(value) + len(": \r\n")
+        if self.in_headers:
+            self.header_bytes += len(name) + len(value) + len(": \r\n")
         super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
@@ -154,7 +161,6 @@
         if self.header_bytes > self.limits.header_bytes:
             self._refuse_headers()
             return
-        self.in_body = True
         self.read_timer = self.loop.call_later(
             self.limits.body_timeout_s, self._on_body_timeout
         )
@@ -162,7 +168,8 @@
 
     def on_response_complete(self) -> None:
         """Records the start of an idle period."""
-        self.idle_since = self.loop.time()
+        self.idle_since = self.waits_since = self.loop.time()
+        self.body_bytes = 0
         super().on_response_complete()
 
     def timeout_keep_alive_handler(self) -> None:
@@ -177,20 +184,26 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes the body on, unless the request was refused."""
-        if not self.closing:
-            super().on_body(body)
+        if self.closing:
+            return
+        if not self.cycle.response_complete:
+            limit = self.limits.body_bytes
+            self.body_bytes = min(self.body_bytes + len(body), limit)
+        super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Resets the state for the next request of the connection."""
         self._stop_read_timer()
-        self.request_started, self.in_headers, self.in_body = False, True, False
         self.wire_bytes = self.header_bytes = 0
-        if not self.closing:
-            super().on_message_complete()
+        self.body_holding.on_discard = None
+        super().on_message_complete()
 
     def pause_writing(self) -> None:
         """Starts the time limit for reading the response."""
         super().pause_writing()
+        self.waits_since = self.loop.time()
+        self.unread_bytes = self.transport.get_write_buffer_size()
+        self.input_changed()
         self.write_timer = self.loop.call_later(
             self.limits.write_timeout_s, self._on_write_timeout
         )
@@ -201,12 +214,23 @@
             self.write_timer.cancel()
             self.write_timer = None
         super().resume_writing()
+        if self.unread_bytes:
+            self.unread_bytes = 0
+            self.input_changed()
 
     def send_400_response(self, msg: str) -> None:
         """Refuses a request that the parser rejected."""
         self._refuse(400, "malformed", msg)
 
+    def _check_lengths(self) -> None:
+        if self.in_headers and self.wire_bytes > self.limits.header_bytes:
+            self._refuse_headers()
+        elif self.in_body and self.wire_bytes > self.limits.wire_bytes:
+            text = f"the request is longer than {self.limits.wire_bytes} bytes"
+            self._refuse(413, "body-too-long", text)
+
     def _start_header_timer(self) -> None:
+        self.waits_since = self.loop.time()
         self.read_timer = self.loop.call_later(
             self.limits.header_timeout_s, self._on_header_timeout
         )
@@ -253,8 +277,9 @@
         self._stop_read_timer()
         if self.in_body:
             self.cycle.disconnected = True
+            self.cycle.body.clear()
             self.cycle.message_event.set()
-        self.transport.write(_error_response(status, reason, text))
+        self.transport.write(refusals.error_response(status, reason, text))
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.loop.call_later(LINGER_TIMEOUT_S, self.transport.abort)
@@ -276,46 +301,57 @@
 
     def _record_refusal(self, reason: str) -> None:
         self.closing = True
-        self.on_refused(reason)
-        _log.warning(
-            "connection_refused",
-            reason=reason,
-            address=self.client[0] if self.client else "",
-        )
+        self.ahead.clear()
+        self.refusal_log.record(reason, self.client[0] if self.client else "")
+
+    @property
+    def waiting_since(self) -> float | None:
+        """Time since which the client has to send or read; None otherwise."""
+        if self.is_ending:
+            return None
+        if self.has_request and not self.unread_bytes:
+            return None
+        return self.waits_since
+
+    def evict(self) -> None:
+        """Closes the connection in favour of a new one."""
+        if self.in_body or (self.request_started and self._can_respond()):
+            self._refuse(503, "too-many-connections", "try another instance")
+            self.transport.close()
+        else:
+            self._abort("too-many-connections")
+
+    def _refuse_body(self) -> None:
+        text = "too many bodies are being received"
+        self._refuse(503, "too-many-bytes", text)
+        self.body_bytes = 0
+
+    def _drop_buffers(self) -> None:
+        """Drops requests that were sent ahead, or an answer left unread."""
+        if self.unread_bytes or not self.has_request:
+            self._abort("too-many-bytes")
+            return
+        self._record_refusal("too-many-bytes")
+        # The answer in progress is still sent.
+        self.cycle.keep_alive = False
 
 
 def limited_protocol(
-    limits: ConnectionLimits, on_refused: Callable[[str], None]
+    limits: ConnectionLimits,
+    clients: clients_module.Clients,
+    refusal_log: refusals.RefusalLog,
 ) -> type[LimitedProtocol]:
     """Returns a protocol class with the given limits.
 
     Args:
-        limits: The limits.
-        on_refused: Called with the reason of each refusal.
+        limits: The limits of each connection.
+        clients: The limits of all connections of the process.
+        refusal_log: Counts and logs refusals.
     """
     class_attributes = {
         "limits": limits,
-        "on_refused": staticmethod(on_refused),
+        "clients": clients,
+        "gate": clients_module.Gate(),
+        "refusal_log": refusal_log,
     }
     return type("LimitedProtocol", (LimitedProtocol,), class_attributes)
-
-
-def _error_response(status: int, reason: str, text: str) -> bytes:
-    error = {
-        "message": text,
-        "type": "invalid_request_error",
-        "param": None,
-        "code": reason,
-        "outcome": "not-run",
-    }
-    body = msgspec.json.encode({"error": error})
-    return b"".join(
-        [
-            b"HTTP/1.1 %d %s\r\n" % (status, _PHRASES[status]),
-            b"Content-Type: application/json\r\n",
-            b"Content-Length: %d\r\n" % len(body),
-            b"Yuccatally-Outcome: not-run\r\n",
-            b"Connection: close\r\n\r\n",
-            body,
-        ]
-    )
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
+import time
 from typing import TYPE_CHECKING
 
 import uvicorn
 
+from yuccatally.instance import clients as clients_module
 from yuccatally.instance import protocol
+from yuccatally.instance import refusals
 from yuccatally.settings import settings as settings_module
 
 if TYPE_CHECKING:
@@ -33,7 +37,13 @@
 
 
 class Listener:
-    """One HTTP listener, with TLS if the settings name a certificate."""
+    """One HTTP listener, with TLS if the settings name a certificate.
+
+    Attributes:
+        clients: Limits that the listeners of a process share.
+        share: Share of the descriptors of the process that its connections may
+            use.
+    """
 
     def __init__(
         self,
@@ -42,7 +52,13 @@
         limits: settings_module.LimitsSettings,
         body_bytes: int,
         on_refused: Callable[[str], None],
+        clients: clients_module.Clients | None = None,
+        share: float = clients_module.CALLERS_SHARE,
     ) -> None:
+        self.clients = clients or clients_module.Clients(
+            clients_module.MachineLimits()
+        )
+        self.share = share
         host, port = settings_module.split_address(settings.address)
         self.socket = socket.socket(
             socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -60,15 +76,18 @@
             access_log=False,
             lifespan="off",
             http=protocol.limited_protocol(
-                protocol.ConnectionLimits(
-                    header_bytes=limits.header_bytes,
-                    header_timeout_s=limits.header_timeout_s,
-                    body_bytes=body_bytes,
-                    body_timeout_s=limits.body_timeout_s,
-                    write_timeout_s=limits.write_timeout_s,
-                    max_connections=limits.connections,
+                self._fit(
+                    protocol.ConnectionLimits(
+                        header_bytes=limits.header_bytes,
+                        header_timeout_s=limits.header_timeout_s,
+                        body_bytes=body_bytes,
+                        body_timeout_s=limits.body_timeout_s,
+                        write_timeout_s=limits.write_timeout_s,
+                        max_connections=limits.connections,
+                    )
                 ),
-                on_refused,
+                self.clients,
+                refusals.RefusalLog(on_refused, time.monotonic),
             ),
             ssl_certfile=settings.certificate_file or None,
             ssl_keyfile=settings.key_file or None,
@@ -88,13 +107,25 @@
         reuse them by it until they know the newer one, and a close that crosses
         a request leaves it without an answer.
         """
-        self.server.config.http.limits = limits
+        self.server.config.http.limits = self._fit(limits)
         self.server.config.timeout_keep_alive = keep_alive_s
         for connection in list(self.server.server_state.connections):
             connection.timeout_keep_alive = max(
                 connection.timeout_keep_alive, keep_alive_s
             )
 
+    def _fit(
+        self, limits: protocol.ConnectionLimits
+    ) -> protocol.ConnectionLimits:
+        """Returns limits that the descriptors of the machine permit."""
+        self.clients.raise_body_limit(limits.body_bytes)
+        return dataclasses.replace(
+            limits,
+            max_connections=self.clients.machine.connections(
+                self.share, limits.max_connections
+            ),
+        )
+
     async def serve(self) -> None:
         """Serves until ``stop`` is called and requests have ended."""
         await self.server.serve(sockets=[self.socket])
--- a/src/yuccatally/platform/settings.py
+++ b/src/yuccatally/platform/settings.py
@@ -16,6 +16,7 @@
 DEFAULT_PATH = "/etc/yuccatally/local.toml"
 # The platform's name for engines and services that a whole fleet uses.
 SHARED_POOL_CONTRACT = "pool"
+MEGABYTE = 1024 * 1024
 
 
 def file_path() -> pathlib.Path:
@@ -83,6 +84,12 @@
         bounds=_read_bounds(reader),
         metrics=_read_metrics_address(reader),
         shares_load=_has_contract(reader, SHARED_POOL_CONTRACT),
+        memory_bytes=_read_memory(reader),
+        descriptor_count=int(
+            reader.number(
+                "limits.maxFds", instance_settings.DEFAULT_DESCRIPTOR_COUNT
+            )
+        ),
     )
     if reader.problems:
         return expression.Error(tuple(reader.problems))
@@ -109,6 +116,11 @@
     )
 
 
+def _read_memory(reader: lenient.LenientReader) -> int:
+    default_mb = instance_settings.DEFAULT_MEMORY_BYTES / MEGABYTE
+    return int(reader.number("limits.memoryMb", default_mb) * MEGABYTE)
+
+
 def _has_contract(reader: lenient.LenientReader, name: str) -> bool:
     """Returns whether the platform lists a part of its rules as in force."""
     contracts = reader.value("contracts")
--- a/src/yuccatally/settings/settings.py
+++ b/src/yuccatally/settings/settings.py
@@ -218,6 +218,8 @@
             reads nothing of it, in seconds.
         request_timeout_s: Deadline of a request that sets none, in seconds.
         connections: Maximum number of open connections of one listener.
+        memory_bytes: Memory of the machine for the process, in bytes. An
+            eighth of it may hold requests and unread answers of clients.
     """
 
     body_bytes: int = strict.checked(_check_range(1_024, 67_108_864), 1_048_576)
@@ -230,6 +232,9 @@
     write_timeout_s: float = strict.checked(_check_range(0.1, 3_600), 60.0)
     request_timeout_s: float = strict.checked(_check_range(0.1, 3_600), 60.0)
     connections: int = strict.checked(_check_range(16, 1_000_000), 8_192)
+    memory_bytes: int = strict.checked(
+        _check_range(67_108_864, 1_099_511_627_776), 209_715_200
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/core/test_held_bytes.py
+++ b/tests/core/test_held_bytes.py
@@ -55,6 +55,39 @@
     assert discarded == [1]
 
 
+def test_peer_that_holds_most_in_all_is_ended_first() -> None:
+    """Guards against many small items that leave one large item no room."""
+    holdings = held_bytes.Holdings(LIMIT_BYTES)
+    discarded = []
+
+    def add(owner: str, size: int) -> None:
+        holding = holdings.add(lambda: discarded.append((owner, size)), owner)
+        holdings.resize(holding, size)
+
+    add("sound", 40)
+    for size in (18, 19, 20):
+        add("faulty", size)
+    add("other", 10)
+    assert discarded == [("faulty", 20)]
+
+
+def test_long_items_leave_room_for_short_ones() -> None:
+    """Guards against long bodies without which no short one is received."""
+    long_bytes = held_bytes.SMALL_BYTES + 1
+    holdings = held_bytes.Holdings(4 * long_bytes, long_bytes)
+    discarded = []
+    for number in range(4):
+        holding = holdings.add(lambda n=number: discarded.append(n))
+        holdings.resize(holding, long_bytes)
+        if number < 3:
+            holding.on_discard = None
+    assert discarded == [3]
+    holdings.resize(
+        holdings.add(lambda: discarded.append("short")), long_bytes - 1
+    )
+    assert discarded == [3]
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
--- a/tests/instance/test_protocol.py
+++ b/tests/instance/test_protocol.py
@@ -170,6 +170,7 @@
         ((b"\r\n" * 700,), [431], ["headers-too-long"]),
         ((b"\x16\x03\x01 nonsense",), [400], ["malformed"]),
         ((b"GET nowhere HTTP/1.1\r\n\r\n",), [400], ["malformed"]),
+        ((b"GET /\xff HTTP/1.1\r\n\r\n",), [400], ["malformed"]),
         ((REQUEST_HEAD + b"Content-Length: -1\r\n\r\n",), [400], ["malformed"]),
         (
             (REQUEST_HEAD + b"Content-Length: 9\r\n\r\n", b"x"),
@@ -183,12 +184,17 @@
         ),
         (
             (VALID_REQUEST + REQUEST_HEAD + b"A: " + LONG_VALUE,),
+            [200, 431],
+            ["headers-too-long"],
+        ),
+        (
+            (VALID_REQUEST + REQUEST_HEAD + b"A: " + LONG_VALUE[:500],),
             [200, 408],
             ["headers-too-slow"],
         ),
         (
             (b"GET /slow HTTP/1.1\r\n\r\n", b"nonsense\r\n\r\n"),
-            [],
+            [200, 400],
             ["malformed"],
         ),
     ],
