--- a/src/yuccatally/core/forwarding/instance_settings.py
+++ b/src/yuccatally/core/forwarding/instance_settings.py
@@ -4,6 +4,10 @@
 
 import dataclasses
 
+# The smallest machines of the deployments.
+DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
+DEFAULT_DESCRIPTOR_COUNT = 4100
+
 
 @dataclasses.dataclass(frozen=True)
 class ListenAddresses:
@@ -62,6 +66,8 @@
             are refused and use which capacity. Otherwise each instance decides
             for itself, which suffices for a few instances.
         link_mbps: Bandwidth of the link of the machine; 0 if unknown.
+        memory_bytes: Memory of the machine for the process, in bytes.
+        descriptor_count: Number of descriptors that the process may open.
     """
 
     name: str
@@ -75,3 +81,5 @@
     metrics: str = ""
     shares_load: bool = False
     link_mbps: float = 0.0
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    descriptor_count: int = DEFAULT_DESCRIPTOR_COUNT
