Split the planner and the building of paths into modules of one job

Ruled out: Leaving the data classes beside the planner: plans are decoded and exchanged where nothing is planned.

Change: Plan, Pipeline and Stage stay in pipelines.py. plan moves to planning.py, replicas to replication.py, layer_capacity and slowness to engine_memory.py, and build_paths to path_building.py. Nothing else changes.

--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -11,6 +11,7 @@
 
 from yuccatally.core.control import lease
 from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import planning
 from yuccatally.core.forwarding import plans
 from yuccatally.core.forwarding import suspicions
 from yuccatally.forwarding import inspection
@@ -275,7 +276,7 @@
                 )
         elif not self._has_settled(len(usable_engines)):
             return
-        plan = pipelines.plan(model, usable_engines, previous, self.lease.fence)
+        plan = planning.plan(model, usable_engines, previous, self.lease.fence)
         if plan is not previous:
             self._apply_new_plan(service.name, plan)
         by_name = {u.name: u for u in usable_engines}
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -10,6 +10,7 @@
 
 from yuccatally.core.forwarding import composition
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import path_building
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import rate_limits
@@ -163,7 +164,7 @@
             [p for p in plan.pipelines if p.layers == service.model.layers],
             self._planned_holdings(plan, service.model),
         )
-        paths = dispatch.build_paths(service.model, complete)
+        paths = path_building.build_paths(service.model, complete)
         self._paths[service.name] = (key, paths)
         return paths
 
--- a/tests/core/forwarding/test_composition.py
+++ b/tests/core/forwarding/test_composition.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from yuccatally.core.forwarding import composition
-from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import path_building
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import upstreams
 from yuccatally_standins import models
@@ -66,7 +66,7 @@
     composed: dict[str, tuple[composition.Hop, ...]],
 ) -> dict[str, float]:
     """Returns the token capacity of each path."""
-    paths = dispatch.build_paths(models.DEPLOYED_MODEL, composed.items())
+    paths = path_building.build_paths(models.DEPLOYED_MODEL, composed.items())
     return {p.name: p.tokens for p in paths}
 
 
--- a/tests/core/forwarding/test_dispatch.py
+++ b/tests/core/forwarding/test_dispatch.py
@@ -7,6 +7,7 @@
 
 from yuccatally.core.forwarding import composition
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import path_building
 from yuccatally.core.forwarding import upstreams
 from yuccatally_standins import models
 
@@ -200,7 +201,7 @@
 
     def request_limits(*paths: tuple[composition.Hop, ...]) -> list[int]:
         named = [(f"p{n}", hops) for n, hops in enumerate(paths)]
-        return [p.slots for p in dispatch.build_paths(MODEL, named)]
+        return [p.slots for p in path_building.build_paths(MODEL, named)]
 
     assert request_limits(local, local) == [slots, slots]
     alone = request_limits(crossing, local)
@@ -276,9 +277,9 @@
     request was sent again before its first event, which kept the link full.
     """
     slow = dataclasses.replace(MODEL, pipe_mbps=390.0)
-    (path,) = dispatch.build_paths(slow, [("p", _hops(*"aaabbaaa"))])
+    (path,) = path_building.build_paths(slow, [("p", _hops(*"aaabbaaa"))])
     assert 1.2 < path.link_s < 1.5
-    (local,) = dispatch.build_paths(slow, [("p", _hops(*"aaaaaaaa"))])
+    (local,) = path_building.build_paths(slow, [("p", _hops(*"aaaaaaaa"))])
     for checked, stalled in ((path, False), (local, True)):
         dispatcher = dispatch.Dispatcher("a", random.Random(1))
         dispatcher.record_start("p", 900, 0.0, checked.patience_s)
--- a/tests/core/forwarding/test_pipelines.py
+++ b/tests/core/forwarding/test_planning.py
@@ -10,6 +10,7 @@
 import pytest
 
 from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import planning
 from yuccatally.core.forwarding import upstreams
 from yuccatally_standins import models
 
@@ -65,7 +66,7 @@
 def test_each_pipeline_stays_in_its_data_centre() -> None:
     """Guards against prompts that queue on the link between data centres."""
     engines = _engines(TODAY)
-    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    plan = planning.plan(MODEL, engines, pipelines.Plan())
     _assert_complete(plan, engines)
     assert len(plan.pipelines) == 3
     assert all(len(_data_centres(p, engines)) == 1 for p in plan.pipelines)
@@ -80,7 +81,7 @@
     """
     plan = previous or pipelines.Plan()
     for _ in range(20):
-        following = pipelines.plan(MODEL, engines, plan)
+        following = planning.plan(MODEL, engines, plan)
         if following is plan:
             return plan
         plan = following
@@ -125,7 +126,7 @@
         layer for r in plan.replicas for layer in range(r.first, r.last)
     }
     remaining = [e for e in engines if e.name != failed.engine]
-    repaired = pipelines.plan(MODEL, remaining, plan)
+    repaired = planning.plan(MODEL, remaining, plan)
     _assert_complete(repaired, remaining)
     assert len(repaired.pipelines) == len(plan.pipelines)
     if replicated.issuperset(range(failed.first, failed.last)):
@@ -152,11 +153,11 @@
 def test_loss_of_one_engine_moves_no_other(number: int) -> None:
     """Guards against a repair that removes layers that are serving."""
     engines = _engines(TODAY)
-    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    plan = planning.plan(MODEL, engines, pipelines.Plan())
     stages = sorted(plan.stages.values(), key=lambda s: s.engine)
     failed = stages[number % len(stages)]
     remaining = [e for e in engines if e.name != failed.engine]
-    repaired = pipelines.plan(MODEL, remaining, plan)
+    repaired = planning.plan(MODEL, remaining, plan)
     _assert_complete(repaired, remaining)
     assert len(repaired.pipelines) == 3
     for name, stage in plan.stages.items():
@@ -174,13 +175,13 @@
     replacements and a stage was placed in another data centre.
     """
     engines = _engines(TODAY)
-    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    plan = planning.plan(MODEL, engines, pipelines.Plan())
     for number in range(7):
         victims = [e for e in engines if e.name in plan.stages]
         victim = victims[(number * 5) % len(victims)]
         replacement = dataclasses.replace(victim, name=f"new-{number}")
         engines = [e for e in engines if e is not victim] + [replacement]
-        plan = pipelines.plan(MODEL, engines, plan)
+        plan = planning.plan(MODEL, engines, plan)
         _assert_complete(plan, engines)
         assert len(plan.pipelines) == 3
         assert all(len(_data_centres(p, engines)) == 1 for p in plan.pipelines)
@@ -189,10 +190,10 @@
 def test_neighbours_grow_when_no_spare_is_left() -> None:
     """Guards against removing a pipeline whose engines have free memory."""
     engines = _engines({"a": (1, 8, 0)})
-    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    plan = planning.plan(MODEL, engines, pipelines.Plan())
     small = min(plan.stages.values(), key=lambda s: s.last - s.first)
     remaining = [e for e in engines if e.name != small.engine]
-    repaired = pipelines.plan(MODEL, remaining, plan)
+    repaired = planning.plan(MODEL, remaining, plan)
     _assert_complete(repaired, remaining)
     assert len(repaired.pipelines) == 1
 
@@ -216,7 +217,7 @@
     stages have memory for these layers in addition to 20,000 tokens.
     """
     engines = _engines(TODAY)
-    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    plan = planning.plan(MODEL, engines, pipelines.Plan())
     (before,) = (
         p for p in plan.pipelines if _data_centres(p, engines) == {"a"}
     )
@@ -225,7 +226,7 @@
     last_spare = max(n for n in spares if n.startswith("a-small"))
     removed = {failed, *spares} - {last_spare}
     remaining = [e for e in engines if e.name not in removed]
-    repaired = pipelines.plan(MODEL, remaining, plan)
+    repaired = planning.plan(MODEL, remaining, plan)
     _assert_complete(repaired, remaining)
     (after,) = (p for p in repaired.pipelines if p.name == before.name)
     assert _token_capacity(after, remaining) >= 20e3
@@ -260,7 +261,7 @@
     previous = pipelines.Plan(1, (_full_pipeline("a"), _full_pipeline("c")))
     failed = {"a-medium-3", "c-medium-3"}
     remaining = [e for e in engines if e.name not in failed]
-    repaired = pipelines.plan(MODEL, remaining, previous)
+    repaired = planning.plan(MODEL, remaining, previous)
     _assert_complete(repaired, remaining)
     crossing = [
         p for p in repaired.pipelines if len(_data_centres(p, remaining)) > 1
@@ -272,7 +273,7 @@
 def test_engines_of_several_data_centres_join_when_none_can_alone() -> None:
     """Guards against having no pipeline if each data centre is too small."""
     engines = _engines({"a": (1, 2, 0), "b": (1, 2, 2)})
-    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    plan = planning.plan(MODEL, engines, pipelines.Plan())
     _assert_complete(plan, engines)
     assert len(plan.pipelines) == 1
     data_centres = [
@@ -286,13 +287,13 @@
 def test_reborn_engine_counts_as_lost() -> None:
     """Guards against layers that an engine held before its restart."""
     engines = _engines(TODAY)
-    plan = pipelines.plan(MODEL, engines, pipelines.Plan())
+    plan = planning.plan(MODEL, engines, pipelines.Plan())
     stage = next(iter(plan.stages.values()))
     restarted = [
         dataclasses.replace(e, born_ms=2) if e.name == stage.engine else e
         for e in engines
     ]
-    repaired = pipelines.plan(MODEL, restarted, plan)
+    repaired = planning.plan(MODEL, restarted, plan)
     _assert_complete(repaired, restarted)
     assert stage not in repaired.stages.values()
 
@@ -309,7 +310,7 @@
     for _ in range(data.draw(st.integers(1, 6))):
         removed = data.draw(st.sets(st.sampled_from(engines), max_size=5))
         remaining = [e for e in engines if e not in removed]
-        plan = pipelines.plan(MODEL, remaining, plan)
+        plan = planning.plan(MODEL, remaining, plan)
         _assert_complete(plan, remaining)
 
 
@@ -318,7 +319,7 @@
     odd = [
         dataclasses.replace(e, card="odd") for e in _engines({"a": (9, 0, 0)})
     ]
-    assert pipelines.plan(MODEL, odd, pipelines.Plan()).pipelines == ()
+    assert planning.plan(MODEL, odd, pipelines.Plan()).pipelines == ()
 
 
 @pytest.mark.parametrize(
@@ -355,6 +356,6 @@
     """Guards against planning that ends when a model gets smaller."""
     engines = _engines(TODAY)
     larger = dataclasses.replace(MODEL, layers=MODEL.layers + 10)
-    previous = pipelines.plan(larger, engines, pipelines.Plan())
-    settled = pipelines.plan(larger, engines, previous)
-    pipelines.plan(MODEL, engines, settled)
+    previous = planning.plan(larger, engines, pipelines.Plan())
+    settled = planning.plan(larger, engines, previous)
+    planning.plan(MODEL, engines, settled)
