Plan and compose pipelines by the room that they have together

Cause: When one engine of each pipeline of a data centre is lost, each pipeline was repaired by itself, with a stage that had memory for a handful of requests, and stayed so when engines returned.

Ruled out: Moving stages that serve, which interrupts what runs; a max-flow solution at each change, as every instance composes paths and has 0.07 to 0.7 of a core.

Change: With shares_load, broken pipelines of a data centre are planned together: some give their engines to the others and are built again, whichever leaves the most room after the time and the cost of loads. Weak stages are relieved by spare engines that load their part first. Paths take parts of what engines hold, and are added only if the room of all paths grows. Engines unload layers a second after the plan changed, so that other instances have received it. Without shares_load nothing changes.

--- a/src/yuccatally/core/forwarding/composition.py
+++ b/src/yuccatally/core/forwarding/composition.py
@@ -54,6 +54,9 @@
         loaded: Number of layers that occupy the memory of the engine; 0 for
             those of the hop.
         sharers: Number of paths that use the engine.
+        shared_layers: Layers that all paths use on the engine, each counted for
+            every path, if its memory is divided by layers; 0 if each path has
+            an equal part.
     """
 
     engine: upstreams.Upstream
@@ -61,6 +64,7 @@
     last: int
     loaded: int = 0
     sharers: int = 1
+    shared_layers: int = 0
 
 
 def compose(
@@ -95,7 +99,7 @@
     uses: collections.Counter[str] = collections.Counter()
     broken: list[tuple[pipelines.Pipeline, list[Hop]]] = []
     for pipeline in planned:
-        own = _own_hops(pipeline, holdings)
+        own = own_hops(pipeline, holdings)
         if find_gaps([(h.first, h.last) for h in own], layers):
             broken.append((pipeline, own))
         else:
@@ -180,7 +184,7 @@
     return gaps
 
 
-def _own_hops(
+def own_hops(
     pipeline: pipelines.Pipeline, holdings: Mapping[str, Holding]
 ) -> list[Hop]:
     """Returns the parts of the stages of a pipeline that engines hold."""
--- a/src/yuccatally/core/forwarding/path_building.py
+++ b/src/yuccatally/core/forwarding/path_building.py
@@ -49,6 +49,16 @@
     ]
 
 
+def hop_tokens(model: rules.Model, hop: composition.Hop) -> float:
+    """Returns the tokens of a path for which one of its engines has memory."""
+    card = model.cards[hop.engine.card]
+    if hop.shared_layers:
+        return model.divided_tokens(
+            card, max(hop.last - hop.first, hop.loaded), hop.shared_layers
+        )
+    return model.tokens(card, hop.last - hop.first, hop.loaded) / hop.sharers
+
+
 def _build_path(
     model: rules.Model, name: str, hops: tuple[composition.Hop, ...]
 ) -> dispatch.Path:
@@ -64,8 +74,7 @@
             * card.step_factor
             * (model.step_sequence_s + context * model.step_context_s)
         )
-        engine_tokens = model.tokens(card, hop.last - hop.first, hop.loaded)
-        tokens = min(tokens, engine_tokens / hop.sharers)
+        tokens = min(tokens, hop_tokens(model, hop))
     return dispatch.Path(
         name=name,
         hops=tuple(h.engine for h in hops),
--- a/src/yuccatally/core/forwarding/planning.py
+++ b/src/yuccatally/core/forwarding/planning.py
@@ -55,7 +55,7 @@
     Returns:
         The previous plan if no change is necessary.
     """
-    planner = _Planner(model, engines)
+    planner = Planner(model, engines)
     planner.reserve(previous)
     kept = [planner.repair(p) for p in previous.pipelines]
     remaining = [p for p in kept if p is not None]
@@ -77,7 +77,9 @@
     )
 
 
-class _Planner:
+class Planner:
+    """Assigns spare engines to stages; see ``plan``."""
+
     def __init__(
         self, model: rules.Model, engines: Iterable[upstreams.Upstream]
     ) -> None:
@@ -124,7 +126,9 @@
         return pipelines.Pipeline(pipeline.name, ordered)
 
     def build(
-        self, existing: Sequence[pipelines.Pipeline]
+        self,
+        existing: Sequence[pipelines.Pipeline],
+        targets: Sequence[float] = TOKEN_TARGETS,
     ) -> list[pipelines.Pipeline]:
         """Returns new pipelines on spare engines."""
         built: list[pipelines.Pipeline] = []
@@ -134,7 +138,7 @@
             local = [
                 e for e in self.spares.values() if e.data_centre == data_centre
             ]
-            stages = self._build_stages(local)
+            stages = self._build_stages(local, targets)
             if stages is not None:
                 built.append(
                     pipelines.Pipeline(
@@ -145,7 +149,9 @@
             by_data_centre = sorted(
                 self.spares.values(), key=lambda e: (e.data_centre, e.name)
             )
-            stages = self._build_stages(by_data_centre, keep_order=True)
+            stages = self._build_stages(
+                by_data_centre, targets, keep_order=True
+            )
             if stages is not None:
                 built.append(
                     pipelines.Pipeline(new_name(used_names, "all"), stages)
@@ -280,12 +286,15 @@
         return max(0, capacity - (stage.last - stage.first))
 
     def _build_stages(
-        self, engines: list[upstreams.Upstream], keep_order: bool = False
+        self,
+        engines: list[upstreams.Upstream],
+        targets: Sequence[float],
+        keep_order: bool = False,
     ) -> tuple[pipelines.Stage, ...] | None:
         """Returns stages for all layers with as much memory as possible."""
         all_layers = upstreams.LayerRange(0, self.model.layers)
         for keep_spare in (True, False):
-            for tokens in TOKEN_TARGETS:
+            for tokens in targets:
                 capacities = [
                     engine_memory.layer_capacity(self.model, e, tokens)
                     for e in engines
--- a/src/yuccatally/core/forwarding/rules.py
+++ b/src/yuccatally/core/forwarding/rules.py
@@ -151,8 +151,19 @@
             layers: Number of layers that requests use.
             loaded: Number of layers in memory, if more are loaded than used.
         """
-        free_mb = card.memory_mb - max(layers, loaded) * self.layer_mb
-        return max(0.0, free_mb) * 1e6 / (self.token_layer_bytes * layers)
+        return self.divided_tokens(card, max(layers, loaded), layers)
+
+    def divided_tokens(self, card: Card, loaded: int, used: int) -> float:
+        """Returns the tokens that fit, if each needs memory for some layers.
+
+        Args:
+            card: Type of the accelerator.
+            loaded: Number of layers in memory.
+            used: Number of layers in which a token takes memory; a layer counts
+                once for each path that uses it.
+        """
+        free_mb = card.memory_mb - loaded * self.layer_mb
+        return max(0.0, free_mb) * 1e6 / (self.token_layer_bytes * used)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import os
 import time
 from typing import TYPE_CHECKING
@@ -13,6 +14,7 @@
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import planning
 from yuccatally.core.forwarding import plans
+from yuccatally.core.forwarding import room_planning
 from yuccatally.core.forwarding import suspicions
 from yuccatally.forwarding import inspection
 from yuccatally.forwarding import orders
@@ -27,6 +29,7 @@
     import aiohttp
 
     from yuccatally.core.forwarding import rules
+    from yuccatally.core.forwarding import upstreams
     from yuccatally.forwarding import fleet
     from yuccatally.forwarding import state
 
@@ -49,6 +52,8 @@
 # Upper limit of that wait. Traffic starts 12 s after the instances, and loading
 # layers takes about two seconds.
 MAX_SETTLE_S = 6.0
+# Instances receive a plan with a heartbeat, every 0.3 s.
+UNLOAD_DELAY_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -67,6 +72,7 @@
         lease_valid_at: Time at which the lease was last known to be valid.
         created_at: Time at which this instance was created.
         failed_services: Services whose plan cannot be computed.
+        planned_at: Time of the latest change of the plan, by service.
         on_store_failure: Called when a call to the store has failed.
     """
 
@@ -99,6 +105,7 @@
         self.lease_valid_at: float | None = None
         self.created_at = time.monotonic()
         self.failed_services: set[str] = set()
+        self.planned_at: dict[str, float] = {}
         self.on_store_failure: Callable[[], None] = lambda: None
 
     @property
@@ -276,7 +283,7 @@
                 )
         elif not self._has_settled(len(usable_engines)):
             return
-        plan = planning.plan(model, usable_engines, previous, self.lease.fence)
+        plan = self._plan(model, usable_engines, previous)
         if plan is not previous:
             self._apply_new_plan(service.name, plan)
         by_name = {u.name: u for u in usable_engines}
@@ -284,7 +291,9 @@
             for stage in pipeline.stages:
                 # A former replica unloads the layers outside its stage, whose
                 # memory requests need.
-                if not self.state.holds_only_stage(stage):
+                if not self.state.holds_only_stage(
+                    stage
+                ) and not self._must_keep(service.name, stage):
                     self.orders.start(by_name[stage.engine], stage, model)
         # More loads at once would delay those of pipelines.
         startable = max(0, model.loads_at_once - self.orders.running_count)
@@ -296,6 +305,38 @@
         for stage in missing[:startable]:
             self.orders.start(by_name[stage.engine], stage, model)
 
+    def _plan(
+        self,
+        model: rules.Model,
+        usable_engines: list[upstreams.Upstream],
+        previous: pipelines.Plan,
+    ) -> pipelines.Plan:
+        if not self.state.settings.shares_load:
+            return planning.plan(
+                model, usable_engines, previous, self.lease.fence
+            )
+        return room_planning.plan(
+            model,
+            [
+                dataclasses.replace(u, layers=self.state.held(u))
+                for u in usable_engines
+            ],
+            previous,
+            self.lease.fence,
+        )
+
+    def _must_keep(self, service: str, stage: pipelines.Stage) -> bool:
+        """Returns whether an engine must not yet unload other layers.
+
+        Other instances send requests to them until they receive the plan.
+        """
+        return (
+            self.state.settings.shares_load
+            and self.state.holds_stage(stage)
+            and time.monotonic() - self.planned_at.get(service, 0.0)
+            < UNLOAD_DELAY_S
+        )
+
     def _may_replan(self, plan: pipelines.Plan) -> bool:
         """Returns whether missing engines of a plan can be treated as removed.
 
@@ -331,6 +372,7 @@
         plan of a later leader takes precedence.
         """
         self._log_changes(service, plan)
+        self.planned_at[service] = time.monotonic()
         self.state.apply_plan(service, plan)
         self.fleet.leader_state.unsaved_plans[service] = plan
 
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -15,6 +15,7 @@
 from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import retries
+from yuccatally.core.forwarding import room_composition
 from yuccatally.core.forwarding import statements
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
@@ -159,11 +160,18 @@
         cached = self._paths.get(service.name)
         if cached is not None and cached[0] == key:
             return cached[1]
-        complete = composition.compose(
-            service.model.layers,
-            [p for p in plan.pipelines if p.layers == service.model.layers],
-            self._planned_holdings(plan, service.model),
-        )
+        planned = [
+            p for p in plan.pipelines if p.layers == service.model.layers
+        ]
+        holdings = self._planned_holdings(plan, service.model)
+        if self.settings.shares_load:
+            complete = room_composition.compose(
+                service.model, planned, holdings
+            )
+        else:
+            complete = composition.compose(
+                service.model.layers, planned, holdings
+            )
         paths = path_building.build_paths(service.model, complete)
         self._paths[service.name] = (key, paths)
         return paths
@@ -210,7 +218,7 @@
                 or self.limits.limited((engine,))
             ):
                 continue
-            layers = self._held(engine)
+            layers = self.held(engine)
             if layers is not None:
                 holdings.append(
                     composition.Holding(
@@ -346,7 +354,7 @@
             if engine is None or engine.card not in model.cards:
                 continue
             held = (
-                stage.layers if self.holds_stage(stage) else self._held(engine)
+                stage.layers if self.holds_stage(stage) else self.held(engine)
             )
             if held is None:
                 continue
@@ -360,7 +368,7 @@
                 )
         return holdings
 
-    def _held(self, engine: upstreams.Upstream) -> upstreams.LayerRange | None:
+    def held(self, engine: upstreams.Upstream) -> upstreams.LayerRange | None:
         """Returns the layers that an engine holds, as last confirmed."""
         return self.confirmed_layers.get(
             (engine.name, engine.born_ms), engine.layers
@@ -370,7 +378,7 @@
         self, engine: upstreams.Upstream, stage: pipelines.Stage
     ) -> int:
         """Returns the layers in memory once the stage is loaded."""
-        held = self._held(engine)
+        held = self.held(engine)
         if (
             held is None
             or self.holds_only_stage(stage)
--- a/tests/forwarding/test_odd_entries.py
+++ b/tests/forwarding/test_odd_entries.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import planning
 from yuccatally.platform import documents
 from yuccatally_standins import path_site
 
@@ -111,7 +111,7 @@
 
     instance = served.instances[0]
     with monkeypatch.context() as patch:
-        patch.setattr(pipelines, "plan", fail)
+        patch.setattr(planning, "plan", fail)
         await path_site.until(lambda: bool(instance.control.failed_services))
         status, _, _ = await served.send_request("/ask/x")
         assert status == 200
