--- a/src/yuccatally/forwarding/control.py
+++ b/src/yuccatally/forwarding/control.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import os
 import time
 from typing import TYPE_CHECKING
@@ -12,24 +11,21 @@
 
 from yuccatally.core.control import lease
 from yuccatally.core.forwarding import pipelines
-from yuccatally.core.forwarding import planning
 from yuccatally.core.forwarding import plans
-from yuccatally.core.forwarding import room_planning
 from yuccatally.core.forwarding import suspicions
 from yuccatally.forwarding import inspection
 from yuccatally.forwarding import orders
+from yuccatally.forwarding import placement
 from yuccatally.forwarding import watches
 from yuccatally.store import client
 from yuccatally.store import leases
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     import aiohttp
 
     from yuccatally.core.forwarding import rules
-    from yuccatally.core.forwarding import upstreams
     from yuccatally.forwarding import fleet
     from yuccatally.forwarding import state
 
@@ -283,7 +279,9 @@
                 )
         elif not self._has_settled(len(usable_engines)):
             return
-        plan = self._plan(model, usable_engines, previous)
+        plan = placement.make_plan(
+            self.state, model, usable_engines, previous, self.lease.fence
+        )
         if plan is not previous:
             self._apply_new_plan(service.name, plan)
         by_name = {u.name: u for u in usable_engines}
@@ -305,26 +303,6 @@
         for stage in missing[:startable]:
             self.orders.start(by_name[stage.engine], stage, model)
 
-    def _plan(
-        self,
-        model: rules.Model,
-        usable_engines: list[upstreams.Upstream],
-        previous: pipelines.Plan,
-    ) -> pipelines.Plan:
-        if not self.state.settings.shares_load:
-            return planning.plan(
-                model, usable_engines, previous, self.lease.fence
-            )
-        return room_planning.plan(
-            model,
-            [
-                dataclasses.replace(u, layers=self.state.held(u))
-                for u in usable_engines
-            ],
-            previous,
-            self.lease.fence,
-        )
-
     def _must_keep(self, service: str, stage: pipelines.Stage) -> bool:
         """Returns whether an engine must not yet unload other layers.
 
@@ -371,7 +349,7 @@
         the plan. Engines refuse orders with an outdated fencing number, so the
         plan of a later leader takes precedence.
         """
-        self._log_changes(service, plan)
+        placement.log_changes(self.state, service, plan)
         self.planned_at[service] = time.monotonic()
         self.state.apply_plan(service, plan)
         self.fleet.leader_state.unsaved_plans[service] = plan
@@ -410,30 +388,3 @@
         unsaved = self.fleet.leader_state.unsaved_plans.get(service)
         if unsaved is not None and plan.rank >= unsaved.rank:
             del self.fleet.leader_state.unsaved_plans[service]
-
-    def _log_changes(self, service: str, plan: pipelines.Plan) -> None:
-        previous = self.state.plans.get(service, pipelines.Plan()).stages
-        for pipeline in plan.pipelines:
-            changed = [
-                s for s in pipeline.stages if previous.get(s.engine) != s
-            ]
-            if changed:
-                _log.info(
-                    "pipeline_planned",
-                    service=service,
-                    generation=plan.generation,
-                    pipeline=pipeline.name,
-                    changed=_format_stages(changed),
-                )
-        changed = [s for s in plan.replicas if previous.get(s.engine) != s]
-        if changed:
-            _log.info(
-                "replicas_planned",
-                service=service,
-                generation=plan.generation,
-                changed=_format_stages(changed),
-            )
-
-
-def _format_stages(stages: Iterable[pipelines.Stage]) -> str:
-    return ",".join(f"{s.engine}={s.first}-{s.last}" for s in stages)
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -160,19 +160,14 @@
         cached = self._paths.get(service.name)
         if cached is not None and cached[0] == key:
             return cached[1]
-        planned = [
-            p for p in plan.pipelines if p.layers == service.model.layers
-        ]
-        holdings = self._planned_holdings(plan, service.model)
+        model = service.model
+        planned = [p for p in plan.pipelines if p.layers == model.layers]
+        held = self._planned_holdings(plan, model)
         if self.settings.shares_load:
-            complete = room_composition.compose(
-                service.model, planned, holdings
-            )
+            complete = room_composition.compose(model, planned, held)
         else:
-            complete = composition.compose(
-                service.model.layers, planned, holdings
-            )
-        paths = path_building.build_paths(service.model, complete)
+            complete = composition.compose(model.layers, planned, held)
+        paths = path_building.build_paths(model, complete)
         self._paths[service.name] = (key, paths)
         return paths
 
--- a/tests/core/forwarding/test_room_planning.py
+++ b/tests/core/forwarding/test_room_planning.py
@@ -7,6 +7,7 @@
 import pytest
 
 from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import plan_draft
 from yuccatally.core.forwarding import room_planning
 from yuccatally.core.forwarding import upstreams
 from yuccatally_standins import fleets
@@ -49,7 +50,7 @@
     left, repaired = fleets.settle(fleets.without(fleet, lost), plan)
     after = fleets.planned_tokens(left, repaired)
     assert sum(after.values()) >= 0.85 * sum(before.values())
-    assert min(after.values()) >= room_planning.MIN_NEW_TOKENS
+    assert min(after.values()) >= plan_draft.MIN_NEW_TOKENS
 
 
 def test_loss_is_repaired_with_few_loads(
