--- a/src/yuccatally_standins/path_engine.py
+++ b/src/yuccatally_standins/path_engine.py
@@ -69,6 +69,7 @@
             do not show it, in seconds.
         trickle_after: Number of events after which bytes of an event arrive now
             and then without its end.
+        answer_bytes: Length of a plain answer; 0 for a short one.
     """
 
     stalled: bool = False
@@ -95,6 +96,7 @@
     rate_limit: str = ""
     report_lag_s: float = 0.0
     trickle_after: int | None = None
+    answer_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -383,8 +385,9 @@
                     request, self.behaviour.empty_status, b""
                 )
             if not self.streams or self.behaviour.plain_answer:
+                answer = b"done " + attempt.encode()
                 return await self._send_plain(
-                    request, b"done " + attempt.encode()
+                    request, answer.ljust(self.behaviour.answer_bytes, b".")
                 )
             if self.behaviour.unframed:
                 return await self._send_unframed(
--- a/tests/crowds/conftest.py
+++ b/tests/crowds/conftest.py
@@ -81,6 +81,11 @@
             await response.read()
             return response.status
 
+    async def until_executed(self, count: int) -> None:
+        """Waits until the service has executed so many requests."""
+        executed = self.site.engines["d1"].executed_requests
+        await path_site.until(lambda: len(executed) >= count, ANSWER_TIMEOUT_S)
+
     def growth_bytes(self) -> int:
         """Returns how far the memory rose at most since the crowd came."""
         return self.process.memory_bytes("VmHWM") - self.memory_before
