Reduce the work for each request in the protocol

Cause: the split of input and the account of bytes took up to 20 us of a request of 50 us in a trial with an application that only reads the body. Ruled out: parsing short blocks as a whole; they hold dozens of requests. Change: the announced length is looked up once after the headers, bodies of up to 2 KiB are not counted, and lengths are checked only beyond the limit of headers.

--- a/src/yuccatally/instance/protocol.py
+++ b/src/yuccatally/instance/protocol.py
@@ -21,6 +21,8 @@
 # the connection while the sender still sends, and the refusal would be lost.
 LINGER_TIMEOUT_S = 2.0
 
+# Most bodies are shorter, and counting all of them would take time.
+UNCOUNTED_BYTES = 2 * 1024
 # Bytes of answers that wait for the client beside those in the system's buffer.
 UNSENT_BYTES = 16 * 1024
 
@@ -125,20 +127,22 @@
             self._start_header_timer()
         self.wire_bytes += len(part)
         super().parse_part(part)
-        if not self.is_ending:
+        if self.wire_bytes > self.limits.header_bytes and not self.is_ending:
             self._check_lengths()
 
     def input_changed(self) -> None:
         """Counts what is held of the request and around it."""
-        holdings = self.clients.holdings
-        if self.body_bytes != self.body_holding.size:
+        body_bytes = self.body_bytes
+        if body_bytes <= UNCOUNTED_BYTES:
+            body_bytes = 0
+        if body_bytes != self.body_holding.size:
             self.body_holding.on_discard = (
                 self._refuse_body if self.in_body else None
             )
-            holdings.resize(self.body_holding, self.body_bytes)
-        buffered = self.ahead.held_bytes + self.unread_bytes
+            self.clients.holdings.resize(self.body_holding, body_bytes)
+        buffered = len(self.ahead.data) + self.unread_bytes
         if buffered != self.buffer_holding.size:
-            holdings.resize(self.buffer_holding, buffered)
+            self.clients.holdings.resize(self.buffer_holding, buffered)
         super().input_changed()
 
     def on_url(self, url: bytes) -> None:
@@ -148,8 +152,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header to the header length; drops trailers (unused)."""
-        if self.in_headers:
-            self.header_bytes += len(name) + len(value) + len(": \r\n")
+        if not self.in_headers:
+            return
+        self.header_bytes += len(name) + len(value) + len(": \r\n")
         super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
@@ -223,7 +228,7 @@
         self._refuse(400, "malformed", msg)
 
     def _check_lengths(self) -> None:
-        if self.in_headers and self.wire_bytes > self.limits.header_bytes:
+        if self.in_headers:
             self._refuse_headers()
         elif self.in_body and self.wire_bytes > self.limits.wire_bytes:
             text = f"the request is longer than {self.limits.wire_bytes} bytes"
--- a/src/yuccatally/instance/read_ahead.py
+++ b/src/yuccatally/instance/read_ahead.py
@@ -21,7 +21,8 @@
     b'GET'
 
     Attributes:
-        data: Block that was received last, with what remained before.
+        data: Block that was received last, with what remained before; empty
+            after all bytes were taken.
         offset: Number of bytes of ``data`` that were taken.
         tail: Last bytes that were taken, up to the length of an incomplete
             empty line.
@@ -35,11 +36,6 @@
     def __len__(self) -> int:
         return len(self.data) - self.offset
 
-    @property
-    def held_bytes(self) -> int:
-        """Number of bytes in memory, with those that were taken."""
-        return len(self.data)
-
     def append(self, data: bytes) -> None:
         """Adds received bytes."""
         self.data = self.data[self.offset :] + data if self.data else data
--- a/src/yuccatally/instance/sequential.py
+++ b/src/yuccatally/instance/sequential.py
@@ -16,8 +16,6 @@
 # Bytes that are read while a request is in progress. Reading goes on up to it,
 # as the end of a connection is only noticed by reading.
 AHEAD_BYTES = 16 * 1024
-# The parser rejects lengths of more than 64 bits.
-MAX_LENGTH_DIGITS = 20
 
 
 class _ReadControl(flow_control.FlowControl):
@@ -45,7 +43,6 @@
         in_body: Whether the body is being received.
         closing: Whether all further input is discarded.
         ahead: Bytes that are not parsed yet.
-        announced_bytes: Length of the body in the headers; 0 if unknown.
         body_left: Bytes of a body of known length that are not parsed yet.
     """
 
@@ -56,7 +53,7 @@
         self.in_body = False
         self.closing = False
         self.ahead = read_ahead.ReadAhead()
-        self.announced_bytes = self.body_left = 0
+        self.body_left = 0
 
     def connection_made(self, transport: Any) -> None:
         """Prepares to pause reading."""
@@ -97,7 +94,7 @@
         """Pauses or resumes reading, depending on what is not parsed yet."""
         if self.transport.is_closing():
             return
-        if len(self.ahead) > AHEAD_BYTES:
+        if self.ahead.data and len(self.ahead) > AHEAD_BYTES:
             self.flow.is_held = True
             self.flow.pause_reading()
         elif self.flow.is_held:
@@ -109,43 +106,37 @@
         self.request_started = True
         super().on_message_begin()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Reads the length of the body; drops trailers (unused)."""
-        if not self.in_headers:
-            return
-        super().on_header(name, value)
-        name, value = self.headers[-1]
-        if name == b"content-length":
-            # The parser rejects other values at the end of the headers.
-            is_valid = value.isdigit() and len(value) <= MAX_LENGTH_DIGITS
-            self.announced_bytes = int(value) if is_valid else 0
-
     def on_headers_complete(self) -> None:
         """Starts the request, unless its target is invalid."""
         super().on_headers_complete()
         self.in_body = True
-        self.body_left = self.announced_bytes
+        for name, value in self.headers:
+            if name == b"content-length":
+                self.body_left = int(value)  # valid: the parser has checked it
 
     def on_message_complete(self) -> None:
         """Resets the state for the next request of the connection."""
         self.request_started, self.in_headers, self.in_body = False, True, False
-        self.announced_bytes = self.body_left = 0
+        self.body_left = 0
         if not self.closing:
             super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Starts the next request if it was received."""
         super().on_response_complete()
-        if self.ahead:
+        if self.ahead.data:
             self._parse()
         else:
             self.input_changed()
 
     def _parse(self) -> None:
-        while self.ahead and not self.has_request and not self.is_ending:
-            part = self.ahead.take(self.body_left)
-            self.body_left -= min(self.body_left, len(part))
+        ahead = self.ahead
+        while ahead.data and not self.has_request:
+            if self.is_ending:
+                ahead.clear()
+                break
+            part = ahead.take(self.body_left)
+            if self.body_left:
+                self.body_left -= len(part)
             self.parse_part(part)
-        if self.is_ending:
-            self.ahead.clear()
         self.input_changed()
--- a/tests/instance/test_read_ahead.py
+++ b/tests/instance/test_read_ahead.py
@@ -67,4 +67,4 @@
             taken += part
     assert taken == b"".join(requests)
     assert found.count == len(requests)
-    assert ahead.held_bytes == 0
+    assert not ahead.data
