Count receive buffers, and leave more descriptors to upstreams

Cause: some machines count received bytes that are not read as memory of the process, and the buffers of the system grow to megabytes. The shares of descriptors left 326 of 3,900 sockets to upstreams, other instances and the store. yuccatally run had 4,096 descriptors at most, whatever the limit of the system was. Ruled out: smaller receive buffers for all; long bodies would take seconds more on links with a delay. Change: listeners set 64 KiB, and a connection that is not read counts them. Callers get 62 % of the descriptors, the directory and operators 8 %, internal listeners 1 %, four at least. Tests of the order of 2,000 requests sent ahead, of a refused body and of dropped requests.

--- a/src/yuccatally/instance/clients.py
+++ b/src/yuccatally/instance/clients.py
@@ -23,9 +23,12 @@
 RESERVED_SHARE = 1 / 4
 # Shares of the descriptors by use of a listener. The rest is for upstreams,
 # other instances and the store.
-CALLERS_SHARE = 0.75
-DIRECTORY_SHARE = 0.1
-INTERNAL_SHARE = 0.02
+CALLERS_SHARE = 0.62
+DIRECTORY_SHARE = 0.08
+INTERNAL_SHARE = 0.01
+MIN_CONNECTION_COUNT = 4
+# Higher than any limit of a system.
+UNLIMITED_DESCRIPTOR_COUNT = 1_000_000_000
 # Clients that connect send their first request within a second.
 MIN_WAIT_S = 1.0
 # Connections beyond the limit that get a refusal to read before they end, and
@@ -41,11 +44,12 @@
 
     Attributes:
         memory_bytes: Memory for the process, in bytes.
-        descriptor_count: Number of descriptors that the process may open.
+        descriptor_count: Number of descriptors that the process may open, if
+            the limit of the system is not lower.
     """
 
     memory_bytes: int = 200 * 1024 * 1024
-    descriptor_count: int = 4096
+    descriptor_count: int = UNLIMITED_DESCRIPTOR_COUNT
 
     def connections(self, share: float, at_most: int) -> int:
         """Returns the number of connections of a listener.
@@ -58,7 +62,7 @@
         available = self.descriptor_count
         if soft_limit != resource.RLIM_INFINITY:
             available = min(available, soft_limit)
-        return min(at_most, max(1, int(available * share)))
+        return min(at_most, max(MIN_CONNECTION_COUNT, int(available * share)))
 
 
 class Clients:
--- a/src/yuccatally/instance/protocol.py
+++ b/src/yuccatally/instance/protocol.py
@@ -21,6 +21,8 @@
 # the connection while the sender still sends, and the refusal would be lost.
 LINGER_TIMEOUT_S = 2.0
 
+# Bytes in the system's buffer count as memory of the process on some machines.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 # Most bodies are shorter, and counting all of them would take time.
 UNCOUNTED_BYTES = 2 * 1024
 # Bytes of answers that wait for the client beside those in the system's buffer.
@@ -132,6 +134,7 @@
 
     def input_changed(self) -> None:
         """Counts what is held of the request and around it."""
+        super().input_changed()
         body_bytes = self.body_bytes
         if body_bytes <= UNCOUNTED_BYTES:
             body_bytes = 0
@@ -141,9 +144,10 @@
             )
             self.clients.holdings.resize(self.body_holding, body_bytes)
         buffered = len(self.ahead.data) + self.unread_bytes
+        if self.flow.is_held:
+            buffered += RECEIVE_BUFFER_BYTES
         if buffered != self.buffer_holding.size:
             self.clients.holdings.resize(self.buffer_holding, buffered)
-        super().input_changed()
 
     def on_url(self, url: bytes) -> None:
         """Adds the request target to the header length."""
--- a/src/yuccatally/instance/servers.py
+++ b/src/yuccatally/instance/servers.py
@@ -69,6 +69,9 @@
         self.socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, protocol.RECEIVE_BUFFER_BYTES
+        )
         self.socket.bind((host, port))
         config = uvicorn.Config(
             app,
--- a/tests/instance/test_protocol.py
+++ b/tests/instance/test_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import re
 from typing import TYPE_CHECKING
 
@@ -247,3 +248,55 @@
         lambda: not listener.listener.server.server_state.connections
     )
     assert b"200 OK" in await listener.send(CLOSING_REQUEST)
+
+
+async def test_requests_sent_ahead_are_answered_in_order(
+    listener: LimitedListener,
+) -> None:
+    """Guards against losing requests when reading pauses and goes on.
+
+    Together, the requests are longer than what is read ahead.
+    """
+    count = 2000
+    bodies = [b"x" * (n % 90) for n in range(count)]
+    head = REQUEST_HEAD + b"Content-Length: %d\r\n\r\n"
+    reader, writer = await listener.connect()
+    writer.write(b"".join(head % len(b) + b for b in bodies))
+    for body in bodies:
+        answer = await reader.readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        expected = b"%d 2" % len(body)
+        assert await reader.readexactly(len(expected)) == expected
+    writer.close()
+
+
+async def test_discarded_body_is_refused(listener: LimitedListener) -> None:
+    """Guards against bodies without a limit of their sum."""
+    limits = listener.listener.server.config.http.limits
+    listener.listener.apply_limits(
+        dataclasses.replace(limits, body_bytes=8192), 60.0
+    )
+    holdings = listener.listener.clients.holdings
+    holdings.limit_bytes, holdings.reserved_bytes = 4000, 0
+    head = REQUEST_HEAD + b"Content-Length: 8000\r\n\r\n"
+    received = await listener.send(head + b"x" * 4001)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert listener.events == ["too-many-bytes", "disconnected"]
+    assert holdings.total_bytes == 0
+
+
+async def test_requests_sent_ahead_are_dropped_without_a_cut(
+    listener: LimitedListener,
+) -> None:
+    """Guards against ending a request that is in progress."""
+    holdings = listener.listener.clients.holdings
+    holdings.limit_bytes, holdings.reserved_bytes = 600, 0
+    reader, writer = await listener.connect()
+    writer.write(b"GET /slow HTTP/1.1\r\n\r\n" + VALID_REQUEST * 20)
+    received = await reader.read()
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close" in received
+    assert received.endswith(b"late")
+    assert listener.events == ["too-many-bytes"]
+    assert holdings.total_bytes == 0
+    writer.close()
