--- a/src/yuccatally_standins/crowds.py
+++ b/src/yuccatally_standins/crowds.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
 # A peer that accepts nothing for this time does not read any more.
 STALL_S = 3.0
 CONNECT_TIMEOUT_S = 10.0
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclasses.dataclass
@@ -84,6 +86,15 @@
             with contextlib.suppress(OSError):
                 member.socket.shutdown(socket.SHUT_WR)
 
+    def reset(self) -> None:
+        """Resets all connections."""
+        for member in self.members:
+            member.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE
+            )
+            member.socket.close()
+        self.members.clear()
+
     def close(self) -> None:
         """Closes all connections."""
         for member in self.members:
--- a/tests/crowds/conftest.py
+++ b/tests/crowds/conftest.py
@@ -86,6 +86,12 @@
         executed = self.site.engines["d1"].executed_requests
         await path_site.until(lambda: len(executed) >= count, ANSWER_TIMEOUT_S)
 
+    async def until_descriptors(self, count: int) -> None:
+        """Waits until the process has at most so many descriptors."""
+        await path_site.until(
+            lambda: self.process.descriptor_count() <= count, ANSWER_TIMEOUT_S
+        )
+
     def growth_bytes(self) -> int:
         """Returns how far the memory rose at most since the crowd came."""
         return self.process.memory_bytes("VmHWM") - self.memory_before
--- a/tests/crowds/test_sent_ahead.py
+++ b/tests/crowds/test_sent_ahead.py
@@ -45,6 +45,24 @@
         ),
         pytest.param("metrics", b"GET /metrics HTTP/1.1\r\n\r\n", id="metrics"),
         pytest.param("metrics", b"GET /none HTTP/1.1\r\n\r\n", id="operators"),
+        pytest.param(
+            "callers",
+            b"POST /none/x HTTP/1.1\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 1\r\n\r\nx",
+            id="expecting-100",
+        ),
+        pytest.param(
+            "callers",
+            b"GET /none/x HTTP/1.1\r\nConnection: upgrade\r\n"
+            b"Upgrade: websocket\r\n\r\n",
+            id="upgrade",
+        ),
+        pytest.param(
+            "callers",
+            b"POST /none/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\nx\r\n0\r\n\r\n",
+            id="chunked",
+        ),
     ],
 )
 async def test_requests_sent_ahead_stay_bounded(
