--- a/src/yuccatally/instance/clients.py
+++ b/src/yuccatally/instance/clients.py
@@ -31,8 +31,8 @@
 UNLIMITED_DESCRIPTOR_COUNT = 1_000_000_000
 # Clients that connect send their first request within a second.
 MIN_WAIT_S = 1.0
-# Connections beyond the limit that get a refusal to read before they end, and
-# those that are closed at once, as parts of the limit.
+# A search closes this part of the limit, and as many connections beyond the
+# limit may be open for their clients to read a refusal.
 ROOM_DIVISOR = 16
 # A search for connections to close takes a millisecond for thousands.
 SEARCH_INTERVAL_S = 0.1
