Name the module of path capacities path_room

Cause: two parts that were built side by side each have a module room.

Ruled out: one module for both; one computes capacity, the other grants it.

Change: core/forwarding/room.py of the placement becomes path_room.py.

--- a/src/yuccatally/core/forwarding/plan_draft.py
+++ b/src/yuccatally/core/forwarding/plan_draft.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from yuccatally.core.forwarding import engine_memory
+from yuccatally.core.forwarding import path_room
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import planning
-from yuccatally.core.forwarding import room
 from yuccatally.core.forwarding import staging
 
 if TYPE_CHECKING:
@@ -163,13 +163,13 @@
 
     def tokens(self, stages: Sequence[pipelines.Stage]) -> float:
         """Returns the tokens that the requests of a pipeline can use."""
-        return room.stages_room(self.model, self.usable, stages)
+        return path_room.stages_room(self.model, self.usable, stages)
 
     def score(self, stages: Sequence[pipelines.Stage]) -> float:
         """Returns the mean room of changed stages, less the cost of loads."""
         missing = [self.missing_layers(s) for s in stages]
         load_s = self.model.load_s * max(missing) / self.model.layers
-        return self.tokens(stages) * room.ready_ratio(
+        return self.tokens(stages) * path_room.ready_ratio(
             load_s
         ) - LAYER_LOAD_TOKENS * sum(missing)
 
--- a/src/yuccatally/core/forwarding/room_composition.py
+++ b/src/yuccatally/core/forwarding/room_composition.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from yuccatally.core.forwarding import composition
-from yuccatally.core.forwarding import room
+from yuccatally.core.forwarding import path_room
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -122,13 +122,13 @@
             # The other path keeps its layers on an engine that it shares.
             (
                 h,
-                room.most_layers(
+                path_room.most_layers(
                     model, h, tokens * (2 if h.engine.name in used else 1)
                 ),
             )
             for h in available
         ]
-        hops = room.cover_gaps(gaps, limited)
+        hops = path_room.cover_gaps(gaps, limited)
         if hops is not None:
             return hops
     return None
@@ -137,9 +137,9 @@
 def _total_room(model: rules.Model, paths: Paths) -> float:
     """Returns the tokens of all paths that requests can use."""
     divided = _with_shared_layers(paths)
-    crossing = sum(room.crosses(hops) for hops in divided.values())
+    crossing = sum(path_room.crosses(hops) for hops in divided.values())
     return sum(
-        room.hops_room(model, hops, max(1, crossing))
+        path_room.hops_room(model, hops, max(1, crossing))
         for hops in divided.values()
     )
 
--- a/src/yuccatally/core/forwarding/staging.py
+++ b/src/yuccatally/core/forwarding/staging.py
@@ -6,8 +6,8 @@
 
 from yuccatally.core.forwarding import composition
 from yuccatally.core.forwarding import engine_memory
+from yuccatally.core.forwarding import path_room
 from yuccatally.core.forwarding import pipelines
-from yuccatally.core.forwarding import room
 from yuccatally.core.forwarding import upstreams
 
 if TYPE_CHECKING:
@@ -35,7 +35,7 @@
     gaps = _gaps(kept, model)
     for tokens in TOKEN_TARGETS:
         # An engine unloads the layers outside its stage.
-        hops = room.cover_gaps(
+        hops = path_room.cover_gaps(
             gaps,
             [
                 (
