--- a/src/yuccatally/core/forwarding/room.py
+++ b/src/yuccatally/core/forwarding/room.py
@@ -253,7 +253,7 @@
 
     >>> needs_grant(Amount(192, 1e5), Amount(20, 2e4), Amount(1, 1e3), 88)
     False
-    >>> needs_grant(Amount(192, 1e5), Amount(70, 7e4), Amount(1, 1e3), 88)
+    >>> needs_grant(Amount(192, 1e5), Amount(80, 8e4), Amount(1, 1e3), 88)
     True
     """
     if instance_count <= 1:
