--- a/src/yuccatally/forwarding/room_sharing.py
+++ b/src/yuccatally/forwarding/room_sharing.py
@@ -133,7 +133,7 @@
         path_room = _room(path)
         work = dispatcher.outstanding_work(path.name, now)
         if path.name not in dispatcher.room.reported and not room.needs_grant(
-            path_room,
+            path_room.scaled(self.share_ratio),
             room.Amount(work.requests, work.tokens),
             asked,
             self.state.instance_count,
