Pace servers that start or recover by their answers

Cause: A server that starts or recovers has the least outstanding work of all, so that every instance sends it requests before one has seen an answer. A failed path is excluded for a fixed second and then gets its full part again, and requests are refused as full while paths that are avoided have capacity.

Ruled out: A fixed ramp is too slow for sound servers and too fast for slow ones; one trial at a time leaves a server idle where every instance sees few requests; additive growth takes as many answers as the server has slots.

Change: A table in the core limits the outstanding requests of all instances at servers that are new, back or restarted, or that failed. The limit doubles with the first answer in time after each change and falls with late, refused or failed ones; each instance has a part of it, in turn. Heartbeats carry the limits. Only where the fleet shares its load.

--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -11,6 +11,7 @@
     import random
 
     from yuccatally.core.forwarding import composition
+    from yuccatally.core.forwarding import pace
     from yuccatally.core.forwarding import rules
     from yuccatally.core.forwarding import upstreams
 
@@ -168,11 +169,19 @@
         remote_work: Time of receipt and outstanding work by sender.
         stream_progress: Progress of streams, by path with outstanding requests.
         avoided_until: Time until which a path that failed is avoided.
+        paces: Limits of servers that have started or recovered; None if this
+            instance decides without the others.
     """
 
-    def __init__(self, data_centre: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        rng: random.Random,
+        paces: pace.PaceTable | None = None,
+    ) -> None:
         self.data_centre = data_centre
         self.rng = rng
+        self.paces = paces
         self.own_work: dict[str, OutstandingWork] = {}
         self.remote_work: dict[
             str, tuple[float, dict[str, OutstandingWork]]
@@ -273,6 +282,8 @@
         usable = [p for p in paths if p.name not in excluded]
         if not usable:
             return Nothing()
+        if self.paces is not None:
+            return self._choose_paced_path(usable, tokens, now)
         preferred = [
             p
             for p in usable
@@ -287,6 +298,40 @@
                 costs.append((cost, candidate))
         if not costs:
             return Full()
+        return self._better_of_two(costs)
+
+    def _choose_paced_path(
+        self, usable: list[Path], tokens: float, now: float
+    ) -> Path | Full:
+        """Returns a path within its limit, or the next best with capacity.
+
+        Load pattern: all paths but those that have just returned, or on which
+        a stream was stalled a moment ago, are full. A request is refused only
+        if these have no capacity either.
+        """
+        within: list[tuple[float, Path]] = []
+        in_need: list[tuple[float, Path]] = []
+        avoided: list[tuple[float, Path]] = []
+        active = [p for p in usable if not self.is_stalled(p.name, now)]
+        for candidate in active or usable:
+            work = self.outstanding_work(candidate.name, now)
+            if not _has_capacity(candidate, work, tokens):
+                continue
+            choice = (self._cost(candidate, work, tokens), candidate)
+            if self.avoided_until.get(candidate.name, now) > now:
+                avoided.append(choice)
+            elif self.paces.admits(candidate.name, work.requests, now):
+                within.append(choice)
+            elif self.paces.admits_in_need(
+                candidate.name, work.requests, candidate.slots, now
+            ):
+                in_need.append(choice)
+        for costs in (within, in_need, avoided):
+            if costs:
+                return self._better_of_two(costs)
+        return Full()
+
+    def _better_of_two(self, costs: list[tuple[float, Path]]) -> Path:
         sampled = self.rng.sample(costs, min(CANDIDATE_COUNT, len(costs)))
         return min(sampled, key=lambda c: c[0])[1]
 
@@ -301,14 +346,49 @@
         if not usable:
             return Nothing()
 
-        def cost(candidate: upstreams.Upstream) -> tuple[float, bool, float]:
+        if self.paces is not None:
+            usable = self._paced_upstreams(usable, now)
+
+        def cost(
+            candidate: upstreams.Upstream,
+        ) -> tuple[float, bool, bool, float]:
             work = self.outstanding_work(candidate.name, now)
             utilization = work.requests / max(1, candidate.slots)
+            # Of idle ones, the answers of a paced upstream are of more use.
+            is_proven = self.paces is not None and not self.paces.is_paced(
+                candidate.name
+            )
             is_remote = candidate.data_centre != self.data_centre
-            return (utilization, is_remote, self.rng.random())
+            return (utilization, is_proven, is_remote, self.rng.random())
 
         return _upstream_path(min(usable, key=cost))
 
+    def _paced_upstreams(
+        self, usable: list[upstreams.Upstream], now: float
+    ) -> list[upstreams.Upstream]:
+        """Returns the upstreams within their limits, or those with capacity.
+
+        Load pattern: two of three upstreams return at once, and the third is
+        full. They take what it would queue, up to their slots.
+        """
+        if not any(self.paces.is_paced(u.name) for u in usable):
+            return usable
+        within = []
+        in_need = []
+        is_full = True
+        for candidate in usable:
+            count = self.outstanding_work(candidate.name, now).requests
+            if self.paces.admits(candidate.name, count, now):
+                within.append(candidate)
+                is_full = is_full and count >= candidate.slots
+            elif count < candidate.slots and self.paces.admits_in_need(
+                candidate.name, count, candidate.slots, now
+            ):
+                in_need.append(candidate)
+        if is_full:
+            within += in_need
+        return within or usable
+
     def is_stalled(self, name: str, now: float) -> bool:
         """Returns whether this instance's streams on a path are stalled."""
         progress = self.stream_progress.get(name)
@@ -320,8 +400,12 @@
 
     def record_start(
         self, name: str, tokens: float, now: float, patience_s: float = 0.0
-    ) -> None:
-        """Records a request that is about to be sent."""
+    ) -> pace.Ticket | None:
+        """Records a request that is about to be sent.
+
+        Returns:
+            Its ticket for ``record_answer``; None if servers are not paced.
+        """
         own = self.own_work.setdefault(name, OutstandingWork())
         if own.requests == 0:
             self.stream_progress[name] = StreamProgress(now, patience_s)
@@ -329,6 +413,16 @@
         self.stream_progress[name].patience_s = patience_s
         own.requests += 1
         own.tokens += tokens
+        return self.paces.record_start(name) if self.paces is not None else None
+
+    def record_answer(
+        self, ticket: pace.Ticket | None, outcome: pace.Outcome, now: float
+    ) -> None:
+        """Records how a server has answered a request that has not ended."""
+        if self.paces is None or ticket is None:
+            return
+        work = self.outstanding_work(ticket.server, now)
+        self.paces.record(ticket, outcome, work.requests, now)
 
     def record_first_event(self, name: str) -> None:
         """Records the first event of a stream."""
@@ -339,7 +433,11 @@
         self.stream_progress[name].record_event(now)
 
     def record_end(
-        self, name: str, tokens: float, had_event: bool = False
+        self,
+        name: str,
+        tokens: float,
+        had_event: bool = False,
+        ticket: pace.Ticket | None = None,
     ) -> None:
         """Records the end of a request.
 
@@ -347,7 +445,10 @@
             name: Name of the path or upstream.
             tokens: Tokens that were recorded at its start.
             had_event: Whether its first event was recorded.
+            ticket: What ``record_start`` returned.
         """
+        if self.paces is not None:
+            self.paces.record_end(ticket)
         own = self.own_work[name]
         own.requests -= 1
         own.tokens -= tokens
--- a/src/yuccatally/core/forwarding/runs.py
+++ b/src/yuccatally/core/forwarding/runs.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from yuccatally.core.forwarding import attempts
     from yuccatally.core.forwarding import dispatch
+    from yuccatally.core.forwarding import pace
     from yuccatally.core.forwarding import rules
 
 
@@ -28,6 +29,11 @@
         is_silent: Whether it has been silent for too long since its last event.
         is_moving: Whether other paths are tried for the request.
         event_count: Number of events received.
+        ticket: Its start as the pace of servers counts it; None if it is not
+            counted.
+        is_judged: Whether its answer was counted.
+        expected_at: Monotonic time until which its first event, or its whole
+            response, is in time.
     """
 
     path: dispatch.Path
@@ -36,6 +42,9 @@
     is_silent: bool = False
     is_moving: bool = False
     event_count: int = 0
+    ticket: pace.Ticket | None = None
+    is_judged: bool = False
+    expected_at: float = float("inf")
 
 
 class OpenRuns:
--- a/src/yuccatally/forwarding/calls.py
+++ b/src/yuccatally/forwarding/calls.py
@@ -52,7 +52,9 @@
         """Forwards a request until an upstream answers or attempts run out."""
         progress = attempts.AttemptCounter()
         reader = open_runs.RunReader(
-            self.state.dispatcher, retrying.memory_tokens(context)
+            self.state.dispatcher,
+            retrying.memory_tokens(context),
+            context.route.objective_s,
         )
 
         async def choose(tried: frozenset[str]) -> retrying.Choice:
--- a/src/yuccatally/forwarding/detection.py
+++ b/src/yuccatally/forwarding/detection.py
@@ -81,7 +81,9 @@
                     path.hops[0], UPSTREAM_AVOID_S, result.failure.reason
                 )
             return
-        self.state.dispatcher.avoid(path.name, now + PATH_AVOID_S)
+        # The pace of a path falls with its failures.
+        if self.state.dispatcher.paces is None:
+            self.state.dispatcher.avoid(path.name, now + PATH_AVOID_S)
         match result.failure:
             case attempts.Refused():
                 self._handle_refusal(path, result.faulty_address)
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -364,6 +364,7 @@
             store_epoch=self.store_epoch,
             configuration_revision=_newest_revision(self.configuration_watch),
             plans_revision=_newest_revision(self.plans_watch),
+            paces=dispatcher.paces.share(now) if dispatcher.paces else (),
         )
 
     def _answer_heartbeat(
@@ -400,6 +401,8 @@
             self.state.announce_leaving(engine.name, engine.born_ms, name)
         for limit in heartbeat.limits:
             self.state.merge_limit(limit, name)
+        if self.state.dispatcher.paces is not None:
+            self.state.dispatcher.paces.merge(heartbeat.paces, now)
         self.leader_state.apply(heartbeat.leader_state)
         if heartbeat.prompts is not None:
             self.crash_reports.merge(heartbeat.prompts, name)
@@ -499,6 +502,10 @@
             (self.own_contact, *(m.contact for m in live.values())),
             1 + len(staying),
         )
+        if self.state.dispatcher.paces is not None:
+            self.state.dispatcher.paces.set_instances(
+                self.own_contact.name, (c.name for c in staying)
+            )
 
     def _log_liveness_changes(self, live: set[str]) -> None:
         """Logs instances that became live or are no longer live."""
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -311,6 +311,11 @@
         self.metrics.counters[("prompts_quarantined", "")] = (
             self.state.quarantine.total_count
         )
+        paces = self.state.dispatcher.paces
+        if paces is not None:
+            self.metrics.gauges["servers_paced"] = len(paces.paces)
+            self.metrics.gauges["pace_limit"] = paces.limit_sum
+            self.metrics.gauges["pace_outstanding"] = paces.own_sum
         return self.metrics.prometheus_text()
 
     def _count_refused_connection(self, reason: str) -> None:
--- a/src/yuccatally/forwarding/open_runs.py
+++ b/src/yuccatally/forwarding/open_runs.py
@@ -11,6 +11,7 @@
 from typing import TypeVar
 
 from yuccatally.core.forwarding import attempts
+from yuccatally.core.forwarding import pace
 from yuccatally.core.forwarding import runs
 from yuccatally.forwarding import upstream_responses
 
@@ -96,15 +97,23 @@
         timeout: Ends the wait for the next outcome.
     """
 
-    def __init__(self, dispatcher: dispatch.Dispatcher, tokens: float) -> None:
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        tokens: float,
+        expected_s: float = float("inf"),
+    ) -> None:
         """Creates a reader.
 
         Args:
             dispatcher: Records the work on each path.
             tokens: Expected memory use of a run, in tokens.
+            expected_s: Time within which a run is expected to give its first
+                event or its whole response, in seconds.
         """
         self.dispatcher = dispatcher
         self.tokens = tokens
+        self.expected_s = expected_s
         self.open = runs.OpenRuns()
         self.tasks: dict[runs.Run, asyncio.Task[None]] = {}
         self.outcomes: asyncio.Queue[tuple[runs.Run, Outcome | Exception]] = (
@@ -120,9 +129,11 @@
     ) -> None:
         """Starts to read a run."""
         path = run.path
-        self.dispatcher.record_start(
-            path.name, self.tokens, time.monotonic(), path.patience_s
+        now = time.monotonic()
+        run.ticket = self.dispatcher.record_start(
+            path.name, self.tokens, now, path.patience_s
         )
+        run.expected_at = now + self.expected_s + path.patience_s
         self.open.add(run)
         self.tasks[run] = asyncio.create_task(self._read(run, outcomes))
 
@@ -130,8 +141,11 @@
         """Ends a run; an exchange that is not complete is broken off."""
         self.open.remove(run)
         self.tasks.pop(run).cancel()
+        now = time.monotonic()
+        if now > run.expected_at:
+            self._judge(run, pace.Late(), now)
         self.dispatcher.record_end(
-            run.path.name, self.tokens, run.event_count > 0
+            run.path.name, self.tokens, run.event_count > 0, run.ticket
         )
 
     def close_all(self) -> None:
@@ -165,6 +179,10 @@
         if isinstance(outcome, Exception):
             # A TimeoutError of the run would count as its silence.
             raise RunError(type(outcome).__name__) from outcome
+        now = time.monotonic()
+        answer = _answer_of(outcome, is_late=now > run.expected_at)
+        if answer is not None:
+            self._judge(run, answer, now)
         return run, outcome
 
     def move(self, run: runs.Run) -> None:
@@ -196,6 +214,13 @@
                 task.cancel()
             await asyncio.wait(tasks)
 
+    def _judge(self, run: runs.Run, answer: pace.Outcome, now: float) -> None:
+        """Records the answer of a run once, and a failure after it."""
+        if run.is_judged and not isinstance(answer, pace.Failed):
+            return
+        run.is_judged = True
+        self.dispatcher.record_answer(run.ticket, answer, now)
+
     def _wake(self) -> None:
         """Ends the wait for the next outcome."""
         if self.timeout is not None and not self.timeout.expired():
@@ -221,6 +246,23 @@
             await self.outcomes.put((run, error))
 
 
+def _answer_of(outcome: Outcome, is_late: bool) -> pace.Outcome | None:
+    """Returns what an outcome shows about the pace of its server."""
+    match outcome:
+        case upstream_responses.FailedAttempt(failure=failure):
+            match failure:
+                case attempts.Refused(status=429 | 503):
+                    return pace.RefusedFull()
+                case attempts.ErrorResponse():
+                    return pace.ErrorStatus()
+                case attempts.Withdrawn():
+                    return None
+                case _:
+                    return pace.Failed()
+        case _:
+            return pace.Late() if is_late else pace.InTime()
+
+
 def silent_run(run: runs.Run, reason: str) -> FailedRun:
     """Returns the failure of a run that has been silent for too long."""
     return FailedRun(
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -339,7 +339,7 @@
     else:
         usable = trials.candidates(
             suspect,
-            instance_state.registry.usable_of(context.service.name),
+            instance_state.usable_upstreams(context.service.name),
             tried,
         )
         waits_s = {u.name: limits.wait_s((u,), now) for u in usable}
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -10,6 +10,7 @@
 
 from yuccatally.core.forwarding import composition
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import pace
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import rate_limits
@@ -17,10 +18,12 @@
 from yuccatally.core.forwarding import statements
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
+from yuccatally.forwarding import pace_log
 from yuccatally.forwarding import spans
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from yuccatally.core.forwarding import instance_settings
     from yuccatally.core.forwarding import rules
@@ -74,7 +77,14 @@
         self.plans_generation = 0
         self.confirmed_layers: dict[tuple[str, int], upstreams.LayerRange] = {}
         self.confirmed_generation = 0
-        self.dispatcher = dispatch.Dispatcher(settings.data_centre, self.rng)
+        paces = None
+        if settings.shares_load:
+            paces = pace.PaceTable()
+            paces.on_change = pace_log.PaceLog(time.monotonic).record
+        self.dispatcher = dispatch.Dispatcher(
+            settings.data_centre, self.rng, paces
+        )
+        self._observed_generations: dict[str, int] = {}
         self.quarantine = quarantine.RequestQuarantine()
         self.limits = rate_limits.LimitTable()
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
@@ -165,8 +175,28 @@
         )
         paths = dispatch.build_paths(service.model, complete)
         self._paths[service.name] = (key, paths)
+        self._observe(
+            service.name,
+            (pace.Server.from_hops(p.name, p.hops, p.slots) for p in paths),
+        )
         return paths
 
+    def usable_upstreams(self, service: str) -> list[upstreams.Upstream]:
+        """Returns the upstreams of a plain service that accept requests."""
+        usable = self.registry.usable_of(service)
+        generation = self.registry.generation
+        if self._observed_generations.get(service) != generation:
+            self._observed_generations[service] = generation
+            self._observe(
+                service,
+                (pace.Server.from_hops(u.name, (u,), u.slots) for u in usable),
+            )
+        return usable
+
+    def _observe(self, service: str, servers: Iterable[pace.Server]) -> None:
+        if self.dispatcher.paces is not None:
+            self.dispatcher.paces.observe(service, servers, time.monotonic())
+
     def holds_stage(self, stage: pipelines.Stage) -> bool:
         """Returns whether the engine of a stage is known to hold its layers."""
         engine = self.registry.incarnation(stage.engine, stage.born_ms)
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -174,7 +174,9 @@
         self.writer = writer
         self.progress = attempts.AttemptCounter()
         self.reader = open_runs.RunReader(
-            instance_state.dispatcher, retrying.memory_tokens(context)
+            instance_state.dispatcher,
+            retrying.memory_tokens(context),
+            context.route.objective_s,
         )
         self.last_id = context.request.last_event_id
         self.forgets_tried = False
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -8,6 +8,7 @@
 
 from yuccatally.core.forwarding import crash_evidence
 from yuccatally.core.forwarding import members
+from yuccatally.core.forwarding import pace_messages
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import suspicions
@@ -94,6 +95,8 @@
             configuration that its watch received.
         plans_revision: Revision of the latest change of a plan that its watch
             received.
+        paces: Limits of servers that have started or recovered, or the latest
+            of them.
     """
 
     reply: ClassVar[type]
@@ -119,6 +122,7 @@
     store_epoch: int = 0
     configuration_revision: int = 0
     plans_revision: int = 0
+    paces: tuple[pace_messages.SharedPace, ...] = ()
 
 
 Heartbeat.reply = Heartbeat
--- a/src/yuccatally/telemetry/metrics.py
+++ b/src/yuccatally/telemetry/metrics.py
@@ -36,6 +36,9 @@
     "attempts_failed": "Failed attempts of forwarded requests, by failure.",
     "paths_stalled": "Times that a path was found stalled, by path.",
     "first_byte": "Time from the arrival of a request to the first byte.",
+    "servers_paced": "Servers with a limit since they started or recovered.",
+    "pace_limit": "Sum of their limits, over all instances.",
+    "pace_outstanding": "Outstanding attempts of this instance at them.",
     "request": "Time from the acceptance of a request to its outcome.",
     "first_token": "Time from the acceptance to the first token of a stream.",
 }
@@ -52,7 +55,7 @@
 
 
 class Metrics:
-    """Histograms by name and counters by name and label value."""
+    """Histograms and gauges by name, counters by name and label value."""
 
     def __init__(self) -> None:
         self.histograms: dict[str, histogram.HdrHistogram] = {}
@@ -61,6 +64,7 @@
             collections.Counter()
         )
         self.label_counts: collections.Counter[str] = collections.Counter()
+        self.gauges: dict[str, int] = {}
 
     def observe(self, name: str, seconds: float) -> None:
         """Records a duration in seconds."""
@@ -115,6 +119,7 @@
         lines = [
             *(_request_lines(totals) if totals else ()),
             *self._counter_lines(),
+            *self._gauge_lines(),
             *self._summary_lines(),
         ]
         return "\n".join(lines) + "\n"
@@ -129,6 +134,12 @@
             labels = f'{{label="{escape(label)}"}}' if label else ""
             yield f"{metric}{labels} {value}"
 
+    def _gauge_lines(self) -> Iterator[str]:
+        for name, value in sorted(self.gauges.items()):
+            metric = f"{PREFIX}_{name}"
+            yield from _header_lines(metric, name, "gauge")
+            yield f"{metric} {value}"
+
     def _summary_lines(self) -> Iterator[str]:
         for name, durations in sorted(self.histograms.items()):
             metric = f"{PREFIX}_{name}_seconds"
