Let instances observe returned upstreams without requests

Cause: An instance noticed a returned upstream with its next request for the service, perhaps a minute later, and paced it anew although others had proven it. A limit that another instance had lowered after a refusal was raised by the requests under way.

Ruled out: Sending releases for longer; an instance that gets no request has no list to compare them with.

Change: Each heartbeat interval compares the upstreams of plain services if one has changed. A received fall counts the requests under way.

--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -371,7 +371,7 @@
         Load pattern: two of three upstreams return at once, and the third is
         full. They take what it would queue, up to their slots.
         """
-        if not any(self.paces.is_paced(u.name) for u in usable):
+        if not self.paces.paces:
             return usable
         within = []
         in_need = []
--- a/src/yuccatally/core/forwarding/pace.py
+++ b/src/yuccatally/core/forwarding/pace.py
@@ -14,8 +14,6 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from yuccatally.core.forwarding import upstreams
-
 # Outstanding requests that a server gets before its first answer. One could be
 # lost or long; a first return after a fall starts with half of it.
 INITIAL_LIMIT_COUNT = 2
@@ -106,10 +104,17 @@
 
     @classmethod
     def from_hops(
-        cls, name: str, hops: Iterable[upstreams.Upstream], slots: int
+        cls, name: str, hops: Iterable[tuple[str, int]], slots: int
     ) -> Server:
-        """Returns the server that consists of some engines or one upstream."""
-        text = "\0".join(f"{h.name}\0{h.born_ms}" for h in hops)
+        """Returns a server.
+
+        Args:
+            name: Name of the upstream or path.
+            hops: Name and start time of its upstreams, in milliseconds since
+                1970.
+            slots: Number of concurrent requests that it declares.
+        """
+        text = "\0".join(f"{hop}\0{born_ms}" for hop, born_ms in hops)
         return cls(name, xxhash.xxh3_64_intdigest(text.encode()) >> 1, slots)
 
 
@@ -454,6 +459,9 @@
         if own is not None and own.incarnation == state.incarnation:
             state.own_count = own.own_count
             state.earlier_count = own.earlier_count
+        elif state.falls:
+            # What is under way has made the limit fall.
+            state.earlier_count = 0
         self.paces[name] = state
 
     def _keep_past(self, name: str, now: float) -> None:
--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -503,6 +503,7 @@
             1 + len(staying),
         )
         if self.state.dispatcher.paces is not None:
+            self.state.observe_upstreams()
             self.state.dispatcher.paces.set_instances(
                 self.own_contact.name, (c.name for c in staying)
             )
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import time
 from typing import TYPE_CHECKING
@@ -177,7 +178,12 @@
         self._paths[service.name] = (key, paths)
         self._observe(
             service.name,
-            (pace.Server.from_hops(p.name, p.hops, p.slots) for p in paths),
+            (
+                pace.Server.from_hops(
+                    p.name, ((h.name, h.born_ms) for h in p.hops), p.slots
+                )
+                for p in paths
+            ),
         )
         return paths
 
@@ -187,12 +193,25 @@
         generation = self.registry.generation
         if self._observed_generations.get(service) != generation:
             self._observed_generations[service] = generation
-            self._observe(
-                service,
-                (pace.Server.from_hops(u.name, (u,), u.slots) for u in usable),
-            )
+            self._observe(service, (_server(u) for u in usable))
         return usable
 
+    def observe_upstreams(self) -> None:
+        """Records which upstreams of plain services accept requests.
+
+        Load pattern: an instance gets the first request for a service a minute
+        after a server returned, and other instances have proven it since.
+        """
+        if self.rules is None or self.dispatcher.paces is None:
+            return
+        generation = self.registry.generation
+        for service in self.rules.services.values():
+            if (
+                service.model is None
+                and self._observed_generations.get(service.name) != generation
+            ):
+                self.usable_upstreams(service.name)
+
     def _observe(self, service: str, servers: Iterable[pace.Server]) -> None:
         if self.dispatcher.paces is not None:
             self.dispatcher.paces.observe(service, servers, time.monotonic())
@@ -409,6 +428,15 @@
         return held.last - held.first
 
 
+def _server(upstream: upstreams.Upstream) -> pace.Server:
+    return _known_server(upstream.name, upstream.born_ms, upstream.slots)
+
+
+@functools.lru_cache(maxsize=8192)
+def _known_server(name: str, born_ms: int, slots: int) -> pace.Server:
+    return pace.Server.from_hops(name, ((name, born_ms),), slots)
+
+
 def _log_leaving(upstream: upstreams.Upstream) -> None:
     _log.info(
         "upstream_leaving",
