Split the pace of servers into state and decisions

Ruled out: Moving single functions out; state and messages are what others use.

Change: pace.py holds outcomes, changes and state, pace_table.py the decisions. No change of behaviour.

--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -12,6 +12,7 @@
 
     from yuccatally.core.forwarding import composition
     from yuccatally.core.forwarding import pace
+    from yuccatally.core.forwarding import pace_table
     from yuccatally.core.forwarding import rules
     from yuccatally.core.forwarding import upstreams
 
@@ -177,7 +178,7 @@
         self,
         data_centre: str,
         rng: random.Random,
-        paces: pace.PaceTable | None = None,
+        paces: pace_table.PaceTable | None = None,
     ) -> None:
         self.data_centre = data_centre
         self.rng = rng
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -12,6 +12,7 @@
 from yuccatally.core.forwarding import composition
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import pace
+from yuccatally.core.forwarding import pace_table
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import quarantine
 from yuccatally.core.forwarding import rate_limits
@@ -80,7 +81,7 @@
         self.confirmed_generation = 0
         paces = None
         if settings.shares_load:
-            paces = pace.PaceTable()
+            paces = pace_table.PaceTable()
             paces.on_change = pace_log.PaceLog(time.monotonic).record
         self.dispatcher = dispatch.Dispatcher(
             settings.data_centre, self.rng, paces
--- a/tests/core/forwarding/test_pace.py
+++ b/tests/core/forwarding/test_pace_table.py
@@ -12,6 +12,7 @@
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import pace
 from yuccatally.core.forwarding import pace_messages
+from yuccatally.core.forwarding import pace_table
 from yuccatally.core.forwarding import upstreams
 
 INSTANCE_COUNT = 88
@@ -52,7 +53,7 @@
 
     def __init__(self, number: int, count: int, paced: bool = True) -> None:
         self.name = f"i{number:03}"
-        self.paces = pace.PaceTable()
+        self.paces = pace_table.PaceTable()
         self.changes: list[pace.Change] = []
         self.paces.on_change = self.changes.append
         self.paces.set_instances(self.name, (f"i{n:03}" for n in range(count)))
@@ -245,12 +246,12 @@
     """
     rng = random.Random(1)
     fleet.run(1.0, 600, rng)
-    fleet.answer_s["c"] = 2 * pace.ROTATION_S
+    fleet.answer_s["c"] = 2 * pace_table.ROTATION_S
     fleet.set_servers(_upstream("a"), _upstream("b"), _upstream("c", 2))
     returned_at = fleet.now
-    fleet.run(2 * pace.ROTATION_S - 2 * STEP_S, 600, rng)
+    fleet.run(2 * pace_table.ROTATION_S - 2 * STEP_S, 600, rng)
     count = fleet.started("c", returned_at, 1.0)
-    assert 1 <= count <= 2 * pace.INITIAL_LIMIT_COUNT
+    assert 1 <= count <= 2 * pace_table.INITIAL_LIMIT_COUNT
 
 
 def test_proven_server_has_its_full_part_after_few_answers(
@@ -261,7 +262,7 @@
     Load pattern: a server of 64 slots returns at full demand and answers each
     request in time.
     """
-    for number in range(int(math.log2(64 / pace.INITIAL_LIMIT_COUNT))):
+    for number in range(int(math.log2(64 / pace_table.INITIAL_LIMIT_COUNT))):
         assert single.paces.is_paced("b")
         _attempt(single, "b", pace.InTime(), number * 0.1)
     assert not single.paces.is_paced("b")
@@ -314,9 +315,9 @@
         limits.append(single.paces.paces["b"].limit)
     assert limits == [2, 1, 1, 1]
     single.paces.observe("s", [_server("a")], 5.0)
-    later = 5.0 + pace.FORGET_S
+    later = 5.0 + pace_table.FORGET_S
     single.paces.observe("s", both, later)
-    assert single.paces.paces["b"].limit == pace.INITIAL_LIMIT_COUNT
+    assert single.paces.paces["b"].limit == pace_table.INITIAL_LIMIT_COUNT
 
 
 def test_restarted_process_is_paced_as_a_new_one(single: Instance) -> None:
@@ -365,7 +366,7 @@
             outcome = pace.ErrorStatus() if is_error else pace.InTime()
             _attempt(instance, name, outcome, 1.0)
     assert instance.changes == [
-        pace.Began("b", pace.INITIAL_LIMIT_COUNT),
+        pace.Began("b", pace_table.INITIAL_LIMIT_COUNT),
         pace.Released("b"),
     ]
 
@@ -374,7 +375,7 @@
     """Guards against a server whose errors come fast and count as in time."""
     for _ in range(5):
         _attempt(single, "b", pace.ErrorStatus(), 1.0)
-    assert single.paces.paces["b"].limit <= pace.INITIAL_LIMIT_COUNT
+    assert single.paces.paces["b"].limit <= pace_table.INITIAL_LIMIT_COUNT
 
 
 def test_servers_that_all_return_at_once_serve_the_demand(fleet: Fleet) -> None:
@@ -440,9 +441,9 @@
     )
     returned_at = fleet.now
     fleet.run(2.0, 600, random.Random(7))
-    turn_count = 2.0 / pace.ROTATION_S
+    turn_count = 2.0 / pace_table.ROTATION_S
     assert fleet.started("c", returned_at, 2.0) <= (
-        pace.INITIAL_LIMIT_COUNT * (turn_count + 1)
+        pace_table.INITIAL_LIMIT_COUNT * (turn_count + 1)
     )
 
 
@@ -545,12 +546,12 @@
     for instance in instances:
         instance.paces.observe("s", [_server("a")], 0.0)
         instance.paces.observe("s", [_server("a"), _server("b")], 0.0)
-    turn_count = INSTANCE_COUNT // pace.INITIAL_LIMIT_COUNT
+    turn_count = INSTANCE_COUNT // pace_table.INITIAL_LIMIT_COUNT
     holders = [
         instance.name
         for turn in range(turn_count)
         for instance in instances
-        if instance.paces.admits("b", 0, turn * pace.ROTATION_S)
+        if instance.paces.admits("b", 0, turn * pace_table.ROTATION_S)
     ]
     assert sorted(holders) == [i.name for i in instances]
 
@@ -578,7 +579,7 @@
         (1, 1, 0, math.nan),
         (1, 1, 0, math.inf),
         (1, 1, 0, -1.0),
-        (1, 1, 0, pace.FORGET_S + 1.0),
+        (1, 1, 0, pace_table.FORGET_S + 1.0),
     ],
 )
 def test_implausible_figures_are_ignored(
@@ -603,14 +604,14 @@
 
     Load pattern: 3,300 servers return after a power failure.
     """
-    paces = pace.PaceTable()
+    paces = pace_table.PaceTable()
     paces.observe("s", [_server("first")], 0.0)
     servers = [_server(f"s{n}") for n in range(3300)]
     paces.observe("s", servers, 1.0)
     shared = paces.share(2.0)
     assert len(shared) == pace_messages.MAX_SHARED_COUNT
     assert shared[0].age_s == 1.0
-    receiver = pace.PaceTable()
+    receiver = pace_table.PaceTable()
     receiver.observe("s", servers, 10.0)
     receiver.merge(shared, 10.0)
     relayed = receiver.share(11.0)
--- a/tests/forwarding/test_paces.py
+++ b/tests/forwarding/test_paces.py
@@ -15,6 +15,7 @@
 from yuccatally.core.forwarding import members
 from yuccatally.core.forwarding import pace
 from yuccatally.core.forwarding import pace_messages
+from yuccatally.core.forwarding import pace_table
 from yuccatally.core.forwarding import runs
 from yuccatally.forwarding import open_runs
 from yuccatally.forwarding import pace_log
@@ -28,16 +29,16 @@
 
 
 @pytest.fixture
-def paces() -> pace.PaceTable:
+def paces() -> pace_table.PaceTable:
     """One server that is paced."""
-    created = pace.PaceTable()
+    created = pace_table.PaceTable()
     created.observe("s", [pace.Server("first", 1, 64)], 0.0)
     created.observe("s", [pace.Server("p", 1, 64)], 0.0)
     return created
 
 
 @pytest.fixture
-def dispatcher(paces: pace.PaceTable) -> dispatch.Dispatcher:
+def dispatcher(paces: pace_table.PaceTable) -> dispatch.Dispatcher:
     """A dispatcher that paces servers."""
     return dispatch.Dispatcher("a", random.Random(1), paces)
 
@@ -68,7 +69,7 @@
 )
 async def test_outcome_of_a_run_changes_the_limit(
     dispatcher: dispatch.Dispatcher,
-    paces: pace.PaceTable,
+    paces: pace_table.PaceTable,
     outcome: open_runs.Outcome,
     expected_s: float,
     limit: int,
@@ -85,7 +86,7 @@
 
 
 async def test_run_that_ends_without_a_late_answer_lowers_the_limit(
-    dispatcher: dispatch.Dispatcher, paces: pace.PaceTable
+    dispatcher: dispatch.Dispatcher, paces: pace_table.PaceTable
 ) -> None:
     """Guards against a silent server whose requests go on elsewhere."""
     for expected_s, limit in ((5.0, 2), (-1.0, 1)):
@@ -124,7 +125,9 @@
     assert decoded.paces == ()
 
 
-def test_paths_with_another_engine_are_paced(paces: pace.PaceTable) -> None:
+def test_paths_with_another_engine_are_paced(
+    paces: pace_table.PaceTable,
+) -> None:
     """Guards against the trust in a path that was repaired."""
     engines = [(n, 1) for n in ("e1", "e2", "e3")]
     first = pace.Server.from_hops("path", engines[:2], 64)
