--- a/src/yuccatally/forwarding/fleet.py
+++ b/src/yuccatally/forwarding/fleet.py
@@ -381,6 +381,7 @@
                 if is_follower
                 else None
             ),
+            paces=dispatcher.paces.share(now) if dispatcher.paces else (),
         )
 
     def _answer_heartbeat(
@@ -418,6 +419,8 @@
         for limit in heartbeat.limits:
             self.state.merge_limit(limit, name)
         self.leader_state.record_known(name, heartbeat.leader_state)
+        if self.state.dispatcher.paces is not None:
+            self.state.dispatcher.paces.merge(heartbeat.paces, now)
         self.leader_state.apply(heartbeat.leader_state)
         if heartbeat.prompts is not None:
             self.crash_reports.merge(heartbeat.prompts, name)
@@ -524,6 +527,11 @@
         self.rate_limiter.update_instances(live_contacts, 1 + len(staying))
         if self.state.settings.shares_load:
             self.rooms.update_instances(live_contacts, 1 + len(staying))
+        if self.state.dispatcher.paces is not None:
+            self.state.observe_upstreams()
+            self.state.dispatcher.paces.set_instances(
+                self.own_contact.name, (c.name for c in staying)
+            )
 
     def _log_liveness_changes(self, live: set[str]) -> None:
         """Logs instances that became live or are no longer live."""
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import time
 from typing import TYPE_CHECKING
@@ -10,6 +11,8 @@
 
 from yuccatally.core.forwarding import composition
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import pace
+from yuccatally.core.forwarding import pace_table
 from yuccatally.core.forwarding import path_building
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import quarantine
@@ -19,10 +22,12 @@
 from yuccatally.core.forwarding import statements
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
+from yuccatally.forwarding import pace_log
 from yuccatally.forwarding import spans
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from yuccatally.core.forwarding import instance_settings
     from yuccatally.core.forwarding import rules
@@ -76,7 +81,14 @@
         self.plans_generation = 0
         self.confirmed_layers: dict[tuple[str, int], upstreams.LayerRange] = {}
         self.confirmed_generation = 0
-        self.dispatcher = dispatch.Dispatcher(settings.data_centre, self.rng)
+        paces = None
+        if settings.shares_load:
+            paces = pace_table.PaceTable()
+            paces.on_change = pace_log.PaceLog(time.monotonic).record
+        self.dispatcher = dispatch.Dispatcher(
+            settings.data_centre, self.rng, paces
+        )
+        self._observed_generations: dict[str, int] = {}
         self.quarantine = quarantine.RequestQuarantine()
         self.limits = rate_limits.LimitTable()
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
@@ -169,8 +181,46 @@
             complete = composition.compose(model.layers, planned, held)
         paths = path_building.build_paths(model, complete)
         self._paths[service.name] = (key, paths)
+        self._observe(
+            service.name,
+            (
+                pace.Server.from_hops(
+                    p.name, ((h.name, h.born_ms) for h in p.hops), p.slots
+                )
+                for p in paths
+            ),
+        )
         return paths
 
+    def usable_upstreams(self, service: str) -> list[upstreams.Upstream]:
+        """Returns the upstreams of a plain service that accept requests."""
+        usable = self.registry.usable_of(service)
+        generation = self.registry.generation
+        if self._observed_generations.get(service) != generation:
+            self._observed_generations[service] = generation
+            self._observe(service, (_server(u) for u in usable))
+        return usable
+
+    def observe_upstreams(self) -> None:
+        """Records which upstreams of plain services accept requests.
+
+        Load pattern: an instance gets the first request for a service a minute
+        after a server returned, and other instances have proven it since.
+        """
+        if self.rules is None or self.dispatcher.paces is None:
+            return
+        generation = self.registry.generation
+        for service in self.rules.services.values():
+            if (
+                service.model is None
+                and self._observed_generations.get(service.name) != generation
+            ):
+                self.usable_upstreams(service.name)
+
+    def _observe(self, service: str, servers: Iterable[pace.Server]) -> None:
+        if self.dispatcher.paces is not None:
+            self.dispatcher.paces.observe(service, servers, time.monotonic())
+
     def holds_stage(self, stage: pipelines.Stage) -> bool:
         """Returns whether the engine of a stage is known to hold its layers."""
         engine = self.registry.incarnation(stage.engine, stage.born_ms)
@@ -383,6 +433,15 @@
         return held.last - held.first
 
 
+def _server(upstream: upstreams.Upstream) -> pace.Server:
+    return _known_server(upstream.name, upstream.born_ms, upstream.slots)
+
+
+@functools.lru_cache(maxsize=8192)
+def _known_server(name: str, born_ms: int, slots: int) -> pace.Server:
+    return pace.Server.from_hops(name, ((name, born_ms),), slots)
+
+
 def _log_leaving(upstream: upstreams.Upstream) -> None:
     _log.info(
         "upstream_leaving",
--- a/src/yuccatally/peers/heartbeats.py
+++ b/src/yuccatally/peers/heartbeats.py
@@ -8,6 +8,7 @@
 
 from yuccatally.core.forwarding import crash_evidence
 from yuccatally.core.forwarding import members
+from yuccatally.core.forwarding import pace_messages
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import rate_limits
 from yuccatally.core.forwarding import suspicions
@@ -107,6 +108,8 @@
         covered: Part of ``outstanding`` that the keepers of paths are told of
             directly.
         covered_elsewhere: The same part of ``outstanding_elsewhere``.
+        paces: Limits of servers that have started or recovered, or the latest
+            of them.
     """
 
     reply: ClassVar[type]
@@ -134,6 +137,7 @@
     plans_revision: int = 0
     covered: dict[str, OutstandingWork] = {}
     covered_elsewhere: dict[str, OutstandingWork] | None = None
+    paces: tuple[pace_messages.SharedPace, ...] = ()
 
 
 Heartbeat.reply = Heartbeat
