Queue requests that find no path with room

Cause: on the platform's path nobody decided which of the waiting requests got freed room. Each polled for a tenth of its objective and was then refused with a constant Retry-After. Ruled out: serving the oldest first with a bounded wait. In the overload test goodput stayed near half of the normal value for ten seconds after the load had ended, as the backlog made every new request late. It acts only with shares_load.

--- a/src/yuccatally/core/admission/admission.py
+++ b/src/yuccatally/core/admission/admission.py
@@ -8,25 +8,17 @@
 
 from yuccatally.core.admission import fairqueue
 from yuccatally.core.admission import limits
+from yuccatally.core.admission import throughput
 from yuccatally.core.requests import outcomes
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 MAX_QUEUED_COUNT = 512
-# Factors of the exponential averages: the largest admitted work decays over
-# about 20 requests, service times are averaged over about 10.
-MAX_WORK_DECAY_RATIO = 0.05
-SERVICE_TIME_SMOOTHING_RATIO = 0.1
-# The average alone underestimates the service time of half of all requests.
-SERVICE_TIME_MARGIN_FACTOR = 1.15
-SERVICE_TIME_HALF_LIFE_S = 5.0
 # Requests below the highest class may spend at most this part of the time to
 # their deadline in the queue. A short queue is enough to keep engines busy,
 # and a long one delays the requests that arrive after an overload.
 MAX_WAIT_RATIO = 0.3
-RATE_WINDOW_S = 0.5
-RATE_SMOOTHING_RATIO = 0.3
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 
@@ -79,7 +71,7 @@
         self.queues: dict[tuple[str, str], fairqueue.UrgencyQueue] = {}
         self.waiting: dict[str, fairqueue.QueuedRequest] = {}
         self.admitted: dict[str, _AdmittedRequest] = {}
-        self.throughputs: dict[tuple[str, str], _Throughput] = {}
+        self.throughputs: dict[tuple[str, str], throughput.Throughput] = {}
         self.refusal_counts: collections.Counter[str] = collections.Counter()
 
     def offer(
@@ -172,15 +164,15 @@
         """Refuses waiting requests that can no longer meet their deadline."""
         shed = []
         for key, queue in self.queues.items():
-            throughput = self._throughput(key)
+            estimate = self._throughput(key)
             for urgency, accounts in queue.classes.items():
                 late = [
                     i
                     for i in accounts.due_before(
-                        now + throughput.longest_s(urgency, now)
+                        now + estimate.longest_s(urgency, now)
                     )
                     if i.deadline
-                    < now + throughput.service_s(urgency, i.work, now)
+                    < now + estimate.service_s(urgency, i.work, now)
                 ]
                 shed += [
                     self._shed(i, "its deadline is too close", now)
@@ -218,8 +210,8 @@
         item = admitted.item
         self.limits.refund(item.account, max_tokens - tokens)
         if tokens:
-            throughput = self._throughput((item.model, item.version))
-            throughput.record_service(
+            estimate = self._throughput((item.model, item.version))
+            estimate.record_service(
                 item.urgency, item.work, now - admitted.admitted_at, now
             )
 
@@ -291,87 +283,8 @@
         key = (item.model, item.version)
         return self.queues.setdefault(key, fairqueue.UrgencyQueue())
 
-    def _throughput(self, key: tuple[str, str]) -> _Throughput:
-        return self.throughputs.setdefault(key, _Throughput())
-
-
-class _Throughput:
-    """Admitted work per second and service times of one model version."""
-
-    def __init__(self) -> None:
-        self.work_per_s = 0.0
-        self.window_work = 0.0
-        self.window_started: float | None = None
-        self.window_waited = False
-        self.service_times: dict[int, _ServiceTime] = {}
-        self.max_work = 0.0
-
-    def record_admission(self, work: float, now: float, waiting: bool) -> None:
-        self._advance(now, waiting)
-        self.window_work += work
-        self.max_work = max(work, self.max_work * (1 - MAX_WORK_DECAY_RATIO))
-
-    def record_service(
-        self, urgency: int, work: float, seconds: float, now: float
-    ) -> None:
-        service_time = self.service_times.setdefault(urgency, _ServiceTime())
-        previous_s = service_time.decayed_s(now)
-        weight = SERVICE_TIME_SMOOTHING_RATIO if previous_s else 1.0
-        service_time.unit_s = previous_s + weight * (
-            seconds / work - previous_s
-        )
-        service_time.measured_at = now
-
-    def service_s(self, urgency: int, work: float, now: float) -> float:
-        service_time = self.service_times.get(urgency)
-        return (
-            SERVICE_TIME_MARGIN_FACTOR * work * service_time.decayed_s(now)
-            if service_time
-            else 0.0
-        )
-
-    def longest_s(self, urgency: int, now: float) -> float:
-        return self.service_s(urgency, self.max_work, now)
-
-    def drain_s(self, work: float, now: float) -> float:
-        self._advance(now, waiting=True)
-        return work / self.work_per_s if self.work_per_s else 0.0
-
-    def _advance(self, now: float, waiting: bool) -> None:
-        if self.window_started is None:
-            self.window_started = now
-            self.window_waited = waiting
-        seconds = now - self.window_started
-        if seconds < RATE_WINDOW_S:
-            return
-        work_per_s = self.window_work / seconds
-        # Without a queue, this is the rate at which requests arrive, which is
-        # only a lower bound of what the engines can process.
-        if work_per_s > self.work_per_s or (
-            self.window_waited and waiting and seconds < 4 * RATE_WINDOW_S
-        ):
-            weight = RATE_SMOOTHING_RATIO if self.work_per_s else 1.0
-            self.work_per_s += weight * (work_per_s - self.work_per_s)
-        self.window_work = 0.0
-        self.window_started = now
-        self.window_waited = waiting
-
-
-@dataclasses.dataclass
-class _ServiceTime:
-    """Service time for each unit of work of one class.
-
-    The estimate decays without new samples. Otherwise, after a slow phase in
-    which every request was refused as too late, no request would run that
-    could show that the phase is over.
-    """
-
-    unit_s: float = 0.0
-    measured_at: float = 0.0
-
-    def decayed_s(self, now: float) -> float:
-        age_s = max(0.0, now - self.measured_at)
-        return self.unit_s * 0.5 ** (age_s / SERVICE_TIME_HALF_LIFE_S)
+    def _throughput(self, key: tuple[str, str]) -> throughput.Throughput:
+        return self.throughputs.setdefault(key, throughput.Throughput())
 
 
 def _limited(item: fairqueue.QueuedRequest, wait_s: float) -> outcomes.Refusal:
--- a/src/yuccatally/core/admission/fairqueue.py
+++ b/src/yuccatally/core/admission/fairqueue.py
@@ -4,6 +4,12 @@
 
 import collections
 import dataclasses
+import itertools
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
 
 # Share of the admitted work that a lower class gets at least while higher
 # classes have requests waiting.
@@ -60,12 +66,20 @@
         self.count = 0
 
     def push(self, item: QueuedRequest) -> None:
-        """Appends a request to the queue of its account."""
+        """Adds a request to the queue of its account, oldest first."""
         queue = self.queues.get(item.account)
         if queue is None:
             queue = self.queues[item.account] = collections.OrderedDict()
             self.deficits[item.account] = 0.0
+        newer = list(
+            itertools.takewhile(
+                lambda i: i.offered_at > item.offered_at,
+                reversed(queue.values()),
+            )
+        )
         queue[item.request] = item
+        for other in reversed(newer):
+            queue.move_to_end(other.request)
         weighted = self.weighted_work.get(item.account, 0.0)
         self.weighted_work[item.account] = weighted + item.work / item.weight
         self.weights[item.account] = item.weight
@@ -99,10 +113,14 @@
         """Removes and returns the request of ``peek``, which must exist."""
         item = self.peek()
         assert item is not None
+        self.take(item)
+        return item
+
+    def take(self, item: QueuedRequest) -> None:
+        """Removes a request that is admitted, at any position."""
         self.deficits[item.account] -= item.work
         self.queues.move_to_end(item.account)
         self.remove(item.account, item.request)
-        return item
 
     def remove(self, account: str, request: str) -> QueuedRequest | None:
         """Removes a request at any position and returns it."""
@@ -165,12 +183,14 @@
     """Priority queue with a guaranteed share for the lower classes.
 
     Attributes:
+        ratios: Guaranteed share of the admitted work by class.
         classes: Queues of each class, highest class first.
         credit: Work that each class may be granted ahead of higher classes.
     """
 
-    def __init__(self) -> None:
-        self.classes = {u: AccountQueues() for u in sorted(GUARANTEED_RATIOS)}
+    def __init__(self, ratios: Mapping[int, float] = GUARANTEED_RATIOS) -> None:
+        self.ratios = ratios
+        self.classes = {u: AccountQueues() for u in sorted(ratios)}
         self.credit = dict.fromkeys(self.classes, 0.0)
 
     def __len__(self) -> int:
@@ -198,14 +218,28 @@
     def pop(self, urgency: int) -> QueuedRequest:
         """Removes and returns the next request of a non-empty class."""
         item = self.classes[urgency].pop()
+        self._grant(item)
+        return item
+
+    def take(self, item: QueuedRequest) -> None:
+        """Removes a request that is admitted, at any position."""
+        self.classes[item.urgency].take(item)
+        self._grant(item)
+
+    def heads(self) -> Iterator[QueuedRequest]:
+        """Yields the first request of each account, highest class first."""
+        for accounts in self.classes.values():
+            for queue in accounts.queues.values():
+                yield next(iter(queue.values()))
+
+    def _grant(self, item: QueuedRequest) -> None:
         for lower, accounts in self.classes.items():
-            if lower == urgency:
+            if lower == item.urgency:
                 self.credit[lower] = max(0.0, self.credit[lower] - item.work)
-            elif lower > urgency and accounts.count:
-                self.credit[lower] += item.work * GUARANTEED_RATIOS[lower]
+            elif lower > item.urgency and accounts.count:
+                self.credit[lower] += item.work * self.ratios[lower]
             elif not accounts.count:
                 self.credit[lower] = 0.0
-        return item
 
     def work_before(self, item: QueuedRequest) -> float:
         """Returns the work admitted up to and including a new request."""
@@ -217,6 +251,15 @@
             item.account, item.weight, item.work
         )
 
+    def work_ahead(self, urgency: int, account: str, weight: int) -> float:
+        """Returns the work admitted up to the last request of an account.
+
+        For an account without waiting requests this is the work of higher
+        classes.
+        """
+        higher = sum(c.work for u, c in self.classes.items() if u < urgency)
+        return higher + self.classes[urgency].work_before(account, weight, 0.0)
+
     def victim_for(self, item: QueuedRequest) -> QueuedRequest | None:
         """Returns the request to shed for a new one when the queue is full.
 
--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     import random
 
@@ -168,6 +169,7 @@
         remote_work: Time of receipt and outstanding work by sender.
         stream_progress: Progress of streams, by path with outstanding requests.
         avoided_until: Time until which a path that failed is avoided.
+        on_capacity: Called when paths may have capacity again.
     """
 
     def __init__(self, data_centre: str, rng: random.Random) -> None:
@@ -179,6 +181,7 @@
         ] = {}
         self.stream_progress: dict[str, StreamProgress] = {}
         self.avoided_until: dict[str, float] = {}
+        self.on_capacity: Callable[[], None] = lambda: None
 
     def apply_remote_work(
         self,
@@ -188,6 +191,7 @@
     ) -> None:
         """Applies the work of another instance and of its followers."""
         self.remote_work[instance] = (now, work_by_path)
+        self.on_capacity()
 
     def retain_instances(self, instances: Iterable[str]) -> None:
         """Removes the work that any other instance has reported."""
@@ -356,6 +360,7 @@
         if own.requests == 0:
             del self.own_work[name]
             del self.stream_progress[name]
+        self.on_capacity()
 
     def _cost(self, path: Path, work: OutstandingWork, tokens: float) -> float:
         """Returns the expected step time, weighted by the free memory.
--- a/src/yuccatally/core/forwarding/upstreams.py
+++ b/src/yuccatally/core/forwarding/upstreams.py
@@ -89,6 +89,7 @@
         on_leaving: Called with an upstream that is newly known to leave.
         on_return: Called with an upstream that accepts requests again, although
             its incarnation was known to leave.
+        on_change: Called when other upstreams may accept requests.
     """
 
     def __init__(self) -> None:
@@ -106,6 +107,7 @@
         self.restored_revision = 0
         self.on_leaving: Callable[[Upstream], None] = lambda upstream: None
         self.on_return: Callable[[Upstream], None] = lambda upstream: None
+        self.on_change: Callable[[], None] = lambda: None
 
     def apply_entry(self, entry: Upstream) -> bool:
         """Adds or updates an entry; returns whether it changed.
@@ -238,6 +240,7 @@
                 if now >= until:
                     del ends[key]
                     self.generation += 1
+                    self.on_change()
 
     def suspect(self, name: str, born_ms: int, until: float) -> bool:
         """Suspects an incarnation; returns whether the suspicion is new."""
@@ -273,6 +276,7 @@
         """Removes a suspicion."""
         if self.suspected_until.pop((name, born_ms), None) is not None:
             self.generation += 1
+            self.on_change()
 
     def incarnation(self, name: str, born_ms: int) -> Upstream | None:
         """Returns the upstream with a name if it is this incarnation."""
@@ -377,6 +381,7 @@
                 n for n in self.last_changes if n not in self.entries
             )
             self.oldest_change = self.last_changes.pop(removed)
+        self.on_change()
 
 
 def _limit_length(records: dict[Any, Any]) -> None:
--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -346,6 +346,10 @@
             status=writer.status,
             outcome=outcome,
             reason=writer.reason,
+            retry_after_s=""
+            if writer.retry_after_s is None
+            else writer.retry_after_s,
+            waited_ms=_ms(writer.waited_s),
             attempts=writer.attempt_count,
             upstream=writer.last_upstream,
             events=writer.event_count,
--- a/src/yuccatally/forwarding/calls.py
+++ b/src/yuccatally/forwarding/calls.py
@@ -2,27 +2,32 @@
 
 from __future__ import annotations
 
+import functools
 import time
 from typing import TYPE_CHECKING
 
 from yuccatally.core.forwarding import attempts
+from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import runs
 from yuccatally.forwarding import open_runs
 from yuccatally.forwarding import retrying
 from yuccatally.forwarding import upstream_responses
+from yuccatally.forwarding import waiting
 from yuccatally.upstreams import exchange
 from yuccatally.upstreams import services
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
-    from yuccatally.core.forwarding import dispatch
     from yuccatally.forwarding import rate_limiting
     from yuccatally.forwarding import request_context
     from yuccatally.forwarding import state
 
 # Largest response that is buffered until it is complete.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Requests that a plain upstream is sent for each of its slots. A short queue
+# keeps it busy while responses are on their way.
+QUEUED_SLOTS_RATIO = 1.5
 
 
 class CallForwarder:
@@ -55,15 +60,30 @@
             self.state.dispatcher, retrying.memory_tokens(context)
         )
 
+        room = waiting.Room(self.state.dispatcher, reader.tokens)
+
         async def choose(tried: frozenset[str]) -> retrying.Choice:
             open_paths = {r.path.name for r in reader.open.runs}
-            return retrying.choose(self.state, context, tried | open_paths)
+            find = functools.partial(
+                retrying.choose, self.state, context, tried | open_paths
+            )
+            # A repeat is sent beside a run that may still answer.
+            if not self.state.settings.shares_load or progress.run_count:
+                return find()
+            return await waiting.find_room(
+                self.state,
+                context,
+                writer,
+                room,
+                lambda: self._with_slot(context, find()),
+            )
 
         async def attempt(
             path: dispatch.Path | None,
         ) -> open_runs.FailedRun | None:
             if path is not None:
                 self._start(context, path, progress, reader)
+                room.release()
             return await self._wait(context, writer, reader)
 
         try:
@@ -79,8 +99,25 @@
                 self.rate_limiter,
             )
         finally:
+            room.release()
             reader.close_all()
 
+    def _with_slot(
+        self, context: request_context.RequestContext, found: waiting.Found
+    ) -> waiting.Found:
+        """Returns the found upstream if its queue is short.
+
+        It has the fewest requests for its slots, so that the others have no
+        shorter queue.
+        """
+        if context.service.model is None and isinstance(found, dispatch.Path):
+            work = self.state.dispatcher.outstanding_work(
+                found.name, time.monotonic()
+            )
+            if work.requests >= QUEUED_SLOTS_RATIO * found.slots:
+                return dispatch.Full()
+        return found
+
     def _start(
         self,
         context: request_context.RequestContext,
@@ -104,6 +141,7 @@
         reader: open_runs.RunReader,
     ) -> open_runs.FailedRun | None:
         """Delivers the first whole response; returns a run that fails."""
+        started_at = time.monotonic()
         while True:
             try:
                 run, outcome = await reader.next(context.deadline)
@@ -124,9 +162,11 @@
                     return open_runs.FailedRun(run.path, outcome)
                 case upstream_responses.CompleteResponse():
                     reader.close_all()
-                    self.state.quarantine.record_served(
-                        context.marks, time.monotonic()
-                    )
+                    now = time.monotonic()
+                    self.state.waiting.queue(
+                        context.service.name
+                    ).record_first_event(now - started_at, now)
+                    self.state.quarantine.record_served(context.marks, now)
                     writer.last_upstream = run.path.name
                     await writer.send_response(
                         outcome.status, outcome.headers, outcome.body
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from yuccatally.core.admission import arrivals
 from yuccatally.core.forwarding import attempts
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import marks
@@ -29,7 +30,7 @@
     from yuccatally.forwarding import request_context
     from yuccatally.forwarding import state
 
-    Choice = dispatch.Path | dispatch.Full | dispatch.Nothing
+    Choice = dispatch.Path | dispatch.Full | dispatch.Nothing | arrivals.Refused
     Choose = Callable[[frozenset[str]], Awaitable[Choice]]
     # Delivers the response and returns None, or returns the failure. Without a
     # path it waits for the open runs.
@@ -361,10 +362,15 @@
     instance_state: state.InstanceState,
     context: request_context.RequestContext,
     progress: attempts.AttemptCounter,
-    choice: dispatch.Full | dispatch.Nothing | dispatch.Limited,
+    choice: dispatch.Full
+    | dispatch.Nothing
+    | dispatch.Limited
+    | arrivals.Refused,
 ) -> tuple[attempts.NextAction, str]:
     """Returns the action that ends a request without a path, and its reason."""
     match choice:
+        case arrivals.Refused(reason=reason, retry_after_s=after_s):
+            return attempts.refuse_or_give_up(progress, after_s), reason
         case dispatch.Full():
             reason, pause_s = "full", 0.0
         case dispatch.Limited(wait_s=wait_s):
--- a/src/yuccatally/forwarding/state.py
+++ b/src/yuccatally/forwarding/state.py
@@ -18,6 +18,7 @@
 from yuccatally.core.forwarding import suspicions
 from yuccatally.core.forwarding import upstreams
 from yuccatally.forwarding import spans
+from yuccatally.forwarding import waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -49,6 +50,7 @@
             start time.
         confirmed_generation: Generation of these layers.
         dispatcher: Chooses paths by outstanding work.
+        waiting: Requests that wait for room; empty unless load is shared.
         quarantine: Requests that crash engines.
         limits: Request rates that upstreams accept.
         retry_budgets: Retry budgets by service.
@@ -75,6 +77,8 @@
         self.confirmed_layers: dict[tuple[str, int], upstreams.LayerRange] = {}
         self.confirmed_generation = 0
         self.dispatcher = dispatch.Dispatcher(settings.data_centre, self.rng)
+        self.waiting = waiting.WaitingList(self.rng)
+        self.waiting.watch(self.dispatcher, self.registry)
         self.quarantine = quarantine.RequestQuarantine()
         self.limits = rate_limits.LimitTable()
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
@@ -108,6 +112,7 @@
             return
         self.plans[service] = plan
         self.plans_generation += 1
+        self.waiting.notify()
         _log.info(
             "plan_in_force",
             service=service,
@@ -229,6 +234,7 @@
         else:
             self.confirmed_layers[engine] = layers
         self.confirmed_generation += 1
+        self.waiting.notify()
 
     def suspect_upstream(
         self, engine: upstreams.Upstream, seconds: float, reason: str
--- a/src/yuccatally/forwarding/streams.py
+++ b/src/yuccatally/forwarding/streams.py
@@ -15,6 +15,7 @@
 from yuccatally.forwarding import retrying
 from yuccatally.forwarding import stream_runs
 from yuccatally.forwarding import upstream_responses
+from yuccatally.forwarding import waiting
 
 if TYPE_CHECKING:
     from yuccatally.forwarding import rate_limiting
@@ -97,6 +98,7 @@
             await upstream_responses.end_request(writer, step, "deadline")
         finally:
             self.running.discard(relay)
+            relay.room.release()
             relay.reader.close_all()
 
     def abandon(self, path: str) -> int:
@@ -135,6 +137,8 @@
         it is found, each of which would end with its first event.
         """
         reason = retrying.quarantine_reason(mark)
+        remaining_s = self.state.quarantine.remaining_s(mark, time.monotonic())
+        self.state.waiting.withdraw(mark, reason, round(remaining_s, 1))
         for relay in self.running:
             if mark in relay.context.marks and not relay.writer.started:
                 for run in relay.reader.open.runs:
@@ -156,6 +160,8 @@
     Attributes:
         progress: Counter of its attempts.
         reader: Reads its runs.
+        room: Room that is held until the request is sent.
+        sent_at: Monotonic time of the latest attempt, in seconds.
         last_id: Id of the last event that was sent to the client.
         forgets_tried: Whether paths are tried that failed before, as they were
             full some time ago.
@@ -176,6 +182,8 @@
         self.reader = open_runs.RunReader(
             instance_state.dispatcher, retrying.memory_tokens(context)
         )
+        self.room = waiting.Room(instance_state.dispatcher, self.reader.tokens)
+        self.sent_at = 0.0
         self.last_id = context.request.last_event_id
         self.forgets_tried = False
 
@@ -231,9 +239,7 @@
                         run.path, outcome, run.event_count
                     )
 
-    async def wait_for_path(
-        self, tried: frozenset[str]
-    ) -> dispatch.Path | dispatch.Full | dispatch.Nothing:
+    async def wait_for_path(self, tried: frozenset[str]) -> retrying.Choice:
         """Chooses a path and waits if no path has capacity.
 
         A request that has not run waits only briefly, since its client can act
@@ -250,6 +256,8 @@
             until = (
                 self.writer.last_write_at or self.context.received_at
             ) + RESUME_TIMEOUT_S
+        if self.state.settings.shares_load:
+            return await self._wait_for_room(tried, started_at, until)
         while True:
             now = time.monotonic()
             choice = self._choose(tried)
@@ -262,7 +270,28 @@
                 tried = frozenset()
             await asyncio.sleep(CAPACITY_POLL_S)
 
-    def _choose(self, tried: frozenset[str]) -> retrying.Choice:
+    async def _wait_for_room(
+        self, tried: frozenset[str], started_at: float, until: float
+    ) -> retrying.Choice:
+        """Waits for a path in the queue of this instance."""
+        has_run = bool(self.progress.run_count)
+
+        def choose() -> waiting.Found:
+            waited_s = time.monotonic() - started_at
+            if has_run and waited_s >= SAME_PATH_DELAY_S:
+                return self._choose(frozenset())
+            return self._choose(tried)
+
+        return await waiting.find_room(
+            self.state,
+            self.context,
+            self.writer,
+            self.room,
+            choose,
+            until if has_run else None,
+        )
+
+    def _choose(self, tried: frozenset[str]) -> waiting.Found:
         while True:
             choice = retrying.choose(self.state, self.context, tried)
             if not isinstance(
@@ -289,7 +318,9 @@
             must_stream=self.writer.started,
             is_retry=self.progress.is_retry,
         )
+        self.sent_at = time.monotonic()
         self.reader.start(run, run.read(self.client))
+        self.room.release()
 
     async def _relay(self, run: runs.Run, outcome: open_runs.Events) -> None:
         is_first = run.event_count == 0
@@ -299,6 +330,10 @@
         self.state.dispatcher.record_event(run.path.name, now)
         if is_first:
             self.state.dispatcher.record_first_event(run.path.name)
+            if not self.writer.started:
+                self.state.waiting.queue(
+                    self.context.service.name
+                ).record_first_event(now - self.sent_at, now)
         self.last_id = outcome.last_id
         self.writer.event_count += outcome.count
         is_sound = self.writer.event_count >= runs.SOUND_EVENT_COUNT
