Show waiting requests in logs and metrics, and test the wait

Cause: operators could not see what waits for room, and no test showed order, wake-up and the ends of a wait. Ruled out: nothing.

--- a/src/yuccatally/core/admission/arrivals.py
+++ b/src/yuccatally/core/admission/arrivals.py
@@ -4,6 +4,10 @@
 
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccatally.core.admission import fairqueue
 
 LOWEST_PRIORITY = 9
 
@@ -107,3 +111,18 @@
     urgency: int
     requests: int
     longest_wait_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """A request that waits.
+
+    Attributes:
+        arrival: The request.
+        item: Its entry in the queue.
+        until: Latest start at which its answer is of use to its caller.
+    """
+
+    arrival: Arrival
+    item: fairqueue.QueuedRequest
+    until: float
--- a/src/yuccatally/core/admission/service_queue.py
+++ b/src/yuccatally/core/admission/service_queue.py
@@ -44,13 +44,6 @@
 MAX_SHED_CHECK_COUNT = 16
 
 
-@dataclasses.dataclass(frozen=True)
-class _Entry:
-    arrival: arrivals.Arrival
-    item: fairqueue.QueuedRequest
-    until: float
-
-
 class ServiceQueue:
     """Requests that wait for room on the paths or upstreams of a service.
 
@@ -89,7 +82,7 @@
         self.resumed: collections.OrderedDict[str, fairqueue.QueuedRequest] = (
             collections.OrderedDict()
         )
-        self.entries: dict[str, _Entry] = {}
+        self.entries: dict[str, arrivals.Waiting] = {}
         self.throughput = throughput.Throughput()
         self.late_throughput = throughput.Throughput()
         self.first_events = throughput.ServiceTime()
@@ -132,7 +125,7 @@
                 )
             shed = self._shed(victim, now)
         self.queue.push(item)
-        self.entries[item.request] = _Entry(arrival, item, until)
+        self.entries[item.request] = arrivals.Waiting(arrival, item, until)
         return arrivals.Queued(item.request, until, shed)
 
     def offer_resumed(
@@ -141,7 +134,7 @@
         """Queues a request that has run and goes on elsewhere."""
         item = self._item(arrival, _class(arrival, late=False), until, now)
         self.resumed[item.request] = item
-        self.entries[item.request] = _Entry(arrival, item, until)
+        self.entries[item.request] = arrivals.Waiting(arrival, item, until)
         return arrivals.Queued(item.request, until)
 
     def candidates(self, now: float) -> list[fairqueue.QueuedRequest]:
@@ -321,16 +314,10 @@
     def _demote_late(self, now: float) -> None:
         """Moves waiting requests that have become late to the late class."""
         for urgency, accounts in self.queue.classes.items():
-            if urgency % 2 or not accounts.count:
-                continue
-            heads = [next(iter(q.values())) for q in accounts.queues.values()]
-            for head in heads:
-                item: fairqueue.QueuedRequest | None = head
-                while item is not None and item.deadline <= now:
+            if urgency % 2 == 0:
+                for item in accounts.due_before(now):
                     accounts.remove(item.account, item.request)
                     self._demote(item)
-                    rest = accounts.queues.get(item.account)
-                    item = next(iter(rest.values())) if rest else None
 
     def _demote(self, item: fairqueue.QueuedRequest) -> None:
         entry = self.entries[item.request]
--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -330,6 +330,8 @@
             self.metrics.observe(
                 "first_byte", writer.first_byte_at - started_at
             )
+        if writer.waited_s:
+            self.metrics.observe("waited", writer.waited_s)
         self.state.spans.record_ended(
             "request",
             request.id,
--- a/src/yuccatally/forwarding/node.py
+++ b/src/yuccatally/forwarding/node.py
@@ -304,6 +304,18 @@
         for service, budget in self.state.retry_budgets.items():
             key = ("retries_refused", service)
             self.metrics.counters[key] = budget.refused_count
+        waiting = self.state.waiting
+        for service, queue in waiting.queues.items():
+            for reason, count in queue.refusal_counts.items():
+                key = ("waiting_refused", f"{service} {reason}")
+                self.metrics.counters[key] = count
+        self.metrics.gauges.clear()
+        for service, status in waiting.status(time.monotonic()):
+            label = f"{service} {status.urgency}"
+            self.metrics.gauges["waiting_requests", label] = status.requests
+            self.metrics.gauges["longest_wait_seconds", label] = (
+                status.longest_wait_s
+            )
         self.metrics.counters[("store_calls", "")] = self.store.call_count
         self.metrics.counters[("responses_discarded", "")] = (
             held_bytes.PROCESS.discarded_count
--- a/src/yuccatally/telemetry/metrics.py
+++ b/src/yuccatally/telemetry/metrics.py
@@ -35,6 +35,10 @@
     "forwarded": "Forwarded requests by status and whether they were whole.",
     "attempts_failed": "Failed attempts of forwarded requests, by failure.",
     "paths_stalled": "Times that a path was found stalled, by path.",
+    "waiting_requests": "Requests that wait for room, by service and priority.",
+    "longest_wait_seconds": "Longest wait so far, by service and priority.",
+    "waiting_refused": "Requests refused for lack of room, by service.",
+    "waited": "Time for which requests searched for a path or waited for room.",
     "first_byte": "Time from the arrival of a request to the first byte.",
     "request": "Time from the acceptance of a request to its outcome.",
     "first_token": "Time from the acceptance to the first token of a stream.",
@@ -52,11 +56,12 @@
 
 
 class Metrics:
-    """Histograms by name and counters by name and label value."""
+    """Histograms by name; counters and gauges by name and label value."""
 
     def __init__(self) -> None:
         self.histograms: dict[str, histogram.HdrHistogram] = {}
         self.sums_s: collections.Counter[str] = collections.Counter()
+        self.gauges: dict[tuple[str, str], float] = {}
         self.counters: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -114,11 +119,21 @@
         """
         lines = [
             *(_request_lines(totals) if totals else ()),
+            *self._gauge_lines(),
             *self._counter_lines(),
             *self._summary_lines(),
         ]
         return "\n".join(lines) + "\n"
 
+    def _gauge_lines(self) -> Iterator[str]:
+        previous = ""
+        for (name, label), value in sorted(self.gauges.items()):
+            metric = f"{PREFIX}_{name}"
+            if name != previous:
+                yield from _header_lines(metric, name, "gauge")
+                previous = name
+            yield f'{metric}{{label="{escape(label)}"}} {value:g}'
+
     def _counter_lines(self) -> Iterator[str]:
         previous = ""
         for (name, label), value in sorted(self.counters.items()):
--- a/src/yuccatally_standins/path_site.py
+++ b/src/yuccatally_standins/path_site.py
@@ -83,7 +83,10 @@
         await self.store.set("config", "main", spec)
 
     async def start_instance(
-        self, name: str = "n1", data_centre: str = "north"
+        self,
+        name: str = "n1",
+        data_centre: str = "north",
+        shares_load: bool = False,
     ) -> node.Node:
         """Starts an instance and waits until it has applied its rules."""
         seeds = tuple(i.settings.listen.peers for i in self.instances)
@@ -99,6 +102,7 @@
                 seeds=seeds,
                 store=self.store_address,
                 metrics=_free_address(),
+                shares_load=shares_load,
                 bounds=instance_settings.Bounds(
                     grace_s=3.0, fences_enforced=True
                 ),
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -45,6 +45,20 @@
     return site
 
 
+@pytest.fixture
+async def sharing(site: path_site.Site) -> path_site.Site:
+    """Adds a pipeline of one engine, a service and an instance.
+
+    The instance queues requests that find no room.
+    """
+    await site.add_engine("e1", data_centre="dc-e1")
+    await site.add_engine("d1", card="")
+    instance = await site.start_instance(shares_load=True)
+    service = instance.state.rules.services["model"]
+    await path_site.until(lambda: len(instance.state.paths(service)) == 1)
+    return site
+
+
 @pytest.fixture
 async def streaming(
     served: path_site.Site,
