--- a/src/yuccatally/core/admission/service_queue.py
+++ b/src/yuccatally/core/admission/service_queue.py
@@ -41,7 +41,7 @@
 # freed room.
 MAX_PASSED_COUNT = 4
 # Number of accounts whose newest request is examined at a time.
-MAX_SHED_CHECK_COUNT = 16
+MAX_SHED_CHECK_COUNT = 8
 
 
 class ServiceQueue:
@@ -69,6 +69,7 @@
         first_events: Time from the start of a request to its first event.
         returns: Callers that were told to return.
         passed_counts: Number of requests admitted ahead of one that was next.
+        next_due: Earliest time at which a waiting request may become late.
         refusal_counts: Number of refusals by reason.
     """
 
@@ -88,6 +89,7 @@
         self.first_events = throughput.ServiceTime()
         self.returns = returns.ReturnSchedule()
         self.passed_counts: dict[str, int] = {}
+        self.next_due = float("inf")
         self.refusal_counts: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
@@ -125,6 +127,7 @@
                 )
             shed = self._shed(victim, now)
         self.queue.push(item)
+        self.next_due = min(self.next_due, item.deadline)
         self.entries[item.request] = arrivals.Waiting(arrival, item, until)
         return arrivals.Queued(item.request, until, shed)
 
@@ -185,7 +188,7 @@
             self.passed_counts[passed.request] = count + 1
         if self.resumed.pop(item.request, None) is None:
             self.queue.take(item)
-        self._record_start(entry.arrival, _is_late(item), now)
+        self._record_start(entry.arrival, item.urgency % 2 == 1, now)
 
     def start_at_once(self, arrival: arrivals.Arrival, now: float) -> None:
         """Records that a request starts that has not waited."""
@@ -269,9 +272,8 @@
     ) -> tuple[fairqueue.QueuedRequest, float]:
         """Returns a new request in its class, and until when it may wait.
 
-        It may not wait if that time has passed. A class without waiting
-        requests may always have one, as it is otherwise kept from its
-        guaranteed share. A caller that returns is late by its first attempt.
+        A class may always have one request, which gets its guaranteed share. A
+        caller that returns is late by its first attempt.
         """
         first_s = self.first_events.decayed_s(now)
         last = arrival.deadline - attempts.MIN_ATTEMPT_S
@@ -313,11 +315,17 @@
 
     def _demote_late(self, now: float) -> None:
         """Moves waiting requests that have become late to the late class."""
+        if now < self.next_due:
+            return
+        self.next_due = float("inf")
         for urgency, accounts in self.queue.classes.items():
-            if urgency % 2 == 0:
-                for item in accounts.due_before(now):
+            timely = [] if urgency % 2 else accounts.due_before(float("inf"))
+            for item in timely:
+                if item.deadline <= now:
                     accounts.remove(item.account, item.request)
                     self._demote(item)
+                else:
+                    self.next_due = min(self.next_due, item.deadline)
 
     def _demote(self, item: fairqueue.QueuedRequest) -> None:
         entry = self.entries[item.request]
@@ -391,7 +399,3 @@
 
 def _class(arrival: arrivals.Arrival, late: bool) -> int:
     return 2 * arrival.urgency + late
-
-
-def _is_late(item: fairqueue.QueuedRequest) -> bool:
-    return item.urgency % 2 == 1
