Require that returns are spread evenly

Cause: the test passed if no caller was told to return in a second at all. Ruled out: nothing. Change: a lower bound in the test; one docstring is shorter.

--- a/src/yuccatally/core/admission/service_queue.py
+++ b/src/yuccatally/core/admission/service_queue.py
@@ -54,8 +54,7 @@
     rest of the room and a small guaranteed share. What cannot start while its
     answer is of use is refused at once.
 
-    Accounts take turns by requests, whatever their size; the requests of an
-    account are served oldest first.
+    Accounts take turns by requests; those of an account go oldest first.
 
     Attributes:
         name: Name of the service.
--- a/tests/core/admission/test_returns.py
+++ b/tests/core/admission/test_returns.py
@@ -40,7 +40,7 @@
     ]
     for second in range(2, 9):
         due = sum(second <= d < second + 1 for d in delays)
-        assert due <= 15, second
+        assert 5 <= due <= 15, second
 
 
 def test_return_follows_what_waits(schedule: returns.ReturnSchedule) -> None:
