--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -10,6 +10,7 @@
 from yuccatally.core.forwarding import room
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
     import random
@@ -167,6 +168,7 @@
         avoided_until: Time until which a path that failed is avoided.
         paces: Limits of servers that have started or recovered; None if this
             instance decides without the others.
+        on_capacity: Called when paths may have capacity again.
     """
 
     def __init__(
@@ -184,6 +186,7 @@
         self.room = room.HeldRoom()
         self.stream_progress: dict[str, StreamProgress] = {}
         self.avoided_until: dict[str, float] = {}
+        self.on_capacity: Callable[[], None] = lambda: None
 
     def apply_remote_work(
         self,
@@ -203,10 +206,12 @@
         Returns:
             Paths whose figures are not valid and were ignored.
         """
-        return [
+        ignored = [
             *self.remote_work.apply(instance, work_by_path, now),
             *self.covered_work.apply(instance, covered, now),
         ]
+        self.on_capacity()
+        return ignored
 
     def retain_instances(self, instances: Iterable[str]) -> None:
         """Removes the work that any other instance has reported."""
@@ -476,6 +481,7 @@
         if own.requests == 0:
             del self.own_work[name]
             del self.stream_progress[name]
+        self.on_capacity()
 
     def _cost(self, path: Path, work: OutstandingWork, tokens: float) -> float:
         """Returns the expected step time, weighted by the free memory.
--- a/src/yuccatally/forwarding/application.py
+++ b/src/yuccatally/forwarding/application.py
@@ -330,6 +330,8 @@
             self.metrics.observe(
                 "first_byte", writer.first_byte_at - started_at
             )
+        if writer.waited_s:
+            self.metrics.observe("waited", writer.waited_s)
         self.state.spans.record_ended(
             "request",
             request.id,
@@ -346,6 +348,10 @@
             status=writer.status,
             outcome=outcome,
             reason=writer.reason,
+            retry_after_s=""
+            if writer.retry_after_s is None
+            else writer.retry_after_s,
+            waited_ms=_ms(writer.waited_s),
             attempts=writer.attempt_count,
             upstream=writer.last_upstream,
             events=writer.event_count,
--- a/src/yuccatally/telemetry/metrics.py
+++ b/src/yuccatally/telemetry/metrics.py
@@ -35,6 +35,10 @@
     "forwarded": "Forwarded requests by status and whether they were whole.",
     "attempts_failed": "Failed attempts of forwarded requests, by failure.",
     "paths_stalled": "Times that a path was found stalled, by path.",
+    "waiting_requests": "Requests that wait for room, by service and priority.",
+    "longest_wait_seconds": "Longest wait so far, by service and priority.",
+    "waiting_refused": "Requests refused for lack of room, by service.",
+    "waited": "Time for which requests searched for a path or waited for room.",
     "first_byte": "Time from the arrival of a request to the first byte.",
     "servers_paced": "Servers with a limit since they started or recovered.",
     "pace_limit": "Sum of their limits, over all instances.",
@@ -55,16 +59,16 @@
 
 
 class Metrics:
-    """Histograms and gauges by name, counters by name and label value."""
+    """Histograms by name; counters and gauges by name and label value."""
 
     def __init__(self) -> None:
         self.histograms: dict[str, histogram.HdrHistogram] = {}
         self.sums_s: collections.Counter[str] = collections.Counter()
+        self.gauges: dict[tuple[str, str], float] = {}
         self.counters: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
         self.label_counts: collections.Counter[str] = collections.Counter()
-        self.gauges: dict[str, int] = {}
 
     def observe(self, name: str, seconds: float) -> None:
         """Records a duration in seconds."""
@@ -124,6 +128,16 @@
         ]
         return "\n".join(lines) + "\n"
 
+    def _gauge_lines(self) -> Iterator[str]:
+        previous = ""
+        for (name, label), value in sorted(self.gauges.items()):
+            metric = f"{PREFIX}_{name}"
+            if name != previous:
+                yield from _header_lines(metric, name, "gauge")
+                previous = name
+            labels = f'{{label="{escape(label)}"}}' if label else ""
+            yield f"{metric}{labels} {value:g}"
+
     def _counter_lines(self) -> Iterator[str]:
         previous = ""
         for (name, label), value in sorted(self.counters.items()):
@@ -134,12 +148,6 @@
             labels = f'{{label="{escape(label)}"}}' if label else ""
             yield f"{metric}{labels} {value}"
 
-    def _gauge_lines(self) -> Iterator[str]:
-        for name, value in sorted(self.gauges.items()):
-            metric = f"{PREFIX}_{name}"
-            yield from _header_lines(metric, name, "gauge")
-            yield f"{metric} {value}"
-
     def _summary_lines(self) -> Iterator[str]:
         for name, durations in sorted(self.histograms.items()):
             metric = f"{PREFIX}_{name}_seconds"
