Do not send requests to a server that has just refused one as full

Cause: the limit of a paced server yields to need up to its declared slots, and a path has room for fewer.

Ruled out: a limit by the declared slots, which say nothing of memory.

Change: for half a second after a refusal as full, or until the limit grows, need does not exceed the limit; requests wait in the queue meanwhile.

--- a/src/yuccatally/core/forwarding/pace.py
+++ b/src/yuccatally/core/forwarding/pace.py
@@ -131,6 +131,8 @@
         own_count: Outstanding attempts of this instance since it is paced.
         earlier_count: Outstanding requests from before it was paced; None
             until they are known.
+        full_until: Time until which the limit does not yield to need, as the
+            server has refused a request as full.
     """
 
     incarnation: int
@@ -140,6 +142,7 @@
     changed_at: float
     own_count: int = 0
     earlier_count: int | None = None
+    full_until: float = 0.0
 
     @property
     def order_key(self) -> tuple[int, int, int]:
--- a/src/yuccatally/core/forwarding/pace_table.py
+++ b/src/yuccatally/core/forwarding/pace_table.py
@@ -23,6 +23,9 @@
 # after a refusal, which shows how much the server can bear.
 LATE_FACTOR = 0.5
 REFUSED_FACTOR = 0.75
+# Time for which the limit of a full server does not yield to need. Requests end
+# about ten times a second.
+FULL_PERIOD_S = 0.5
 # Shares of less than one request pass to other instances after this time. The
 # outstanding work of others is known within it.
 ROTATION_S = 0.5
@@ -141,10 +144,15 @@
         """Returns the same for a request that no other server has room for.
 
         The sum over all instances is the number of slots, or half of it and
-        what they send before they know of each other's requests.
+        what they send before they know of each other's requests. A server that
+        has just refused a request as full gets no more than its limit.
         """
         entry = self.paces.get(name)
-        if entry is None or 2 * outstanding_count < slots:
+        if entry is None:
+            return True
+        if now < entry.full_until:
+            return False
+        if 2 * outstanding_count < slots:
             return True
         return entry.own_count < self._share(entry, slots, now)
 
@@ -212,6 +220,8 @@
                 self._fall(
                     ticket, server, REFUSED_FACTOR, outstanding_count, now
                 )
+                if (full := self.paces.get(server.name)) is not None:
+                    full.full_until = now + FULL_PERIOD_S
             case pace.Failed():
                 self._fall(ticket, server, LATE_FACTOR, outstanding_count, now)
             case pace.ErrorStatus():
@@ -279,6 +289,7 @@
         entry.limit *= 2
         entry.growths += 1
         entry.changed_at = now
+        entry.full_until = 0.0
         if entry.limit >= min(server.slots, MAX_LIMIT_COUNT):
             entry.limit = 0
             self._apply(server.name, entry)
--- a/tests/core/forwarding/test_pace_table.py
+++ b/tests/core/forwarding/test_pace_table.py
@@ -637,3 +637,33 @@
     assert not single.paces.is_paced("b")
     other.paces.merge(single.paces.share(1.1), 1.1)
     assert not other.paces.is_paced("b")
+
+
+def test_need_does_not_reach_a_server_that_has_just_refused() -> None:
+    """Guards against refusals at a rate that only the callers' needs limit.
+
+    Load pattern: all paths are full, and each request that finds no other path
+    is sent to the one that refused the request before.
+    """
+    instance = Instance(0, 1)
+    paces, now = instance.paces, 10.0
+    paces.observe("s", [_server("a")], now)
+    ticket = paces.record_start("a")
+    paces.record(ticket, pace.RefusedFull(), 20, now)
+    assert not paces.admits_in_need("a", 20, 64, now + 0.1)
+    assert paces.admits_in_need("a", 20, 64, now + pace_table.FULL_PERIOD_S)
+    paces.record(paces.record_start("a"), pace.RefusedFull(), 20, now + 1.0)
+    paces.record(paces.record_start("a"), pace.InTime(), 20, now + 1.1)
+    assert paces.admits_in_need("a", 20, 64, now + 1.1)
+
+
+def test_late_refusal_of_a_released_server_changes_nothing() -> None:
+    """Guards against an answer to an attempt from before that ends all."""
+    paces = Instance(0, 1).paces
+    paces.observe("s", [_server("a", slots=4)], 10.0)
+    old = paces.record_start("a")
+    paces.record(paces.record_start("a"), pace.Late(), 2, 10.0)
+    while paces.is_paced("a"):
+        paces.record(paces.record_start("a"), pace.InTime(), 2, 10.5)
+    paces.record(old, pace.RefusedFull(), 2, 11.0)
+    assert not paces.is_paced("a")
