Let the test of a late refusal begin with a failure

Ruled out: a fault of the table.

Change: the first answer of the test is a failure.

Figures: test_pace_table passes.

--- a/tests/core/forwarding/test_pace_table.py
+++ b/tests/core/forwarding/test_pace_table.py
@@ -662,7 +662,7 @@
     paces = Instance(0, 1).paces
     paces.observe("s", [_server("a", slots=4)], 10.0)
     old = paces.record_start("a")
-    paces.record(paces.record_start("a"), pace.Late(), 2, 10.0)
+    paces.record(paces.record_start("a"), pace.Failed(), 2, 10.0)
     while paces.is_paced("a"):
         paces.record(paces.record_start("a"), pace.InTime(), 2, 10.5)
     paces.record(old, pace.RefusedFull(), 2, 11.0)
