Count requests before the application may see their end

Cause: The account was updated after a part was parsed. A body that ended in the part could no longer be refused then, and headers were not counted at all.

Ruled out: Discarding complete requests later; they may have been passed on, so that a 503 would be false. Both kinds of instances pass on complete bodies only, so a refusal in the callback of the body is true.

Change: Target, headers with their objects, and body count as they are parsed and until the response ends, and the refusal happens before the request is complete.

--- a/src/yuccatally/instance/protocol.py
+++ b/src/yuccatally/instance/protocol.py
@@ -23,8 +23,10 @@
 
 # Bytes in the system's buffer count as memory of the process on some machines.
 RECEIVE_BUFFER_BYTES = 64 * 1024
-# Most bodies are shorter, and counting all of them would take time.
+# Most requests are shorter, and counting all of them would take time.
 UNCOUNTED_BYTES = 2 * 1024
+# A header takes two objects and their pair beside its bytes.
+HEADER_OVERHEAD_BYTES = 150
 # Bytes of answers that wait for the client beside those in the system's buffer.
 UNSENT_BYTES = 16 * 1024
 
@@ -76,6 +78,8 @@
         idle_since: Time of the event loop at which the latest answer ended.
         waits_since: Time of the event loop at which the connection, the
             current request or the wait for the client to read began.
+        held_header_bytes: Bytes that the target and the headers of the current
+            request take until its response ends.
         body_bytes: Bytes of the body of the current request.
         unread_bytes: Bytes that the client has not read; 0 if they are few.
     """
@@ -90,7 +94,7 @@
         self.wire_bytes = 0
         self.header_bytes = 0
         self.idle_since = self.waits_since = 0.0
-        self.body_bytes = self.unread_bytes = 0
+        self.held_header_bytes = self.body_bytes = self.unread_bytes = 0
         self.read_timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
 
@@ -101,7 +105,7 @@
         address = self.client[0] if self.client else ""
         self.waits_since = self.loop.time()
         holdings = self.clients.holdings
-        self.body_holding = holdings.add(None, address)
+        self.request_holding = holdings.add(None, address)
         self.buffer_holding = holdings.add(self._drop_buffers, address)
         admission = self.gate.admit(
             self.connections, self.limits.max_connections, self.loop.time()
@@ -119,7 +123,7 @@
         """Stops the time limits."""
         self._stop_read_timer()
         self.resume_writing()
-        for holding in (self.body_holding, self.buffer_holding):
+        for holding in (self.request_holding, self.buffer_holding):
             self.clients.holdings.drop(holding)
         super().connection_lost(exc)
 
@@ -135,14 +139,7 @@
     def input_changed(self) -> None:
         """Counts what is held of the request and around it."""
         super().input_changed()
-        body_bytes = self.body_bytes
-        if body_bytes <= UNCOUNTED_BYTES:
-            body_bytes = 0
-        if body_bytes != self.body_holding.size:
-            self.body_holding.on_discard = (
-                self._refuse_body if self.in_body else None
-            )
-            self.clients.holdings.resize(self.body_holding, body_bytes)
+        self._count_request()
         buffered = len(self.ahead.data) + self.unread_bytes
         if self.flow.is_held:
             buffered += RECEIVE_BUFFER_BYTES
@@ -152,13 +149,16 @@
     def on_url(self, url: bytes) -> None:
         """Adds the request target to the header length."""
         self.header_bytes += len(url)
+        self.held_header_bytes += len(url)
         super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header to the header length; drops trailers (unused)."""
         if not self.in_headers:
             return
-        self.header_bytes += len(name) + len(value) + len(": \r\n")
+        length = len(name) + len(value) + len(": \r\n")
+        self.header_bytes += length
+        self.held_header_bytes += length + HEADER_OVERHEAD_BYTES
         super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
@@ -170,6 +170,10 @@
         if self.header_bytes > self.limits.header_bytes:
             self._refuse_headers()
             return
+        # The request is still incomplete to the application.
+        self._count_request()
+        if self.closing:
+            return
         self.read_timer = self.loop.call_later(
             self.limits.body_timeout_s, self._on_body_timeout
         )
@@ -178,7 +182,7 @@
     def on_response_complete(self) -> None:
         """Records the start of an idle period."""
         self.idle_since = self.waits_since = self.loop.time()
-        self.body_bytes = 0
+        self.held_header_bytes = self.body_bytes = 0
         super().on_response_complete()
 
     def timeout_keep_alive_handler(self) -> None:
@@ -198,13 +202,17 @@
         if not self.cycle.response_complete:
             limit = self.limits.body_bytes
             self.body_bytes = min(self.body_bytes + len(body), limit)
+            # Before the application may see the end of the body.
+            self._count_request()
+            if self.closing:
+                return
         super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Resets the state for the next request of the connection."""
         self._stop_read_timer()
         self.wire_bytes = self.header_bytes = 0
-        self.body_holding.on_discard = None
+        self.request_holding.on_discard = None
         super().on_message_complete()
 
     def pause_writing(self) -> None:
@@ -231,6 +239,16 @@
         """Refuses a request that the parser rejected."""
         self._refuse(400, "malformed", msg)
 
+    def _count_request(self) -> None:
+        """Counts what is held of the request, which may refuse it."""
+        size = self.held_header_bytes + self.body_bytes
+        if size <= UNCOUNTED_BYTES:
+            size = 0
+        holding = self.request_holding
+        holding.on_discard = None if self.has_request else self._refuse_request
+        if size != holding.size:
+            self.clients.holdings.resize(holding, size)
+
     def _check_lengths(self) -> None:
         if self.in_headers:
             self._refuse_headers()
@@ -330,10 +348,10 @@
         else:
             self._abort("too-many-connections")
 
-    def _refuse_body(self) -> None:
-        text = "too many bodies are being received"
+    def _refuse_request(self) -> None:
+        text = "too many requests are being received"
         self._refuse(503, "too-many-bytes", text)
-        self.body_bytes = 0
+        self.held_header_bytes = self.body_bytes = 0
 
     def _drop_buffers(self) -> None:
         """Drops requests that were sent ahead, or an answer left unread."""
