Discard long items before small ones of a shared address

Cause: The address that held most lost its items first, so that clients behind one address were ended for long items that came from many. A holding kept its size after its end, and a later change made the total wrong.

Ruled out: Leaving out the address; many small items of one client would then end those of others.

Addresses are compared among smaller items. A holding has no bytes after its end and takes none.

Figures: tests/core/test_held_bytes.py: the two new tests fail with the old code and pass.

--- a/src/yuccatally/core/held_bytes.py
+++ b/src/yuccatally/core/held_bytes.py
@@ -27,8 +27,8 @@
     Attributes:
         size: Number of bytes.
         on_discard: Ends the exchange; None if it must not be discarded.
-        owner: Address of the peer, whose holdings are compared as a whole;
-            None if this holding is compared by itself.
+        owner: Address of the peer, whose small holdings are compared as a
+            whole; None if this holding is compared by itself.
         is_discarded: Whether the bytes were discarded.
     """
 
@@ -62,7 +62,7 @@
     without end and read no answers. Each exchange stays below its own limit
     for seconds, and together they take all memory, so that the process ends
     with the requests of all clients. Beyond a limit for all of them the
-    largest is discarded, of the peer that holds most.
+    largest is discarded; among small ones, that of the peer that holds most.
 
     Attributes:
         limit_bytes: Limit of all bytes together.
@@ -117,7 +117,7 @@
 
     def resize(self, holding: Holding, size: int) -> None:
         """Sets the size of a holding, and discards the largest if needed."""
-        if holding.is_discarded:
+        if holding not in self.open:
             return
         self.total_bytes += size - holding.size
         has_grown, holding.size = size > holding.size, size
@@ -132,6 +132,7 @@
         if holding in self.open:
             self.open.remove(holding)
             self.total_bytes -= holding.size
+            holding.size = 0
 
     def _discard_largest(self, size: int) -> None:
         """Discards holdings until one of ``size`` bytes has room."""
@@ -149,9 +150,8 @@
             self._discard(
                 max(
                     discardable,
-                    key=lambda h: (
-                        h.size if h.owner is None else held_by_owner[h.owner],
-                        h.size,
+                    key=lambda h: _rank(
+                        h, h.size if h.owner is None else held_by_owner[h.owner]
                     ),
                 )
             )
@@ -164,5 +164,14 @@
             holding.on_discard()
 
 
+def _rank(holding: Holding, owner_bytes: int) -> tuple[int, int, int]:
+    """Returns the order in which holdings are discarded, the highest first.
+
+    An address may stand for many clients, so it only counts among small items.
+    """
+    is_small = holding.size <= SMALL_BYTES
+    return (0 if is_small else holding.size, owner_bytes, holding.size)
+
+
 # The limit is that of the process, whatever reads the responses.
 PROCESS = Holdings()
--- a/tests/core/test_held_bytes.py
+++ b/tests/core/test_held_bytes.py
@@ -71,6 +71,36 @@
     assert discarded == [("faulty", 20)]
 
 
+def test_long_item_is_ended_before_many_short_ones_of_an_address() -> None:
+    """Guards against ending clients that share an address for long items."""
+    long_bytes = held_bytes.SMALL_BYTES + 1
+    holdings = held_bytes.Holdings(3 * long_bytes)
+    discarded = []
+
+    def add(owner: str, size: int) -> None:
+        holding = holdings.add(lambda: discarded.append(owner), owner)
+        holdings.resize(holding, size)
+
+    for _ in range(2):
+        add("shared", held_bytes.SMALL_BYTES)
+    for number in range(2):
+        add(f"faulty-{number}", long_bytes)
+    assert len(discarded) == 1
+    assert discarded[0].startswith("faulty")
+
+
+def test_holding_that_has_ended_takes_no_bytes(
+    holdings: held_bytes.Holdings,
+) -> None:
+    """Guards against bytes that are never released after the end."""
+    holding = holdings.add(None)
+    holdings.resize(holding, 60)
+    holdings.drop(holding)
+    assert holding.size == 0
+    holdings.resize(holding, 70)
+    assert (holding.size, holdings.total_bytes) == (0, 0)
+
+
 def test_long_items_leave_room_for_short_ones() -> None:
     """Guards against long bodies without which no short one is received."""
     long_bytes = held_bytes.SMALL_BYTES + 1
