Close idle connections before those with unread answers

Cause: The wait for a client to read began at the pause of writing and went on while the client read, so that steadily read answers were cut at the limit of connections.

Ruled out: Sparing all unread answers; clients that never read would keep their connections until the write timeout.

Change: Idle connections are closed first, then those in headers, in a body, and last those with unread answers, after a quarter of the write timeout without progress. The wait starts again if the write buffer has changed since the last look.

The new tests fail with the old order and with the wait that does not restart.

--- a/src/yuccatally/instance/clients.py
+++ b/src/yuccatally/instance/clients.py
@@ -89,12 +89,39 @@
         holdings.reserved_bytes = int(holdings.limit_bytes * RESERVED_SHARE)
 
 
+class WaitKind(enum.IntEnum):
+    """What a connection waits for; the lowest is closed first."""
+
+    IDLE = 0
+    HEADERS = 1
+    BODY = 2
+    READING = 3
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Wait:
+    """A wait of a connection for its client.
+
+    Attributes:
+        kind: What the connection waits for.
+        since: Start of the wait, in seconds.
+        min_s: Time after which the connection may be closed, in seconds.
+    """
+
+    kind: WaitKind
+    since: float
+    min_s: float = MIN_WAIT_S
+
+
 class Connection(Protocol):
     """A connection that can be closed for another one."""
 
-    @property
-    def waiting_since(self) -> float | None:
-        """Time since which the client has to act; None if it need not."""
+    def wait(self, now: float) -> Wait | None:
+        """Returns the wait for the client; None if it need not act.
+
+        Args:
+            now: Current time, in seconds.
+        """
 
     def evict(self) -> None:
         """Closes the connection."""
@@ -112,8 +139,9 @@
     """Limits the connections of one listener.
 
     Load pattern: clients open connections and leave them, up to the limit, so
-    that others get none. The connections that have waited for their client for
-    the longest time are closed in favour of new ones.
+    that others get none. Connections that wait for their client are closed in
+    favour of new ones: first those that are idle, then those that receive a
+    request, last those with unread answers, each by the length of the wait.
 
     Attributes:
         searched_at: Time of the latest search for connections to close.
@@ -146,12 +174,12 @@
 
 
 def _evict(connections: Collection[Connection], count: int, now: float) -> bool:
-    """Closes those that wait longest; returns whether there were any."""
+    """Closes the first by kind and length of wait; False if none waits."""
     waiting = [
-        (since, index, connection)
+        (wait, index, connection)
         for index, connection in enumerate(connections)
-        if (since := connection.waiting_since) is not None
-        and now - since >= MIN_WAIT_S
+        if (wait := connection.wait(now)) is not None
+        and now - wait.since >= wait.min_s
     ]
     for _, _, connection in sorted(waiting)[:count]:
         connection.evict()
--- a/src/yuccatally/instance/protocol.py
+++ b/src/yuccatally/instance/protocol.py
@@ -29,6 +29,8 @@
 HEADER_OVERHEAD_BYTES = 150
 # Bytes of answers that wait for the client beside those in the system's buffer.
 UNSENT_BYTES = 16 * 1024
+# Part of the time for reading after which an unread answer makes room.
+READ_WAIT_SHARE = 1 / 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +84,7 @@
             request take until its response ends.
         body_bytes: Bytes of the body of the current request.
         unread_bytes: Bytes that the client has not read; 0 if they are few.
+        unsent_bytes: Length of the write buffer at the latest look.
     """
 
     limits: ConnectionLimits
@@ -91,10 +94,10 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.wire_bytes = 0
-        self.header_bytes = 0
+        self.wire_bytes = self.header_bytes = 0
         self.idle_since = self.waits_since = 0.0
-        self.held_header_bytes = self.body_bytes = self.unread_bytes = 0
+        self.held_header_bytes = self.body_bytes = 0
+        self.unread_bytes = self.unsent_bytes = 0
         self.read_timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
 
@@ -114,8 +117,7 @@
             case clients_module.Admission.ACCEPTED:
                 self._start_header_timer()
             case clients_module.Admission.REFUSED:
-                text = "try another instance"
-                self._refuse(503, "too-many-connections", text)
+                self._refuse_connection()
             case clients_module.Admission.DROPPED:
                 self._abort("too-many-connections")
 
@@ -170,7 +172,6 @@
         if self.header_bytes > self.limits.header_bytes:
             self._refuse_headers()
             return
-        # The request is still incomplete to the application.
         self._count_request()
         if self.closing:
             return
@@ -200,8 +201,8 @@
         if self.closing:
             return
         if not self.cycle.response_complete:
-            limit = self.limits.body_bytes
-            self.body_bytes = min(self.body_bytes + len(body), limit)
+            self.body_bytes += len(body)
+            self.body_bytes = min(self.body_bytes, self.limits.body_bytes)
             # Before the application may see the end of the body.
             self._count_request()
             if self.closing:
@@ -220,6 +221,7 @@
         super().pause_writing()
         self.waits_since = self.loop.time()
         self.unread_bytes = self.transport.get_write_buffer_size()
+        self.unsent_bytes = self.unread_bytes
         self.input_changed()
         self.write_timer = self.loop.call_later(
             self.limits.write_timeout_s, self._on_write_timeout
@@ -331,26 +333,40 @@
         self.ahead.clear()
         self.refusal_log.record(reason, self.client[0] if self.client else "")
 
-    @property
-    def waiting_since(self) -> float | None:
-        """Time since which the client has to send or read; None otherwise."""
-        if self.is_ending:
+    def wait(self, now: float) -> clients_module.Wait | None:
+        """Returns since when the client has to send or read, if it has to."""
+        if self.is_ending or (self.has_request and not self.unread_bytes):
             return None
-        if self.has_request and not self.unread_bytes:
-            return None
-        return self.waits_since
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if not unsent_bytes:
+            return clients_module.Wait(self._wait_kind(), self.waits_since)
+        if unsent_bytes != self.unsent_bytes:  # the client reads
+            self.unsent_bytes, self.waits_since = unsent_bytes, now
+        min_s = READ_WAIT_SHARE * self.limits.write_timeout_s
+        min_s = max(clients_module.MIN_WAIT_S, min_s)
+        kind = clients_module.WaitKind.READING
+        return clients_module.Wait(kind, self.waits_since, min_s)
+
+    def _wait_kind(self) -> clients_module.WaitKind:
+        if self.in_body:
+            return clients_module.WaitKind.BODY
+        if self.request_started:
+            return clients_module.WaitKind.HEADERS
+        return clients_module.WaitKind.IDLE
 
     def evict(self) -> None:
         """Closes the connection in favour of a new one."""
         if self.in_body or (self.request_started and self._can_respond()):
-            self._refuse(503, "too-many-connections", "try another instance")
+            self._refuse_connection()
             self.transport.close()
         else:
             self._abort("too-many-connections")
 
+    def _refuse_connection(self) -> None:
+        self._refuse(503, "too-many-connections", "try another instance")
+
     def _refuse_request(self) -> None:
-        text = "too many requests are being received"
-        self._refuse(503, "too-many-bytes", text)
+        self._refuse(503, "too-many-bytes", "too many requests are received")
         self.held_header_bytes = self.body_bytes = 0
 
     def _drop_buffers(self) -> None:
--- a/tests/instance/test_clients.py
+++ b/tests/instance/test_clients.py
@@ -18,8 +18,17 @@
     """A connection that may wait for its client."""
 
     waiting_since: float | None
+    kind: clients.WaitKind = clients.WaitKind.IDLE
+    min_s: float = clients.MIN_WAIT_S
     is_evicted: bool = False
 
+    def wait(self, now: float) -> clients.Wait | None:
+        """Returns the wait for the client."""
+        del now
+        if self.waiting_since is None:
+            return None
+        return clients.Wait(self.kind, self.waiting_since, self.min_s)
+
     def evict(self) -> None:
         """Closes the connection."""
         self.is_evicted = True
@@ -38,6 +47,27 @@
     assert evicted == waiting[:2]
 
 
+def test_unread_answers_make_room_last() -> None:
+    """Guards against cutting answers while connections are idle."""
+    gate = clients.Gate()
+    kinds = clients.WaitKind
+    unread = [Connection(0.0, kinds.READING) for _ in range(29)]
+    patient = Connection(0.0, kinds.READING, min_s=11.0)
+    others = [
+        Connection(2.0, kinds.BODY),
+        Connection(3.0, kinds.HEADERS),
+        Connection(4.0, kinds.IDLE),
+    ]
+    gate.admit([*unread, patient, *others], LIMIT, 10.0)
+    assert [c.is_evicted for c in others] == [False, True, True]
+    assert not any(c.is_evicted for c in unread)
+    for other in others:
+        other.waiting_since = None
+    gate.admit([patient, *unread, *others], LIMIT, 10.2)
+    assert not patient.is_evicted
+    assert sum(c.is_evicted for c in unread) == 2
+
+
 @pytest.mark.parametrize(
     ("count", "admission"),
     [
--- a/tests/instance/test_protocol.py
+++ b/tests/instance/test_protocol.py
@@ -14,6 +14,7 @@
 from starlette import responses
 from starlette import routing
 
+from yuccatally.instance import clients
 from yuccatally.instance import servers
 from yuccatally.settings import settings
 from yuccatally_standins import site
@@ -300,3 +301,24 @@
     assert listener.events == ["too-many-bytes"]
     assert holdings.total_bytes == 0
     writer.close()
+
+
+async def test_answer_that_is_being_read_keeps_its_connection(
+    listener: LimitedListener,
+) -> None:
+    """Guards against cutting answers of clients that read them steadily."""
+    reader, writer = await listener.connect()
+    writer.write(VALID_REQUEST)
+    await reader.readuntil(b"\r\n\r\n")
+    (connection,) = listener.listener.server.server_state.connections
+    connection.transport.write(bytes(16 * 1024 * 1024))
+    connection.write_timer.cancel()
+    begin = connection.wait(100.0)
+    unsent = connection.transport.get_write_buffer_size()
+    while connection.transport.get_write_buffer_size() == unsent:
+        await reader.read(65536)
+        await asyncio.sleep(0)
+    assert begin.kind is clients.WaitKind.READING
+    assert connection.wait(200.0).since == 200.0
+    assert connection.wait(300.0).since == 200.0
+    writer.transport.abort()
