Leave the descriptors that the platform reserves to files

Cause: Of maxFds, 200 descriptors are reserved for files, but the shares of the listeners were taken of all of them, and refused connections came on top of the shares.

Ruled out: Smaller shares; how many descriptors are reserved is a matter of the platform.

Change: The settings of the platform subtract them, and at least 16 remain. The share of a listener includes the connections that are being refused.

--- a/src/yuccatally/instance/clients.py
+++ b/src/yuccatally/instance/clients.py
@@ -62,7 +62,9 @@
         available = self.descriptor_count
         if soft_limit != resource.RLIM_INFINITY:
             available = min(available, soft_limit)
-        return min(at_most, max(MIN_CONNECTION_COUNT, int(available * share)))
+        # Refused connections are open beyond the limit for a moment.
+        count = int(available * share / (1 + 1 / ROOM_DIVISOR))
+        return min(at_most, max(MIN_CONNECTION_COUNT, count))
 
 
 class Clients:
--- a/src/yuccatally/platform/settings.py
+++ b/src/yuccatally/platform/settings.py
@@ -17,6 +17,9 @@
 # The platform's name for engines and services that a whole fleet uses.
 SHARED_POOL_CONTRACT = "pool"
 MEGABYTE = 1024 * 1024
+# The platform reserves these of ``limits.maxFds`` for files.
+FILE_DESCRIPTOR_COUNT = 200
+MIN_DESCRIPTOR_COUNT = 16
 
 
 def file_path() -> pathlib.Path:
@@ -86,17 +89,20 @@
         shares_load=_has_contract(reader, SHARED_POOL_CONTRACT),
         link_mbps=reader.number("limits.linkMbps", 0.0),
         memory_bytes=_read_memory(reader),
-        descriptor_count=int(
-            reader.number(
-                "limits.maxFds", instance_settings.DEFAULT_DESCRIPTOR_COUNT
-            )
-        ),
+        descriptor_count=_read_descriptors(reader),
     )
     if reader.problems:
         return expression.Error(tuple(reader.problems))
     return expression.Ok(decoded)
 
 
+def _read_descriptors(reader: lenient.LenientReader) -> int:
+    """Returns the number of descriptors for sockets."""
+    default = instance_settings.DEFAULT_DESCRIPTOR_COUNT
+    count = int(reader.number("limits.maxFds", default))
+    return max(MIN_DESCRIPTOR_COUNT, count - FILE_DESCRIPTOR_COUNT)
+
+
 def _read_bounds(reader: lenient.LenientReader) -> instance_settings.Bounds:
     default = instance_settings.Bounds()
     return instance_settings.Bounds(
--- a/tests/instance/test_clients.py
+++ b/tests/instance/test_clients.py
@@ -116,6 +116,9 @@
         clients.INTERNAL_SHARE,
     )
     assert sum(machine.connections(s, 10_000) for s in shares) < 90
+    count = machine.connections(clients.CALLERS_SHARE, 10_000)
+    room = count // clients.ROOM_DIVISOR
+    assert count + room <= 100 * clients.CALLERS_SHARE
     assert machine.connections(clients.CALLERS_SHARE, 16) == 16
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -242,3 +242,19 @@
     """Guards deployments that do not ask for it, and against bad lists."""
     decoded = settings.decode(tomllib.loads(contracts + SETTINGS))
     assert decoded.ok.shares_load is shares_load
+
+
+@pytest.mark.parametrize(
+    ("limits", "count"),
+    [
+        ("", 3900),
+        ("[limits]\nmaxFds = 1024", 824),
+        ("[limits]\nmaxFds = 9", 16),
+    ],
+)
+def test_descriptors_for_files_are_not_used_for_sockets(
+    limits: str, count: int
+) -> None:
+    """Guards against connections that use the descriptors of files."""
+    decoded = settings.decode(tomllib.loads(SETTINGS + limits))
+    assert decoded.ok.descriptor_count == count
