Skip totals of work that keepers are told of while there is none

Cause: without shared load each heartbeat added up two empty lists. Ruled out: the fields themselves; an empty one adds one byte. Change: returns at once without such work.

--- a/src/yuccatally/core/forwarding/dispatch.py
+++ b/src/yuccatally/core/forwarding/dispatch.py
@@ -242,6 +242,8 @@
             instances: Other instances to include.
             now: Monotonic time in seconds.
         """
+        if not own and not self.covered_work.totals:
+            return {}
         return _add_work(own, self.covered_work.totals_of(instances, now))
 
     def covered_without(
@@ -251,6 +253,8 @@
         now: float,
     ) -> dict[str, OutstandingWork]:
         """Returns the part of ``work_without`` that keepers are told of."""
+        if not own and not self.covered_work.totals:
+            return {}
         return _add_work(own, self.covered_work.totals_without(instance, now))
 
     def remove_instance(self, instance: str) -> None:
