Count requests once that hold room before they ask the keeper

The queue holds room for a request before the keeper of the path is asked, so that it was counted twice, and after three denials it was refused at once.

Ruled out: the pace, whose limits yield while servers have capacity; the estimate of the queue, whose refusals have another reason.

Change: reserve takes off what own work contains already. A denied request goes back to the queue until its wait is of no more use, 20 times at most.

The new test fails when the request is counted as not held.

--- a/src/yuccatally/core/forwarding/room.py
+++ b/src/yuccatally/core/forwarding/room.py
@@ -47,6 +47,13 @@
             self.requests + other.requests, self.tokens + other.tokens
         )
 
+    def minus(self, other: Amount) -> Amount:
+        """Returns the difference, at least nothing."""
+        return Amount(
+            max(0, self.requests - other.requests),
+            max(0.0, self.tokens - other.tokens),
+        )
+
     def fits(self, room: Amount) -> bool:
         """Returns whether neither exceeds the room."""
         return self.requests <= room.requests and self.tokens <= room.tokens
--- a/src/yuccatally/forwarding/retrying.py
+++ b/src/yuccatally/forwarding/retrying.py
@@ -198,7 +198,10 @@
         path = await choose(tried)
         if not isinstance(path, dispatch.Path):
             return path
-        if not await rate_limiter.rooms.reserve(path, memory_tokens(context)):
+        # Where load is shared, the queue holds room on the path already.
+        if not await rate_limiter.rooms.reserve(
+            path, memory_tokens(context), instance_state.settings.shares_load
+        ):
             denial_count += 1
             if denial_count >= room_sharing.MAX_DENIAL_COUNT:
                 return dispatch.Full()
--- a/src/yuccatally/forwarding/room_sharing.py
+++ b/src/yuccatally/forwarding/room_sharing.py
@@ -21,7 +21,8 @@
     from yuccatally.forwarding import state
 
 # A request that is denied room so often is treated as if all paths were full.
-MAX_DENIAL_COUNT = 3
+# Between two denials it waits in the queue for as long as its answer is of use.
+MAX_DENIAL_COUNT = 20
 # An exchange takes a few milliseconds; a request waits for it.
 GRANT_TIMEOUT_S = 0.1
 # Interval in which ends of requests are reported, short compared with the
@@ -115,7 +116,9 @@
             if n in own_work
         }
 
-    async def reserve(self, path: dispatch.Path, tokens: float) -> bool:
+    async def reserve(
+        self, path: dispatch.Path, tokens: float, is_held: bool = False
+    ) -> bool:
         """Returns whether a request may start on a path.
 
         Without ample room the keeper of the path decides, and if it does not
@@ -124,6 +127,7 @@
         Args:
             path: A path that seems to have room for the request.
             tokens: Expected memory use of the request, in tokens.
+            is_held: Whether own work contains the request already.
         """
         if not self.state.settings.shares_load or not path.ranges:
             return True
@@ -132,26 +136,30 @@
         asked = room.Amount(1, tokens)
         path_room = _room(path)
         work = dispatcher.outstanding_work(path.name, now)
+        counted = asked if is_held else room.Amount()
         if path.name not in dispatcher.room.reported and not room.needs_grant(
             path_room.scaled(self.share_ratio),
-            room.Amount(work.requests, work.tokens),
+            room.Amount(work.requests, work.tokens).minus(counted),
             asked,
             self.state.instance_count,
         ):
             return True
-        granted = await self._ask(path.name, path_room, asked)
+        granted = await self._ask(path.name, path_room, asked, counted)
         now = time.monotonic()
         if granted is None:
             self.unreached_count += 1
             granted = room.is_safe(
                 path_room,
-                dispatcher.room.held(path.name, self._own(path.name), now),
+                dispatcher.room.held(
+                    path.name, self._own(path.name).minus(counted), now
+                ),
                 asked,
                 self.state.instance_count,
             )
         if granted:
             self.granted_count += 1
-            dispatcher.room.record_grant(path.name, asked, now)
+            if not is_held:
+                dispatcher.room.record_grant(path.name, asked, now)
         else:
             self.denied_count += 1
             dispatcher.room.denied_until[path.name] = (
@@ -179,19 +187,32 @@
                     retry_at[path] = now + REPORT_RETRY_S
 
     async def _ask(
-        self, path: str, path_room: room.Amount, asked: room.Amount
+        self,
+        path: str,
+        path_room: room.Amount,
+        asked: room.Amount,
+        counted: room.Amount,
     ) -> bool | None:
-        """Returns the decision of the keeper; None without an answer."""
+        """Returns the decision of the keeper; None without an answer.
+
+        Args:
+            path: Name of the path.
+            path_room: Its room for all instances.
+            asked: Room that is asked for.
+            counted: Part of it that own work contains already.
+        """
         held_room = self.state.dispatcher.room
-        held = held_room.held(path, self._own(path), time.monotonic())
+        own = self._own(path).minus(counted)
+        held = held_room.held(path, own, time.monotonic())
         held_room.reported[path] = None
         pending = held_room.asked.setdefault(path, [])
-        pending.append(asked)
+        uncounted = asked.minus(counted)
+        pending.append(uncounted)
         sequence = self.sequence + 1
         try:
             reply = await self._send(path, held, path_room, asked)
         finally:
-            pending.remove(asked)
+            pending.remove(uncounted)
         if reply is None or not reply.is_keeper:
             return None
         if self.sequences[path] == sequence:
--- a/tests/forwarding/test_room_sharing.py
+++ b/tests/forwarding/test_room_sharing.py
@@ -94,6 +94,30 @@
     assert sum(asyncio.run(run())) == SLOTS
 
 
+async def _start_held(sharing: room_sharing.RoomSharing) -> bool:
+    """Starts a request for which the queue has held room before it asks."""
+    dispatcher = sharing.state.dispatcher
+    dispatcher.record_start(PATH.name, 10.0, 0.0)
+    granted = await sharing.reserve(PATH, 10.0, is_held=True)
+    dispatcher.record_end(PATH.name, 10.0)
+    if granted:
+        dispatcher.record_start(PATH.name, 10.0, 0.0)
+    return granted
+
+
+def test_request_that_holds_room_is_counted_once() -> None:
+    """Guards against paths that are taken for full when half of them is used.
+
+    The queue holds room from the choice until the request is sent.
+    """
+
+    async def run() -> list[bool]:
+        instances = _instances(_Network(), 35)
+        return [await _start_held(i) for i in instances for _ in range(2)]
+
+    assert sum(asyncio.run(run())) == SLOTS
+
+
 def test_without_the_setting_each_instance_decides() -> None:
     async def run() -> list[bool]:
         instances = _instances(_Network(), 35, shares_load=False)
