Move the detection of stalled paths out of the dispatcher

Ruled out: a split of the choice of paths, which the pace and the room share.

Change: StreamProgress and its limits are in stream_progress.py.

--- a/tests/core/forwarding/test_dispatch.py
+++ b/tests/core/forwarding/test_dispatch.py
@@ -9,6 +9,7 @@
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import path_building
 from yuccatally.core.forwarding import remote_work
+from yuccatally.core.forwarding import stream_progress
 from yuccatally.core.forwarding import upstreams
 from yuccatally_standins import models
 
@@ -125,7 +126,7 @@
         dispatcher.record_event("p", step * 0.03)
     last = 39 * 0.03
     assert not dispatcher.is_stalled("p", last + 0.08)
-    assert dispatcher.is_stalled("p", last + dispatch.MIN_STALL_S + 0.02)
+    assert dispatcher.is_stalled("p", last + stream_progress.MIN_STALL_S + 0.02)
 
 
 def test_slow_path_is_not_taken_for_stalled() -> None:
--- a/tests/core/forwarding/test_pace_table.py
+++ b/tests/core/forwarding/test_pace_table.py
@@ -13,6 +13,7 @@
 from yuccatally.core.forwarding import pace
 from yuccatally.core.forwarding import pace_messages
 from yuccatally.core.forwarding import pace_table
+from yuccatally.core.forwarding import stream_progress
 from yuccatally.core.forwarding import upstreams
 
 INSTANCE_COUNT = 88
@@ -170,8 +171,8 @@
             # Streams go on without a stall, so only the work is of interest.
             dispatcher.stream_progress.clear()
             for name in dispatcher.own_work:
-                dispatcher.stream_progress[name] = dispatch.StreamProgress(
-                    self.now
+                dispatcher.stream_progress[name] = (
+                    stream_progress.StreamProgress(self.now)
                 )
         self.attempts = waiting
         # No stream is stalled.
