--- a/src/yuccatally_bench/emulation/placement.py
+++ b/src/yuccatally_bench/emulation/placement.py
@@ -7,6 +7,7 @@
 
 from yuccatally.core.forwarding import composition
 from yuccatally.core.forwarding import dispatch
+from yuccatally.core.forwarding import path_building
 from yuccatally.core.forwarding import pipelines
 from yuccatally.core.forwarding import upstreams
 from yuccatally_bench.emulation import experiment as experiment_module
@@ -214,7 +215,7 @@
             holding = self._build_holding(stage)
             if holding is not None:
                 holdings[stage.engine] = holding
-        self.paths = dispatch.build_paths(
+        self.paths = path_building.build_paths(
             self.model,
             composition.compose(
                 self.model.layers, self.plan.pipelines, holdings
--- a/src/yuccatally_bench/emulation/policies.py
+++ b/src/yuccatally_bench/emulation/policies.py
@@ -7,6 +7,7 @@
 
 from yuccatally.core.forwarding import dispatch
 from yuccatally.core.forwarding import pipelines
+from yuccatally.core.forwarding import planning
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -130,9 +131,9 @@
 POLICIES = {
     p.name: p
     for p in (
-        Policy("core", pipelines.plan, dispatch.Dispatcher),
-        Policy("round-robin", pipelines.plan, RoundRobin),
-        Policy("least-outstanding", pipelines.plan, LeastOutstanding),
+        Policy("core", planning.plan, dispatch.Dispatcher),
+        Policy("round-robin", planning.plan, RoundRobin),
+        Policy("least-outstanding", planning.plan, LeastOutstanding),
         Policy("plain-placement", fill_engines, dispatch.Dispatcher),
     )
 }
