--- a/tests/crowds/test_unread.py
+++ b/tests/crowds/test_unread.py
@@ -41,3 +41,18 @@
     assert await target.book() == 200
     assert target.process.is_running
     assert target.growth_bytes() <= MAX_GROWTH_BYTES
+
+
+async def test_long_answers_at_once_stay_bounded(
+    start_target: Callable,
+) -> None:
+    """Guards against answers that all arrive before any client reads."""
+    target = await start_target(MACHINE)
+    target.site.engines["d1"].behaviour.answer_bytes = ANSWER_BYTES
+    crowd = await target.crowd("callers", CONNECTION_COUNT)
+    await crowd.send([b"POST /book/x HTTP/1.1\r\n" + _HEADERS])
+    await target.until_executed(CONNECTION_COUNT)
+    target.site.engines["d1"].behaviour.answer_bytes = 0
+    assert await target.book() == 200
+    assert target.process.is_running
+    assert target.growth_bytes() <= MAX_GROWTH_BYTES
