--- a/review/support2/platform_store.py
+++ b/review/support2/platform_store.py
@@ -306,6 +306,14 @@
         response = await http11.exchange(address, request, 1.0)
         return json.loads(response.body)["addresses"]
 
+    def peak_memory_mb(self):
+        """Returns the peak of the resident memory of the process."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        for line in status.splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) // 1024
+        return 0
+
     def signal(self, number):
         self.process.send_signal(number)
 
