--- a/review/10/case.py
+++ b/review/10/case.py
@@ -37,7 +37,7 @@
 _numbers = iter(range(1, 10**6))
 
 
-async def send(record, machine, target, key, parts=(), quiet=False):
+async def send(record, machine, target, key, parts=()):
     """Sends a request; returns its id, the time and the status."""
     number = next(_numbers)
     attempt = f"{number:016x}"
@@ -57,15 +57,16 @@
         ]
     request = http11.encode_request("POST", target, headers, b"jar=100")
     sent_at = record.now()
-    if not quiet:
-        record(f"send  {attempt} {target} to {machine.name} with key {key}")
+    record(
+        f"send  {attempt} {target} to {machine.name} with key {key}, "
+        f"{len(parts)} shared parts"
+    )
     try:
         answer = await http11.exchange(machine.frontend, request, 25.0)
         status = answer.status if answer.ended else "cut"
     except (http11.BrokenError, OSError, TimeoutError) as error:
         status = type(error).__name__
-    if not quiet:
-        record(f"reply {attempt} {status}")
+    record(f"reply {attempt} {status}")
     return attempt, sent_at, status
 
 
@@ -73,7 +74,7 @@
     """Sends one request of each session."""
     return [
         asyncio.create_task(
-            send(record, machine, "/jar/", KEY, parts, quiet=True)
+            send(record, machine, "/jar/", KEY, parts)
         )
         for machine, parts in sessions
     ]
@@ -114,7 +115,7 @@
         for number in range(ENGINE_COUNT):
             model = engines.Engine(
                 store,
-                lambda text: record(text) if "run " not in text else None,
+                record,
                 f"i-7f3a91c2{number}",
                 "tally-model",
                 "a100s",
