--- a/review/support2/platform_store.py
+++ b/review/support2/platform_store.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,9 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READY_S = 40.0
 PAGE_COUNT = 500
+# Below the range from which systems take the ports of outgoing connections.
+PORTS = (20_000, 32_000)
+_given_ports = set()
 
 SETTINGS = """\
 nodeName = "{name}"
@@ -89,9 +93,18 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that is free and that no outgoing connection takes."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 class Store:
