--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,7 +22,7 @@
 # Requests that the engine answers before.
 SPOIL_AFTER = 5
 REQUESTS_PER_S = 10
-DURATION_S = 15.0
+DURATION_S = 30.0
 TIMEOUT_S = 1.5
 LATE_S = 0.5
 MIN_LATE_COUNT = 8
@@ -56,9 +56,12 @@
     record(f"reply {attempt} {status} after {answered[attempt]:.2f} s")
 
 
-async def copy_lines(stream, record):
+async def copy_lines(stream, record, runs):
     while line := await stream.readline():
-        record(line.decode().strip())
+        text = line.decode().strip()
+        record(text)
+        if text.startswith("run "):
+            runs.append(text)
 
 
 async def play(record):
@@ -102,12 +105,15 @@
             stdout=subprocess.PIPE,
         )
         try:
+            runs = []
             address = (await faulty.stdout.readline()).decode().strip()
             sound[0].publish()
             entry = dict(store.objects["servers", sound[0].name]["spec"])
             entry["address"] = address
             store.write("servers", "i-c5f3720820", entry)
-            copying = asyncio.create_task(copy_lines(faulty.stdout, record))
+            copying = asyncio.create_task(
+                copy_lines(faulty.stdout, record, runs)
+            )
             machine = await deployment.add_machine("edge-cascadia-a-1")
             machine.start()
             await machine.wait_ready()
@@ -127,6 +133,10 @@
             await asyncio.gather(*tasks)
             peak = machine.peak_memory_mb()
             record(f"peak memory of the process: {peak} MB")
+            record(
+                f"{SPOILED_COUNT} of {len(runs)} answers of i-c5f3720820 "
+                "were spoiled"
+            )
             copying.cancel()
         finally:
             faulty.kill()
